--- /dev/null
+++ b/include/failover.h
@@ -0,0 +1,115 @@
+#ifndef FAILOVER_H
+#define FAILOVER_H
+
+#include "position.h"
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * DOC: Fail-over of one cluster, driven by the control leader.
+ *
+ * A pure state machine. The driver feeds it what daemons report and what
+ * upstreams answer, and carries out the single action that
+ * failover_next() asks for. A step is acted on only after it is committed to
+ * the agreed log, so a new leader continues from the recorded step.
+ */
+
+enum failover_step {
+	FAILOVER_NONE,
+	FAILOVER_FENCING,
+	FAILOVER_PROMOTING,
+	FAILOVER_DONE,
+	FAILOVER_ABANDONED,
+};
+
+enum failover_action {
+	FAILOVER_WAIT,
+	/** propose the entry that records @step */
+	FAILOVER_RECORD,
+	/** send a fence to every daemon that has not confirmed */
+	FAILOVER_SEND_FENCES,
+	/** ask every replica for its received position */
+	FAILOVER_ASK_POSITIONS,
+	/** run pg_promote on the candidate */
+	FAILOVER_PROMOTE,
+	/** point the other replicas to the new primary */
+	FAILOVER_REPOINT,
+};
+
+/**
+ * struct failover_daemon - what the leader knows of one daemon
+ * @lease_expires_us: when its lease has surely ended
+ * @uses_cluster: whether it serves the cluster
+ * @suspects: whether it reports the primary as unreachable
+ * @fence_confirmed: whether it confirmed the end of the term
+ * @acknowledged: with @fence_confirmed, largest position it acknowledged
+ */
+struct failover_daemon {
+	const char *name;
+	bool live;
+	int64_t lease_expires_us;
+	bool uses_cluster;
+	bool suspects;
+	bool fence_confirmed;
+	struct position acknowledged;
+};
+
+/**
+ * struct failover_replica - what the leader knows of one replica
+ * @answered: whether it answered in this run
+ */
+struct failover_replica {
+	const char *name;
+	bool answered;
+	struct position received;
+};
+
+struct failover_view {
+	const struct failover_daemon *daemons;
+	unsigned nr_daemons;
+	const struct failover_replica *replicas;
+	unsigned nr_replicas;
+	unsigned ack_replicas;
+	/** earliest time at which expiry may be relied on, see lease_table */
+	int64_t leases_known_us;
+};
+
+struct failover {
+	enum failover_step step;
+	uint32_t term;
+	int candidate;
+	int64_t started_us;
+	int64_t suspected_us;
+	int64_t last_fence_us;
+	int64_t last_ask_us;
+	int64_t last_promote_us;
+	const char *blocked;
+};
+
+/** struct failover_order - the single thing to do next */
+struct failover_order {
+	enum failover_action action;
+	enum failover_step step;
+	int candidate;
+	int64_t wake_us;
+};
+
+void failover_init(struct failover *fo, uint32_t term);
+
+/** failover_resume() - take up the step recorded in the agreed log */
+void failover_resume(struct failover *fo, enum failover_step step,
+		     uint32_t term, int candidate, int64_t now_us);
+
+/** failover_suspected() - whether enough daemons report the primary */
+bool failover_suspected(const struct failover_view *view);
+
+/** failover_next() - what to do now */
+void failover_next(struct failover *fo, const struct failover_view *view,
+		   int64_t now_us, struct failover_order *order);
+
+/** failover_recorded() - the entry of @step was committed */
+void failover_recorded(struct failover *fo, enum failover_step step,
+		       int candidate, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/tests/test_main.h
@@ -0,0 +1,40 @@
+#ifndef TEST_MAIN_H
+#define TEST_MAIN_H
+
+#include <check.h>
+#include <stdlib.h>
+
+/**
+ * test_run() - run one suite and turn the result into an exit code
+ * @name: name of the suite
+ * @tests: test functions
+ * @nr: number of @tests
+ */
+static inline int test_run(const char *name, const TTest *const *tests,
+			   size_t nr)
+{
+	Suite *suite = suite_create(name);
+	TCase *tcase = tcase_create(name);
+	SRunner *runner;
+	size_t i;
+	int failed;
+
+	tcase_set_timeout(tcase, 0);
+	for (i = 0; i < nr; i++)
+		tcase_add_test(tcase, tests[i]);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+#define TEST_MAIN(name, ...)                                                  \
+	int main(void)                                                        \
+	{                                                                     \
+		const TTest *const tests[] = { __VA_ARGS__ };                 \
+		return test_run(name, tests, sizeof(tests) / sizeof(*tests)); \
+	}
+
+#endif
