Carry upstream addresses and control addresses on the wire

The control leader promotes replicas and groups upstreams by cluster, but a heartbeat named an upstream only. UpstreamReport now carries address, port, service, cluster, role, leaving and term as announced.

A VM added to the control group later is not in the settings of the others, so RaftMessage carries the addresses its sender knows. ApplyVerdict and QueryReply name the leader when the receiver does not lead.

--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &wire__raft_entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__control_address__init
+                     (Wire__ControlAddress         *message)
+{
+  static const Wire__ControlAddress init_value = WIRE__CONTROL_ADDRESS__INIT;
+  *message = init_value;
+}
+size_t wire__control_address__get_packed_size
+                     (const Wire__ControlAddress *message)
+{
+  assert(message->base.descriptor == &wire__control_address__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__control_address__pack
+                     (const Wire__ControlAddress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__control_address__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__control_address__pack_to_buffer
+                     (const Wire__ControlAddress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__control_address__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__ControlAddress *
+       wire__control_address__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__ControlAddress *)
+     protobuf_c_message_unpack (&wire__control_address__descriptor,
+                                allocator, len, data);
+}
+void   wire__control_address__free_unpacked
+                     (Wire__ControlAddress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__control_address__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__raft_message__init
                      (Wire__RaftMessage         *message)
 {
@@ -1859,7 +1904,7 @@
   (ProtobufCMessageInit) wire__cluster_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__upstream_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__upstream_report__field_descriptors[12] =
 {
   {
     "name",
@@ -1921,18 +1966,109 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamReport, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamReport, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cluster",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamReport, cluster),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primary",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamReport, primary),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamReport, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamReport, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__upstream_report__field_indices_by_name[] = {
+  5,   /* field[5] = address */
+  8,   /* field[8] = cluster */
+  10,   /* field[10] = leaving */
   0,   /* field[0] = name */
   1,   /* field[1] = open_connections */
+  6,   /* field[6] = port */
+  9,   /* field[9] = primary */
   4,   /* field[4] = reachable */
   3,   /* field[3] = received */
+  7,   /* field[7] = service */
+  11,   /* field[11] = term */
   2,   /* field[2] = wanted_connections */
 };
 static const ProtobufCIntRange wire__upstream_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__upstream_report__descriptor =
 {
@@ -1942,7 +2078,7 @@
   "Wire__UpstreamReport",
   "wire",
   sizeof(Wire__UpstreamReport),
-  5,
+  12,
   wire__upstream_report__field_descriptors,
   wire__upstream_report__field_indices_by_name,
   1,  wire__upstream_report__number_ranges,
@@ -2707,7 +2843,58 @@
   (ProtobufCMessageInit) wire__raft_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__raft_message__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wire__control_address__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ControlAddress, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ControlAddress, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__control_address__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange wire__control_address__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__control_address__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.ControlAddress",
+  "ControlAddress",
+  "Wire__ControlAddress",
+  "wire",
+  sizeof(Wire__ControlAddress),
+  2,
+  wire__control_address__field_descriptors,
+  wire__control_address__field_indices_by_name,
+  1,  wire__control_address__number_ranges,
+  (ProtobufCMessageInit) wire__control_address__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__raft_message__field_descriptors[14] =
 {
   {
     "type",
@@ -2865,9 +3052,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "addresses",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__RaftMessage, n_addresses),
+    offsetof(Wire__RaftMessage, addresses),
+    &wire__control_address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__raft_message__field_indices_by_name[] = {
   7,   /* field[7] = accepted */
+  13,   /* field[13] = addresses */
   6,   /* field[6] = commit */
   9,   /* field[9] = entries */
   1,   /* field[1] = from */
@@ -2884,7 +3084,7 @@
 static const ProtobufCIntRange wire__raft_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__raft_message__descriptor =
 {
@@ -2894,7 +3094,7 @@
   "Wire__RaftMessage",
   "wire",
   sizeof(Wire__RaftMessage),
-  13,
+  14,
   wire__raft_message__field_descriptors,
   wire__raft_message__field_indices_by_name,
   1,  wire__raft_message__number_ranges,
@@ -3025,7 +3225,7 @@
   wire__apply_verdict__verdict__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor wire__apply_verdict__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__apply_verdict__field_descriptors[7] =
 {
   {
     "request_id",
@@ -3099,9 +3299,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leader",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ApplyVerdict, leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__apply_verdict__field_indices_by_name[] = {
   5,   /* field[5] = in_force */
+  6,   /* field[6] = leader */
   4,   /* field[4] = message */
   0,   /* field[0] = request_id */
   1,   /* field[1] = verdict */
@@ -3111,7 +3324,7 @@
 static const ProtobufCIntRange wire__apply_verdict__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__apply_verdict__descriptor =
 {
@@ -3121,7 +3334,7 @@
   "Wire__ApplyVerdict",
   "wire",
   sizeof(Wire__ApplyVerdict),
-  6,
+  7,
   wire__apply_verdict__field_descriptors,
   wire__apply_verdict__field_indices_by_name,
   1,  wire__apply_verdict__number_ranges,
@@ -3179,7 +3392,7 @@
   (ProtobufCMessageInit) wire__query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__query_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__query_reply__field_descriptors[5] =
 {
   {
     "json",
@@ -3217,16 +3430,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_leader",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QueryReply, not_leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QueryReply, leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__query_reply__field_indices_by_name[] = {
   2,   /* field[2] = error */
   1,   /* field[1] = failed */
   0,   /* field[0] = json */
+  4,   /* field[4] = leader */
+  3,   /* field[3] = not_leader */
 };
 static const ProtobufCIntRange wire__query_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__query_reply__descriptor =
 {
@@ -3236,7 +3475,7 @@
   "Wire__QueryReply",
   "wire",
   sizeof(Wire__QueryReply),
-  3,
+  5,
   wire__query_reply__field_descriptors,
   wire__query_reply__field_indices_by_name,
   1,  wire__query_reply__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Wire__TablesUpdate Wire__TablesUpdate;
 typedef struct Wire__Fence Wire__Fence;
 typedef struct Wire__RaftEntry Wire__RaftEntry;
+typedef struct Wire__ControlAddress Wire__ControlAddress;
 typedef struct Wire__RaftMessage Wire__RaftMessage;
 typedef struct Wire__ApplyRequest Wire__ApplyRequest;
 typedef struct Wire__ApplyVerdict Wire__ApplyVerdict;
@@ -135,10 +136,24 @@
   uint32_t wanted_connections;
   Wire__Position *received;
   protobuf_c_boolean reachable;
+  /*
+   * As announced, so that the control leader can reach the upstream and
+   * knows which cluster it belongs to.
+   */
+  char *address;
+  uint32_t port;
+  char *service;
+  char *cluster;
+  protobuf_c_boolean primary;
+  protobuf_c_boolean leaving;
+  /*
+   * Term the upstream announced.
+   */
+  uint32_t term;
 };
 #define WIRE__UPSTREAM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__upstream_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__Heartbeat
@@ -275,6 +290,20 @@
     , 0, 0, 0, {0,NULL} }
 
 
+/*
+ * Address of one VM with the control role.
+ */
+struct  Wire__ControlAddress
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *address;
+};
+#define WIRE__CONTROL_ADDRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__control_address__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
 struct  Wire__RaftMessage
 {
   ProtobufCMessage base;
@@ -292,10 +321,16 @@
   ProtobufCBinaryData snapshot;
   uint64_t snapshot_offset;
   protobuf_c_boolean snapshot_done;
+  /*
+   * Addresses the sender knows, its own included, so that a VM added later
+   * is reachable by those whose settings do not name it.
+   */
+  size_t n_addresses;
+  Wire__ControlAddress **addresses;
 };
 #define WIRE__RAFT_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__raft_message__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, 0,NULL }
 
 
 struct  Wire__ApplyRequest
@@ -327,10 +362,14 @@
    * Whether every daemon that may serve has the version in force.
    */
   protobuf_c_boolean in_force;
+  /*
+   * Not leader: the leader's id, 0 when unknown.
+   */
+  uint64_t leader;
 };
 #define WIRE__APPLY_VERDICT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__apply_verdict__descriptor) \
-    , (char *)protobuf_c_empty_string, WIRE__APPLY_VERDICT__VERDICT__UNKNOWN, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, WIRE__APPLY_VERDICT__VERDICT__UNKNOWN, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Wire__Query
@@ -358,10 +397,15 @@
   char *json;
   protobuf_c_boolean failed;
   char *error;
+  /*
+   * Set when the query needs the leader: its id, 0 when unknown.
+   */
+  protobuf_c_boolean not_leader;
+  uint64_t leader;
 };
 #define WIRE__QUERY_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__query_reply__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Wire__SessionStore
@@ -895,6 +939,25 @@
 void   wire__raft_entry__free_unpacked
                      (Wire__RaftEntry *message,
                       ProtobufCAllocator *allocator);
+/* Wire__ControlAddress methods */
+void   wire__control_address__init
+                     (Wire__ControlAddress         *message);
+size_t wire__control_address__get_packed_size
+                     (const Wire__ControlAddress   *message);
+size_t wire__control_address__pack
+                     (const Wire__ControlAddress   *message,
+                      uint8_t             *out);
+size_t wire__control_address__pack_to_buffer
+                     (const Wire__ControlAddress   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__ControlAddress *
+       wire__control_address__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__control_address__free_unpacked
+                     (Wire__ControlAddress *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__RaftMessage methods */
 void   wire__raft_message__init
                      (Wire__RaftMessage         *message);
@@ -1335,6 +1398,9 @@
 typedef void (*Wire__RaftEntry_Closure)
                  (const Wire__RaftEntry *message,
                   void *closure_data);
+typedef void (*Wire__ControlAddress_Closure)
+                 (const Wire__ControlAddress *message,
+                  void *closure_data);
 typedef void (*Wire__RaftMessage_Closure)
                  (const Wire__RaftMessage *message,
                   void *closure_data);
@@ -1417,6 +1483,7 @@
 extern const ProtobufCMessageDescriptor wire__tables_update__descriptor;
 extern const ProtobufCMessageDescriptor wire__fence__descriptor;
 extern const ProtobufCMessageDescriptor wire__raft_entry__descriptor;
+extern const ProtobufCMessageDescriptor wire__control_address__descriptor;
 extern const ProtobufCMessageDescriptor wire__raft_message__descriptor;
 extern const ProtobufCMessageDescriptor wire__apply_request__descriptor;
 extern const ProtobufCMessageDescriptor wire__apply_verdict__descriptor;
