Read daemon settings from an INI file

The daemon needs its addresses, timings and keys before it starts, and a wrong value must stop it with a place and a remedy. inih cuts lines at 200 bytes and values at " ;" by default and reports neither empty sections nor line numbers, so a line reader of our own feeds it and the limits are set at run time.

--- /dev/null
+++ b/common/ini_reader.c
@@ -0,0 +1,210 @@
+#include "ini_reader.h"
+
+#include <ini.h>
+#include <stdarg.h>
+#include <string.h>
+
+struct reader {
+	struct ini_document *doc;
+	const char *at;
+	int line;
+	struct ini_section *section;
+	GError *error;
+};
+
+bool ini_refuse(const struct ini_document *doc, int line, GError **error,
+		const char *fmt, ...)
+{
+	va_list ap;
+	char *text;
+
+	va_start(ap, fmt);
+	text = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	g_set_error(error, CW_ERROR, doc->kind, "%s:%d: %s", doc->file, line,
+		    text);
+	g_free(text);
+	return false;
+}
+
+static void clear_entry(void *data)
+{
+	struct ini_entry *entry = data;
+
+	g_free(entry->key);
+	g_free(entry->value);
+}
+
+static void free_section(void *data)
+{
+	struct ini_section *section = data;
+
+	g_free(section->name);
+	g_array_free(section->entries, TRUE);
+	g_free(section);
+}
+
+struct ini_section *ini_document_section(const struct ini_document *doc,
+					 const char *name)
+{
+	struct ini_section *section;
+	guint i;
+
+	for (i = 0; i < doc->sections->len; i++) {
+		section = g_ptr_array_index(doc->sections, i);
+		if (!strcmp(section->name, name))
+			return section;
+	}
+	return NULL;
+}
+
+/* Takes over @name. */
+static bool begin_section(struct reader *r, char *name)
+{
+	struct ini_section *section = ini_document_section(r->doc, name);
+
+	if (section) {
+		ini_refuse(r->doc, r->line, &r->error,
+			   "section [%s] repeats the one in line %d; rename "
+			   "or remove one of them",
+			   name, section->line);
+		g_free(name);
+		return false;
+	}
+	section = g_new0(struct ini_section, 1);
+	section->name = name;
+	section->line = r->line;
+	section->entries = g_array_new(FALSE, FALSE, sizeof(struct ini_entry));
+	g_array_set_clear_func(section->entries, clear_entry);
+	g_ptr_array_add(r->doc->sections, section);
+	r->section = section;
+	return true;
+}
+
+/* inih reports no heading without keys, so headings are read here. */
+static bool check_heading(struct reader *r, const char *line)
+{
+	const char *close = strchr(line, ']');
+	char *name;
+
+	if (!close || close[1 + strspn(close + 1, " \t\r\n")])
+		return ini_refuse(r->doc, r->line, &r->error,
+				  "the heading is not complete; write "
+				  "[SECTION] and nothing else on its line");
+	name = g_strstrip(g_strndup(line + 1, close - line - 1));
+	if (!*name || close - line - 1 > INI_SECTION_MAX) {
+		g_free(name);
+		return ini_refuse(r->doc, r->line, &r->error,
+				  "the heading has no name or one of more "
+				  "than %d bytes; shorten it",
+				  INI_SECTION_MAX);
+	}
+	return begin_section(r, name);
+}
+
+static char *next_line(char *buf, int size, void *data)
+{
+	struct reader *r = data;
+	const char *start = r->at, *end;
+	size_t len;
+
+	if (r->error || !*r->at)
+		return NULL;
+	r->line++;
+	end = strchr(r->at, '\n');
+	len = end ? (size_t)(end + 1 - r->at) : strlen(r->at);
+	if (len + 1 > (size_t)size) {
+		ini_refuse(r->doc, r->line, &r->error,
+			   "the line has more than %d bytes; shorten it",
+			   size - 2);
+		return NULL;
+	}
+	memcpy(buf, r->at, len);
+	buf[len] = '\0';
+	r->at += len;
+	if (r->line == 1 && g_str_has_prefix(start, "\xef\xbb\xbf"))
+		start += strlen("\xef\xbb\xbf");
+	start += strspn(start, " \t");
+	if (*start == '[' && !check_heading(r, buf + (len - (r->at - start))))
+		return NULL;
+	return buf;
+}
+
+static int take_entry(void *data, const char *section, const char *key,
+		      const char *value)
+{
+	struct reader *r = data;
+	struct ini_entry entry = { 0 }, *other;
+	guint i;
+
+	if (!r->section)
+		return ini_refuse(r->doc, r->line, &r->error,
+				  "key \"%s\" stands before the first "
+				  "section; move it below a heading",
+				  key);
+	if (!*key || !*value)
+		return ini_refuse(r->doc, r->line, &r->error,
+				  "key \"%s\" has no %s; write KEY = VALUE or "
+				  "remove the line",
+				  key, *key ? "value" : "name");
+	for (i = 0; i < r->section->entries->len; i++) {
+		other = &g_array_index(r->section->entries, struct ini_entry,
+				       i);
+		if (!strcmp(other->key, key))
+			return ini_refuse(r->doc, r->line, &r->error,
+					  "key \"%s\" repeats the one in line "
+					  "%d; remove one of them",
+					  key, other->line);
+	}
+	entry.key = g_strdup(key);
+	entry.value = g_strdup(value);
+	entry.line = r->line;
+	g_array_append_val(r->section->entries, entry);
+	return 1;
+}
+
+/* inih's defaults cut lines at 200 bytes and values at " ;". */
+static void configure_inih(void)
+{
+	static gsize done;
+
+	if (!g_once_init_enter(&done))
+		return;
+	ini_use_stack = false;
+	ini_max_line = INI_LINE_MAX;
+	ini_initial_alloc = INI_LINE_MAX;
+	ini_allow_multiline = false;
+	ini_allow_inline_comments = false;
+	ini_stop_on_first_error = true;
+	g_once_init_leave(&done, 1);
+}
+
+bool ini_document_parse(struct ini_document *doc, enum cw_error_kind kind,
+			const char *file, const char *text, GError **error)
+{
+	struct reader r = { .doc = doc, .at = text };
+	int rc;
+
+	configure_inih();
+	doc->file = g_strdup(file);
+	doc->kind = kind;
+	doc->sections = g_ptr_array_new_with_free_func(free_section);
+	rc = ini_parse_stream(next_line, &r, take_entry, &r);
+	if (!rc && !r.error)
+		return true;
+	if (!r.error)
+		ini_refuse(doc, rc > 0 ? rc : r.line, &r.error,
+			   "the line is no heading, entry or comment; write "
+			   "KEY = VALUE, [SECTION] or # COMMENT");
+	g_propagate_error(error, r.error);
+	ini_document_finish(doc);
+	return false;
+}
+
+void ini_document_finish(struct ini_document *doc)
+{
+	g_free(doc->file);
+	if (doc->sections)
+		g_ptr_array_free(doc->sections, TRUE);
+	memset(doc, 0, sizeof(*doc));
+}
