--- a/common/ini_reader.c
+++ b/common/ini_reader.c
@@ -74,7 +74,7 @@
 	section = g_new0(struct ini_section, 1);
 	section->name = name;
 	section->line = r->line;
-	section->entries = g_array_new(FALSE, FALSE, sizeof(struct ini_entry));
+	section->entries = g_array_new(FALSE, TRUE, sizeof(struct ini_entry));
 	g_array_set_clear_func(section->entries, clear_entry);
 	g_ptr_array_add(r->doc->sections, section);
 	r->section = section;
@@ -134,8 +134,8 @@
 		      const char *value)
 {
 	struct reader *r = data;
-	struct ini_entry entry = { 0 }, *other;
-	guint i;
+	struct ini_entry *entry, *other;
+	guint i, nr;
 
 	if (!r->section)
 		return ini_refuse(r->doc, r->line, &r->error,
@@ -156,10 +156,12 @@
 					  "%d; remove one of them",
 					  key, other->line);
 	}
-	entry.key = g_strdup(key);
-	entry.value = g_strdup(value);
-	entry.line = r->line;
-	g_array_append_val(r->section->entries, entry);
+	nr = r->section->entries->len;
+	g_array_set_size(r->section->entries, nr + 1);
+	entry = &g_array_index(r->section->entries, struct ini_entry, nr);
+	entry->key = g_strdup(key);
+	entry->value = g_strdup(value);
+	entry->line = r->line;
 	return 1;
 }
 
