--- a/include/upstream_directory.h
+++ b/include/upstream_directory.h
@@ -35,6 +35,7 @@
  * struct upstream - one database
  * @cluster: handle of its cluster
  * @announced_us: arrival of the last announcement, less its relay age
+ * @probed_us: arrival of the last answer to a probe, INT64_MIN if none
  * @received: log received, of a primary: log written
  * @replayed: log visible to reads
  * @learned_us: when @replayed was learned
@@ -53,6 +54,7 @@
 	char *database;
 	int cluster;
 	int64_t announced_us;
+	int64_t probed_us;
 	struct position received;
 	struct position replayed;
 	int64_t learned_us;
@@ -76,20 +78,22 @@
  * struct cluster - one replication group
  * @upstreams: int handles of its databases
  * @primary: handle, UPSTREAM_NONE while fenced or unknown
+ * @primary_name: name set by the control leader, NULL if none
  * @term: term of @primary
- * @samples: positions of the primary, by the time they were asked for
+ * @samples: positions of the primary, ascending by the time they were asked
+ *           for; the older, the further apart
  */
 struct cluster {
 	char *service;
 	char *name;
 	GArray *upstreams;
 	int primary;
+	char *primary_name;
 	uint32_t term;
 	bool fenced;
 	struct term_history history;
 	struct primary_sample samples[PRIMARY_SAMPLES];
 	unsigned nr_samples;
-	unsigned next_sample;
 };
 
 struct upstream_directory {
@@ -142,6 +146,14 @@
 void directory_note_probe(struct upstream_directory *dir, int upstream,
 			  bool answered, int64_t now_us);
 
+/**
+ * directory_has_diverged() - replayed log that a change of primary cut off
+ *
+ * True of a former primary, or of a replica of it, that went past the end of
+ * its term and has not been rewound: reads there show writes that were lost.
+ */
+bool directory_has_diverged(const struct upstream_directory *dir, int upstream);
+
 /** directory_is_current() - announced or probed within the expiry */
 bool directory_is_current(const struct upstream_directory *dir, int upstream,
 			  int64_t now_us);
