Choose an upstream for each request

Reads go to a replica that is shown to hold the needed position and to be fresh enough, by two random choices over load, then zone; a returned replica gets its share over 5 s. Writes go to a primary under a lease, or wait for one until the deadline. Without a lease a write is refused at once, as the caller can reach another daemon sooner than this one its lease.

--- /dev/null
+++ b/coordination/router.c
@@ -0,0 +1,264 @@
+#include "router.h"
+
+#include <string.h>
+
+/* Longer waits than this cost a caller more than a read at the primary, as
+ * opening a connection there takes 10 ms. */
+#define REPLAY_WAIT_US 20000
+/* A returned replica has cold caches; 5 s warm them at full load. */
+#define RAMP_US 5000000
+
+struct choice {
+	int first;
+	int second;
+	unsigned nr;
+};
+
+void router_init(struct router *router, const char *availability_zone,
+		 uint64_t seed)
+{
+	router->availability_zone = availability_zone;
+	router->replay_wait_us = REPLAY_WAIT_US;
+	router->ramp_us = RAMP_US;
+	router->random = seed;
+}
+
+/* splitmix64 */
+static uint64_t next_random(struct router *router)
+{
+	uint64_t z = router->random += 0x9E3779B97F4A7C15ull;
+
+	z = (z ^ z >> 30) * 0xBF58476D1CE4E5B9ull;
+	z = (z ^ z >> 27) * 0x94D049BB133111EBull;
+	return z ^ z >> 31;
+}
+
+/* Whether a replica may serve reads at all, whatever it has replayed. */
+static bool may_serve(const struct upstream_directory *dir,
+		      const struct cluster *cl, const struct route_request *req,
+		      int handle, int64_t now_us)
+{
+	const struct upstream *up = directory_upstream_at(dir, handle);
+
+	if (handle == cl->primary || handle == req->exclude)
+		return false;
+	if (up->leaving || !up->reachable || up->says_primary)
+		return false;
+	if (up->learned_us == INT64_MIN || directory_has_diverged(dir, handle))
+		return false;
+	return directory_is_current(dir, handle, now_us);
+}
+
+static bool is_fresh(const struct upstream *up, const struct route_request *req,
+		     int64_t now_us)
+{
+	int64_t bound_us = MIN(req->fresh_within_us, req->max_lag_us);
+
+	if (bound_us == INT64_MAX)
+		return true;
+	return up->fresh_us != INT64_MIN && now_us - up->fresh_us <= bound_us;
+}
+
+static bool holds_needed(const struct cluster *cl, const struct upstream *up,
+			 const struct route_request *req)
+{
+	return !req->has_position ||
+	       position_holds(&cl->history, up->replayed, req->needed);
+}
+
+/* Reservoir of two, so that the number of replicas needs no bound. */
+static void choice_add(struct router *router, struct choice *choice, int handle)
+{
+	uint64_t slot = choice->nr++;
+
+	if (slot >= 2)
+		slot = next_random(router) % choice->nr;
+	if (slot == 0)
+		choice->first = handle;
+	else if (slot == 1)
+		choice->second = handle;
+}
+
+static bool ramp_refuses(struct router *router, const struct upstream *up,
+			 int64_t now_us)
+{
+	int64_t since_us = now_us - up->returned_us;
+
+	if (since_us >= router->ramp_us)
+		return false;
+	return (int64_t)(next_random(router) % router->ramp_us) >= since_us;
+}
+
+static bool is_near(const struct router *router, const struct upstream *up)
+{
+	return router->availability_zone && up->availability_zone &&
+	       !strcmp(router->availability_zone, up->availability_zone);
+}
+
+static int better_of(struct router *router,
+		     const struct upstream_directory *dir,
+		     const struct choice *choice, int64_t now_us)
+{
+	const struct upstream *a = directory_upstream_at(dir, choice->first);
+	const struct upstream *b;
+	bool a_ramps, b_ramps;
+
+	if (choice->nr == 1)
+		return choice->first;
+	b = directory_upstream_at(dir, choice->second);
+	a_ramps = ramp_refuses(router, a, now_us);
+	b_ramps = ramp_refuses(router, b, now_us);
+	if (a_ramps != b_ramps)
+		return a_ramps ? choice->second : choice->first;
+	if (a->in_flight != b->in_flight)
+		return a->in_flight < b->in_flight ? choice->first :
+						     choice->second;
+	if (is_near(router, a) != is_near(router, b))
+		return is_near(router, a) ? choice->first : choice->second;
+	return next_random(router) & 1 ? choice->first : choice->second;
+}
+
+static int choose_replica(struct router *router,
+			  const struct upstream_directory *dir,
+			  const struct cluster *cl,
+			  const struct route_request *req, int64_t now_us)
+{
+	struct choice choice = { UPSTREAM_NONE, UPSTREAM_NONE, 0 };
+	const struct upstream *up;
+	int handle;
+	guint i;
+
+	for (i = 0; i < cl->upstreams->len; i++) {
+		handle = g_array_index(cl->upstreams, int, i);
+		up = directory_upstream_at(dir, handle);
+		if (may_serve(dir, cl, req, handle, now_us) &&
+		    holds_needed(cl, up, req) && is_fresh(up, req, now_us))
+			choice_add(router, &choice, handle);
+	}
+	if (!choice.nr)
+		return UPSTREAM_NONE;
+	return better_of(router, dir, &choice, now_us);
+}
+
+/*
+ * Latest time at which the needed position was written: the oldest sample of
+ * the primary that has it. Without one it is newer than the last sample.
+ */
+static int64_t written_by(const struct cluster *cl,
+			  const struct route_request *req, int64_t now_us)
+{
+	unsigned i;
+
+	for (i = 0; i < cl->nr_samples; i++)
+		if (position_holds(&cl->history, cl->samples[i].pos,
+				   req->needed))
+			return cl->samples[i].at_us;
+	return now_us;
+}
+
+/*
+ * Time at which some replica is expected to hold the position: the time of
+ * the write plus the lag last shown. INT64_MAX if none will be fit by that.
+ */
+static int64_t replay_expected(const struct upstream_directory *dir,
+			       const struct cluster *cl,
+			       const struct route_request *req, int64_t now_us)
+{
+	int64_t best_us = INT64_MAX, written_us;
+	const struct upstream *up;
+	int handle;
+	guint i;
+
+	if (!req->has_position)
+		return INT64_MAX;
+	written_us = written_by(cl, req, now_us);
+	for (i = 0; i < cl->upstreams->len; i++) {
+		handle = g_array_index(cl->upstreams, int, i);
+		up = directory_upstream_at(dir, handle);
+		if (!may_serve(dir, cl, req, handle, now_us) ||
+		    holds_needed(cl, up, req) || !is_fresh(up, req, now_us) ||
+		    up->fresh_us == INT64_MIN)
+			continue;
+		best_us = MIN(best_us,
+			      written_us + up->learned_us - up->fresh_us);
+	}
+	return best_us;
+}
+
+static bool primary_usable(const struct upstream_directory *dir,
+			   const struct cluster *cl,
+			   const struct route_request *req)
+{
+	const struct upstream *up = directory_upstream_at(dir, cl->primary);
+
+	return req->lease_valid && up && up->reachable && !up->leaving;
+}
+
+static void wait_for_primary(const struct route_request *req,
+			     struct route_decision *out)
+{
+	if (!req->lease_valid) {
+		out->action = ROUTE_REFUSE;
+		out->reason = ROUTE_REASON_NO_LEASE;
+		return;
+	}
+	out->action = ROUTE_WAIT;
+	out->reason = ROUTE_REASON_WAIT_PRIMARY;
+	out->wait_until_us = req->deadline_us;
+}
+
+static void decide_without_replica(const struct router *router,
+				   const struct upstream_directory *dir,
+				   const struct cluster *cl,
+				   const struct route_request *req,
+				   int64_t now_us, struct route_decision *out)
+{
+	bool usable = primary_usable(dir, cl, req);
+	int64_t until_us = replay_expected(dir, cl, req, now_us);
+
+	if (until_us > now_us && until_us <= req->deadline_us &&
+	    until_us - now_us <= router->replay_wait_us &&
+	    (!usable || until_us - now_us < req->primary_cost_us)) {
+		out->action = ROUTE_WAIT;
+		out->reason = ROUTE_REASON_WAIT_REPLAY;
+		out->wait_until_us = until_us;
+		return;
+	}
+	if (!usable) {
+		wait_for_primary(req, out);
+		return;
+	}
+	out->action = ROUTE_TO_UPSTREAM;
+	out->reason = req->has_position ? ROUTE_REASON_PRIMARY_POSITION :
+					  ROUTE_REASON_PRIMARY_NO_REPLICA;
+	out->upstream = cl->primary;
+}
+
+void router_decide(struct router *router, const struct upstream_directory *dir,
+		   const struct route_request *req, int64_t now_us,
+		   struct route_decision *out)
+{
+	const struct cluster *cl = directory_cluster_at(dir, req->cluster);
+
+	*out = (struct route_decision){ ROUTE_REFUSE, ROUTE_REASON_DEADLINE,
+					UPSTREAM_NONE, now_us };
+	if (!cl || now_us >= req->deadline_us)
+		return;
+	if (!req->read) {
+		if (!primary_usable(dir, cl, req)) {
+			wait_for_primary(req, out);
+			return;
+		}
+		out->action = ROUTE_TO_UPSTREAM;
+		out->reason = ROUTE_REASON_PRIMARY_WRITE;
+		out->upstream = cl->primary;
+		return;
+	}
+	out->upstream = choose_replica(router, dir, cl, req, now_us);
+	if (out->upstream == UPSTREAM_NONE) {
+		decide_without_replica(router, dir, cl, req, now_us, out);
+		return;
+	}
+	out->action = ROUTE_TO_UPSTREAM;
+	out->reason = ROUTE_REASON_REPLICA;
+}
--- /dev/null
+++ b/tests/test_router.c
@@ -0,0 +1,251 @@
+#include "directory_fixture.h"
+#include "router.h"
+#include "test_main.h"
+
+static struct upstream_directory dir;
+static struct router router;
+static struct route_decision out;
+
+/* At 100 ms: a replayed 200 and shows freshness of 90 ms, b replayed 100 and
+ * shows freshness of 10 ms. */
+static void setup(void)
+{
+	fixture_cluster(&dir, 0);
+	note(&dir, 0, 100, 10 * MS, 10 * MS);
+	note(&dir, 0, 200, 90 * MS, 91 * MS);
+	note(&dir, 1, 200, 95 * MS, 96 * MS);
+	note(&dir, 2, 100, 95 * MS, 96 * MS);
+	router_init(&router, "gl-west", 7);
+}
+
+static struct route_request read_request(void)
+{
+	return (struct route_request){
+		.read = true,
+		.fresh_within_us = INT64_MAX,
+		.max_lag_us = 10 * SECOND,
+		.lease_valid = true,
+		.exclude = UPSTREAM_NONE,
+		.deadline_us = 60 * SECOND,
+	};
+}
+
+static void decide(const struct route_request *req, int64_t now_us)
+{
+	router_decide(&router, &dir, req, now_us, &out);
+}
+
+/* Guards against a read at a replica that lacks the caller's write (R1). */
+START_TEST(test_needed_position)
+{
+	struct route_request req = read_request();
+	int i;
+
+	setup();
+	req.has_position = true;
+	req.needed = (struct position){ 1, 150 };
+	for (i = 0; i < 50; i++) {
+		decide(&req, 100 * MS);
+		ck_assert_int_eq(out.upstream, 1);
+		ck_assert_int_eq(out.reason, ROUTE_REASON_REPLICA);
+	}
+	req.needed.lsn = 201;
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.upstream, 0);
+	ck_assert_int_eq(out.reason, ROUTE_REASON_PRIMARY_POSITION);
+	directory_finish(&dir);
+}
+END_TEST
+
+/* Guards against data older than asked, by age since it was learned. */
+START_TEST(test_freshness)
+{
+	struct route_request req = read_request();
+	int i;
+
+	setup();
+	req.fresh_within_us = 20 * MS;
+	for (i = 0; i < 50; i++) {
+		decide(&req, 110 * MS);
+		ck_assert_int_eq(out.upstream, 1);
+	}
+	decide(&req, 110 * MS + 1);
+	ck_assert_int_eq(out.upstream, 0);
+	req = read_request();
+	req.max_lag_us = 95 * MS;
+	for (i = 0; i < 50; i++) {
+		decide(&req, 106 * MS);
+		ck_assert_int_eq(out.upstream, 1);
+	}
+	directory_finish(&dir);
+}
+END_TEST
+
+/* Guards against new requests at a leaving upstream (R7). */
+START_TEST(test_leaving)
+{
+	struct route_request req = read_request();
+	int i;
+
+	setup();
+	directory_upstream_at(&dir, 1)->leaving = true;
+	for (i = 0; i < 50; i++) {
+		decide(&req, 100 * MS);
+		ck_assert_int_eq(out.upstream, 2);
+	}
+	directory_upstream_at(&dir, 0)->leaving = true;
+	req.read = false;
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.action, ROUTE_WAIT);
+	directory_finish(&dir);
+}
+END_TEST
+
+/* Guards against reads at databases that cannot or must not serve them. */
+START_TEST(test_unfit_replicas)
+{
+	struct route_request req = read_request();
+
+	setup();
+	req.exclude = 1;
+	directory_upstream_at(&dir, 2)->reachable = false;
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.upstream, 0);
+	ck_assert_int_eq(out.reason, ROUTE_REASON_PRIMARY_NO_REPLICA);
+	directory_upstream_at(&dir, 2)->reachable = true;
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.upstream, 2);
+	directory_upstream_at(&dir, 2)->says_primary = true;
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.upstream, 0);
+	directory_upstream_at(&dir, 2)->says_primary = false;
+	term_history_add(&directory_cluster_at(&dir, 0)->history, 1, 90);
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.upstream, 0);
+	directory_finish(&dir);
+}
+END_TEST
+
+/* Guards against the use of a primary that may have been replaced (R2). */
+START_TEST(test_primary_needs_a_lease)
+{
+	struct route_request req = read_request();
+
+	setup();
+	req.lease_valid = false;
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.reason, ROUTE_REASON_REPLICA);
+	req.read = false;
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.action, ROUTE_REFUSE);
+	ck_assert_int_eq(out.reason, ROUTE_REASON_NO_LEASE);
+	req.read = true;
+	req.has_position = true;
+	req.needed = (struct position){ 1, 999 };
+	decide(&req, 100 * MS);
+	ck_assert_int_ne(out.action, ROUTE_TO_UPSTREAM);
+	directory_finish(&dir);
+}
+END_TEST
+
+/* Guards against a write refused while a fail-over could still end in time,
+ * and against one that waits past its deadline. */
+START_TEST(test_write_waits_for_a_primary)
+{
+	struct route_request req = read_request();
+
+	setup();
+	req.read = false;
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.upstream, 0);
+	directory_set_primary(&dir, 0, "p", 1, true);
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.action, ROUTE_WAIT);
+	ck_assert_int_eq(out.reason, ROUTE_REASON_WAIT_PRIMARY);
+	ck_assert_int_eq(out.wait_until_us, req.deadline_us);
+	decide(&req, req.deadline_us);
+	ck_assert_int_eq(out.action, ROUTE_REFUSE);
+	ck_assert_int_eq(out.reason, ROUTE_REASON_DEADLINE);
+	directory_set_primary(&dir, 0, "a", 2, false);
+	decide(&req, 200 * MS);
+	ck_assert_int_eq(out.upstream, 1);
+	directory_finish(&dir);
+}
+END_TEST
+
+/* Guards against waiting for a replica when the primary answers sooner. */
+START_TEST(test_waits_for_replay_when_that_is_sooner)
+{
+	struct route_request req = read_request();
+
+	setup();
+	req.has_position = true;
+	req.needed = (struct position){ 1, 210 };
+	note(&dir, 0, 210, 99 * MS, 100 * MS);
+	req.primary_cost_us = 10 * MS;
+	decide(&req, 101 * MS);
+	ck_assert_int_eq(out.action, ROUTE_WAIT);
+	ck_assert_int_eq(out.reason, ROUTE_REASON_WAIT_REPLAY);
+	/* a showed 6 ms of lag, and the position was there at 99 ms. */
+	ck_assert_int_eq(out.wait_until_us, 105 * MS);
+	decide(&req, 105 * MS);
+	ck_assert_int_eq(out.upstream, 0);
+	req.primary_cost_us = 3 * MS;
+	decide(&req, 101 * MS);
+	ck_assert_int_eq(out.upstream, 0);
+	directory_finish(&dir);
+}
+END_TEST
+
+/* Guards against an overloaded replica beside an idle one, and against
+ * traffic between zones without need. */
+START_TEST(test_load_and_zone)
+{
+	struct route_request req = read_request();
+	int i;
+
+	setup();
+	g_free(directory_upstream_at(&dir, 1)->availability_zone);
+	directory_upstream_at(&dir, 1)->availability_zone = g_strdup("gl-east");
+	for (i = 0; i < 50; i++) {
+		decide(&req, 100 * MS);
+		ck_assert_int_eq(out.upstream, 2);
+	}
+	directory_upstream_at(&dir, 2)->in_flight = 1;
+	for (i = 0; i < 50; i++) {
+		decide(&req, 100 * MS);
+		ck_assert_int_eq(out.upstream, 1);
+	}
+	directory_finish(&dir);
+}
+END_TEST
+
+/* Guards against a burst of reads at a replica with cold caches. */
+START_TEST(test_ramp)
+{
+	struct route_request req = read_request();
+	int i, early = 0, late = 0;
+
+	setup();
+	directory_upstream_at(&dir, 1)->returned_us = 0;
+	for (i = 0; i < 1000; i++) {
+		decide(&req, 500 * MS);
+		early += out.upstream == 1;
+		decide(&req, 4 * SECOND);
+		late += out.upstream == 1;
+	}
+	ck_assert_int_gt(early, 20);
+	ck_assert_int_lt(early, 90);
+	ck_assert_int_gt(late, 350);
+	directory_upstream_at(&dir, 2)->leaving = true;
+	decide(&req, MS * 100);
+	ck_assert_int_eq(out.upstream, 1);
+	directory_finish(&dir);
+}
+END_TEST
+
+TEST_MAIN("router", test_needed_position, test_freshness, test_leaving,
+	  test_unfit_replicas, test_primary_needs_a_lease,
+	  test_write_waits_for_a_primary,
+	  test_waits_for_replay_when_that_is_sooner, test_load_and_zone,
+	  test_ramp)
