Queue requests fairly between tenants

One bounded queue a tenant; deficit round robin between tenants and earliest deadline first within one. A request that cannot meet its deadline at the observed service time and the tenant's share of the slots is refused at once. First come first served and one global deadline order are kept for comparison.

--- /dev/null
+++ b/coordination/admission.c
@@ -0,0 +1,271 @@
+#include "admission.h"
+
+/* Weight of the newest sample in the observed service time: one in eight
+ * follows a change within some ten requests. */
+#define SERVICE_SAMPLES 8
+
+struct waiting {
+	uint64_t request;
+	int64_t deadline_us;
+	uint64_t sequence;
+};
+
+struct tenant {
+	char *name;
+	unsigned weight;
+	unsigned deficit;
+	GSequence *queue;
+};
+
+static void tenant_free(gpointer data)
+{
+	struct tenant *tenant = data;
+
+	g_sequence_free(tenant->queue);
+	g_free(tenant->name);
+	g_free(tenant);
+}
+
+void admission_init(struct admission *adm, enum admission_order order,
+		    unsigned max_queue, unsigned slots)
+{
+	*adm = (struct admission){
+		.tenants = g_ptr_array_new_with_free_func(tenant_free),
+		.tenant_by_name = g_hash_table_new(g_str_hash, g_str_equal),
+		.order = order,
+		.max_queue = max_queue,
+		.slots = MAX(slots, 1),
+	};
+}
+
+void admission_finish(struct admission *adm)
+{
+	g_hash_table_destroy(adm->tenant_by_name);
+	g_ptr_array_free(adm->tenants, TRUE);
+}
+
+static struct tenant *tenant_at(const struct admission *adm, int handle)
+{
+	return g_ptr_array_index(adm->tenants, handle);
+}
+
+int admission_tenant(struct admission *adm, const char *name, unsigned weight)
+{
+	struct tenant *tenant;
+	gpointer value;
+
+	if (g_hash_table_lookup_extended(adm->tenant_by_name, name, NULL,
+					 &value)) {
+		tenant_at(adm, GPOINTER_TO_INT(value))->weight = MAX(weight, 1);
+		return GPOINTER_TO_INT(value);
+	}
+	tenant = g_new0(struct tenant, 1);
+	tenant->name = g_strdup(name);
+	tenant->weight = MAX(weight, 1);
+	tenant->queue = g_sequence_new(g_free);
+	g_ptr_array_add(adm->tenants, tenant);
+	g_hash_table_insert(adm->tenant_by_name, tenant->name,
+			    GINT_TO_POINTER(adm->tenants->len - 1));
+	return adm->tenants->len - 1;
+}
+
+static gint by_deadline(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct waiting *x = a, *y = b;
+
+	if (x->deadline_us != y->deadline_us)
+		return x->deadline_us < y->deadline_us ? -1 : 1;
+	return (x->sequence > y->sequence) - (x->sequence < y->sequence);
+}
+
+static gint by_arrival(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct waiting *x = a, *y = b;
+
+	return (x->sequence > y->sequence) - (x->sequence < y->sequence);
+}
+
+static GCompareDataFunc order_of(const struct admission *adm)
+{
+	return adm->order == ADMISSION_FIFO ? by_arrival : by_deadline;
+}
+
+static guint length_of(const struct tenant *tenant)
+{
+	return g_sequence_get_length(tenant->queue);
+}
+
+static struct waiting *head_of(const struct tenant *tenant)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(tenant->queue);
+
+	return g_sequence_iter_is_end(iter) ? NULL : g_sequence_get(iter);
+}
+
+/* Time until a request that joins now has run, at the tenant's own share of
+ * the slots. */
+static int64_t expected_us(const struct admission *adm,
+			   const struct tenant *tenant)
+{
+	int64_t ahead = length_of(tenant), weights = tenant->weight;
+	const struct tenant *other;
+	guint i;
+
+	for (i = 0; i < adm->tenants->len; i++) {
+		other = tenant_at(adm, i);
+		if (other == tenant || !length_of(other))
+			continue;
+		if (adm->order == ADMISSION_FAIR)
+			weights += other->weight;
+		else
+			ahead += length_of(other);
+	}
+	if (adm->order == ADMISSION_FAIR)
+		ahead = ahead * weights / tenant->weight;
+	return ahead * adm->service_us / adm->slots + adm->service_us;
+}
+
+enum admission_verdict admission_enqueue(struct admission *adm, int handle,
+					 uint64_t request, int64_t deadline_us,
+					 int64_t now_us)
+{
+	struct tenant *tenant = tenant_at(adm, handle);
+	struct waiting *waiting;
+
+	if (length_of(tenant) >= adm->max_queue)
+		return ADMISSION_FULL;
+	if (now_us + expected_us(adm, tenant) > deadline_us)
+		return ADMISSION_TOO_LATE;
+	waiting = g_new(struct waiting, 1);
+	*waiting = (struct waiting){ request, deadline_us, adm->sequence++ };
+	g_sequence_insert_sorted(tenant->queue, waiting, order_of(adm), NULL);
+	return ADMISSION_QUEUED;
+}
+
+static bool take_head(struct tenant *tenant,
+		      bool (*accept)(uint64_t request, void *data), void *data,
+		      uint64_t *request)
+{
+	struct waiting *head = head_of(tenant);
+
+	if (!head || !accept(head->request, data))
+		return false;
+	*request = head->request;
+	g_sequence_remove(g_sequence_get_begin_iter(tenant->queue));
+	return true;
+}
+
+static void advance(struct admission *adm)
+{
+	struct tenant *tenant;
+
+	adm->cursor = (adm->cursor + 1) % adm->tenants->len;
+	tenant = tenant_at(adm, adm->cursor);
+	tenant->deficit = length_of(tenant) ? tenant->weight : 0;
+}
+
+/* Deficit round robin with a cost of one a request. A tenant whose head
+ * cannot run loses its turn and not the requests behind it. */
+static bool next_fair(struct admission *adm,
+		      bool (*accept)(uint64_t request, void *data), void *data,
+		      uint64_t *request)
+{
+	struct tenant *tenant;
+	guint visited;
+
+	for (visited = 0; visited <= adm->tenants->len; visited++) {
+		tenant = tenant_at(adm, adm->cursor);
+		if (tenant->deficit &&
+		    take_head(tenant, accept, data, request)) {
+			if (!--tenant->deficit || !length_of(tenant))
+				advance(adm);
+			return true;
+		}
+		advance(adm);
+	}
+	return false;
+}
+
+/* One order over all tenants: the naive schedules to compare with. */
+static bool next_global(struct admission *adm,
+			bool (*accept)(uint64_t request, void *data),
+			void *data, uint64_t *request)
+{
+	struct tenant *tenant, *best = NULL;
+	GCompareDataFunc order = order_of(adm);
+	guint i;
+
+	for (i = 0; i < adm->tenants->len; i++) {
+		tenant = tenant_at(adm, i);
+		if (length_of(tenant) &&
+		    (!best || order(head_of(tenant), head_of(best), NULL) < 0))
+			best = tenant;
+	}
+	return best && take_head(best, accept, data, request);
+}
+
+bool admission_next(struct admission *adm, int64_t now_us,
+		    bool (*accept)(uint64_t request, void *data), void *data,
+		    uint64_t *request)
+{
+	if (!adm->tenants->len)
+		return false;
+	if (adm->order == ADMISSION_FAIR)
+		return next_fair(adm, accept, data, request);
+	return next_global(adm, accept, data, request);
+}
+
+void admission_expire(struct admission *adm, int64_t now_us,
+		      void (*expired)(uint64_t request, void *data), void *data)
+{
+	GSequenceIter *iter, *next;
+	struct waiting *waiting;
+	guint i;
+
+	for (i = 0; i < adm->tenants->len; i++) {
+		iter = g_sequence_get_begin_iter(tenant_at(adm, i)->queue);
+		for (; !g_sequence_iter_is_end(iter); iter = next) {
+			next = g_sequence_iter_next(iter);
+			waiting = g_sequence_get(iter);
+			if (waiting->deadline_us <= now_us) {
+				expired(waiting->request, data);
+				g_sequence_remove(iter);
+			} else if (adm->order != ADMISSION_FIFO) {
+				break;
+			}
+		}
+	}
+}
+
+void admission_remove(struct admission *adm, int handle, uint64_t request)
+{
+	GSequenceIter *iter =
+		g_sequence_get_begin_iter(tenant_at(adm, handle)->queue);
+	const struct waiting *waiting;
+
+	for (; !g_sequence_iter_is_end(iter);
+	     iter = g_sequence_iter_next(iter)) {
+		waiting = g_sequence_get(iter);
+		if (waiting->request != request)
+			continue;
+		g_sequence_remove(iter);
+		return;
+	}
+}
+
+void admission_note_service(struct admission *adm, int64_t service_us)
+{
+	if (!adm->service_us)
+		adm->service_us = service_us;
+	adm->service_us += (service_us - adm->service_us) / SERVICE_SAMPLES;
+}
+
+unsigned admission_waiting(const struct admission *adm)
+{
+	unsigned total = 0;
+	guint i;
+
+	for (i = 0; i < adm->tenants->len; i++)
+		total += length_of(tenant_at(adm, i));
+	return total;
+}
