Plan connection shares that never exceed the budget

Every live daemon keeps its probe connection, the rest follows demand in equal shares, and one connection stays free for a first request. A share is freed only by the daemon's confirmation or once its connections are surely closed. Idle shares are kept as warm spares until somebody else needs them.

The doc of budget_demand.open states what the planner relies on: an older heartbeat than the target is no confirmation of it, as the daemon may still open connections by an older grant.

--- a/include/budget.h
+++ b/include/budget.h
@@ -27,7 +27,9 @@
 
 /**
  * struct budget_demand - one daemon's view, from its heartbeat
- * @open: connections open or being opened
+ * @open: connections open or being opened, by a heartbeat that was sent
+ *        after the daemon had taken in the recorded target; the recorded
+ *        connections until then, since it may still open as many
  * @wanted: connections it could use now, the probe connection included
  * @alive: whether its lease is live
  * @gone: whether it lost its lease long enough ago for its connections to
--- /dev/null
+++ b/tests/test_budget.c
@@ -0,0 +1,201 @@
+#include "budget.h"
+#include "test_main.h"
+
+#define DAEMONS 8
+
+static struct budget_share shares[DAEMONS];
+static struct budget_demand demands[DAEMONS];
+static struct budget_change changes[DAEMONS];
+
+static void setup(unsigned nr)
+{
+	unsigned i;
+
+	memset(shares, 0, sizeof(shares));
+	memset(demands, 0, sizeof(demands));
+	for (i = 0; i < nr; i++)
+		demands[i] = (struct budget_demand){ 0, 1, true, false };
+}
+
+static unsigned sum(void)
+{
+	unsigned total = 0, i;
+
+	for (i = 0; i < DAEMONS; i++)
+		total += shares[i].connections;
+	return total;
+}
+
+/* Applies one plan; every prefix must stay within the budget. */
+static unsigned step(unsigned budget, unsigned nr)
+{
+	unsigned nr_changes = budget_plan(budget, shares, demands, nr, changes);
+	unsigned before, i;
+
+	for (i = 0; i < nr_changes; i++) {
+		before = sum();
+		shares[changes[i].daemon] = changes[i].share;
+		ck_assert(sum() <= budget || sum() <= before);
+	}
+	return nr_changes;
+}
+
+/* Guards against a daemon that cannot probe its database. */
+START_TEST(test_floor)
+{
+	unsigned i;
+
+	setup(8);
+	demands[0].wanted = 100;
+	step(16, 8);
+	for (i = 1; i < 8; i++)
+		ck_assert_uint_eq(shares[i].connections, 1);
+	/* 16 less 7 probe connections less the free one. */
+	ck_assert_uint_eq(shares[0].connections, 8);
+	ck_assert_uint_eq(step(16, 8), 0);
+}
+END_TEST
+
+/* Guards against a first request that waits for another daemon to shrink. */
+START_TEST(test_first_request_is_served_from_the_free_one)
+{
+	setup(8);
+	demands[0].wanted = 100;
+	step(16, 8);
+	demands[0].open = 8;
+	demands[5].wanted = 2;
+	step(16, 8);
+	ck_assert_uint_eq(shares[5].connections, 2);
+	ck_assert_uint_eq(sum(), 16);
+	ck_assert_uint_eq(shares[0].target, 7);
+	demands[0].open = 7;
+	step(16, 8);
+	ck_assert_uint_eq(sum(), 15);
+}
+END_TEST
+
+/* Guards against a share being given away while its connections are open. */
+START_TEST(test_shrinks_in_two_steps)
+{
+	setup(2);
+	demands[0].wanted = 9;
+	step(10, 2);
+	ck_assert_uint_eq(shares[0].connections, 8);
+	demands[0].open = 8;
+	demands[1].wanted = 9;
+	step(10, 2);
+	ck_assert_uint_eq(shares[0].connections, 8);
+	ck_assert_uint_eq(shares[0].target, 5);
+	ck_assert_uint_eq(shares[1].connections, 2);
+	demands[0].open = 6;
+	ck_assert_uint_eq(step(10, 2), 0);
+	demands[0].open = 5;
+	step(10, 2);
+	ck_assert_uint_eq(shares[0].connections, 5);
+	ck_assert_uint_eq(shares[1].connections, 4);
+}
+END_TEST
+
+/* Guards against the budget being exceeded by a daemon that is cut off. */
+START_TEST(test_dead_daemon_keeps_its_share_until_gone)
+{
+	setup(2);
+	demands[0].wanted = 9;
+	step(10, 2);
+	demands[0].alive = false;
+	demands[1].wanted = 9;
+	step(10, 2);
+	ck_assert_uint_eq(shares[0].connections, 8);
+	ck_assert_uint_eq(shares[1].connections, 2);
+	demands[0].gone = true;
+	step(10, 2);
+	ck_assert_uint_eq(shares[0].connections, 0);
+	ck_assert_uint_eq(shares[1].connections, 9);
+}
+END_TEST
+
+/* Guards against a live daemon that loses its share by a late `gone`. */
+START_TEST(test_gone_counts_only_when_not_alive)
+{
+	setup(1);
+	demands[0].wanted = 4;
+	step(10, 1);
+	demands[0].gone = true;
+	ck_assert_uint_eq(step(10, 1), 0);
+	ck_assert_uint_eq(shares[0].connections, 4);
+}
+END_TEST
+
+/* Guards against closing warm connections that nobody else needs. */
+START_TEST(test_idle_share_is_kept)
+{
+	setup(2);
+	demands[0].wanted = 5;
+	step(10, 2);
+	demands[0].open = 5;
+	demands[0].wanted = 1;
+	ck_assert_uint_eq(step(10, 2), 0);
+	demands[1].wanted = 3;
+	step(10, 2);
+	ck_assert_uint_eq(shares[0].target, 5);
+	ck_assert_uint_eq(shares[1].connections, 3);
+}
+END_TEST
+
+/* Guards against a daemon that closes what it needs again by now. */
+START_TEST(test_shrinking_is_cancelled)
+{
+	setup(2);
+	demands[0].wanted = 9;
+	step(10, 2);
+	demands[0].open = 8;
+	demands[1].wanted = 9;
+	step(10, 2);
+	ck_assert_uint_eq(shares[0].target, 5);
+	demands[1].wanted = 1;
+	step(10, 2);
+	ck_assert_uint_eq(shares[0].target, 8);
+}
+END_TEST
+
+/* Guards against a budget below the floor being exceeded or fought over. */
+START_TEST(test_budget_below_the_floor)
+{
+	unsigned i;
+
+	setup(8);
+	step(5, 8);
+	ck_assert_uint_eq(sum(), 5);
+	for (i = 0; i < 8; i++)
+		demands[i].open = shares[i].connections;
+	ck_assert_uint_eq(step(5, 8), 0);
+	ck_assert_uint_eq(step(5, 0), 0);
+}
+END_TEST
+
+/* Guards against a lowered budget that nobody is asked to keep to. */
+START_TEST(test_lowered_budget)
+{
+	unsigned i;
+
+	setup(4);
+	demands[0].wanted = 9;
+	step(12, 4);
+	for (i = 0; i < 4; i++)
+		demands[i].open = shares[i].connections;
+	step(6, 4);
+	for (i = 0; i < 4; i++)
+		demands[i].open = shares[i].target;
+	step(6, 4);
+	ck_assert_uint_le(sum(), 6);
+	for (i = 1; i < 4; i++)
+		ck_assert_uint_eq(shares[i].connections, 1);
+}
+END_TEST
+
+TEST_MAIN("budget", test_floor, test_first_request_is_served_from_the_free_one,
+	  test_shrinks_in_two_steps,
+	  test_dead_daemon_keeps_its_share_until_gone,
+	  test_gone_counts_only_when_not_alive, test_idle_share_is_kept,
+	  test_shrinking_is_cancelled, test_budget_below_the_floor,
+	  test_lowered_budget)
