Add leases of daemons and the leader's record of them

Cause: a replaced primary is fenced by the end of a daemon's lease when the daemon cannot be asked, so no daemon may believe in its lease after the leader's record says that it has ended.

Two additions to the header: lease_table_full_us() and lease_table_known_us(). The latter adds LEASE_HANDOVER_US, since a leader that lost its majority may grant until its quorum check ends its leadership.

--- /dev/null
+++ b/coordination/lease.c
@@ -0,0 +1,59 @@
+#include "lease.h"
+
+#define THOUSANDTHS 1000
+/* Longer durations are refused, so that the arithmetic cannot overflow. */
+#define LEASE_LONGEST_US (3600ll * G_USEC_PER_SEC)
+
+void lease_init(struct lease *lease, uint64_t incarnation)
+{
+	*lease = (struct lease){
+		.until_us = INT64_MIN,
+		.granted_us = -1,
+		.incarnation = incarnation,
+		.next_sequence = 1,
+	};
+}
+
+uint64_t lease_heartbeat(struct lease *lease, int64_t now_us)
+{
+	uint64_t sequence = lease->next_sequence++;
+
+	lease->sent_us[sequence % LEASE_WINDOW] = now_us;
+	return sequence;
+}
+
+static bool sequence_known(const struct lease *lease, uint64_t sequence)
+{
+	return sequence && sequence < lease->next_sequence &&
+	       lease->next_sequence - sequence <= LEASE_WINDOW;
+}
+
+bool lease_grant(struct lease *lease, uint64_t incarnation, uint64_t sequence,
+		 int64_t duration_us, int64_t now_us)
+{
+	int64_t sent_us, until_us;
+
+	if (incarnation != lease->incarnation ||
+	    !sequence_known(lease, sequence))
+		return false;
+	if (duration_us <= 0 || duration_us > LEASE_LONGEST_US)
+		return false;
+	sent_us = lease->sent_us[sequence % LEASE_WINDOW];
+	if (sent_us <= lease->granted_us || sent_us > now_us)
+		return false;
+	until_us = sent_us + duration_us -
+		   duration_us * LEASE_DAEMON_MARGIN / THOUSANDTHS;
+	lease->granted_us = sent_us;
+	lease->until_us = MAX(lease->until_us, until_us);
+	return true;
+}
+
+bool lease_valid(const struct lease *lease, int64_t now_us)
+{
+	return now_us < lease->until_us;
+}
+
+int64_t lease_last_grant_us(const struct lease *lease)
+{
+	return lease->granted_us;
+}
--- a/include/lease.h
+++ b/include/lease.h
@@ -20,13 +20,23 @@
 /** Part of the duration the leader adds, thousandths. */
 #define LEASE_LEADER_MARGIN 20
 
+/**
+ * A leader that lost its majority may still grant until its quorum check ends
+ * its leadership, at most two election timeouts of 150 ms after its successor
+ * was elected. A new leader adds this to the leases it does not know of.
+ */
+#define LEASE_HANDOVER_US 300000ll
+
+/** Heartbeats whose grants are still accepted. */
+#define LEASE_WINDOW 16
+
 /** struct lease - a daemon's own lease */
 struct lease {
 	int64_t until_us;
 	int64_t granted_us;
 	uint64_t incarnation;
 	uint64_t next_sequence;
-	int64_t sent_us[16];
+	int64_t sent_us[LEASE_WINDOW];
 };
 
 void lease_init(struct lease *lease, uint64_t incarnation);
@@ -39,7 +49,11 @@
 /** lease_last_grant_us() - send time of the last granted heartbeat, or -1 */
 int64_t lease_last_grant_us(const struct lease *lease);
 
-/** struct lease_table - the leader's record of all daemons' leases */
+/**
+ * struct lease_table - the leader's record of all daemons' leases
+ * @by_daemon: name to the time, int64_t, at which its lease has ended
+ * @leader_since_us: INT64_MAX while this node does not lead
+ */
 struct lease_table {
 	GHashTable *by_daemon;
 	int64_t duration_us;
@@ -54,7 +68,16 @@
 		       int64_t received_us);
 bool lease_table_live(const struct lease_table *table, const char *daemon,
 		      int64_t now_us);
-/** lease_table_expires() - when a daemon's lease has surely ended */
+/** lease_table_full_us() - longest a lease granted now can last here */
+int64_t lease_table_full_us(const struct lease_table *table);
+/**
+ * lease_table_known_us() - when leases granted by earlier leaders have ended
+ */
+int64_t lease_table_known_us(const struct lease_table *table);
+/**
+ * lease_table_expires() - when a daemon's lease has surely ended
+ * Return: never before lease_table_known_us()
+ */
 int64_t lease_table_expires(const struct lease_table *table,
 			    const char *daemon);
 
