Relay simple queries between callers and upstreams

The daemon had no data path. Callers now start up, their statements are classified, routed, queued per upstream and pool, and relayed frame by frame with back-pressure; commits are withheld until replicas and session owners hold their position. Announcements arrive over HTTP and are passed on once.

--- /dev/null
+++ b/comfreywheeld/caller.c
@@ -0,0 +1,224 @@
+#include "caller.h"
+
+#include "caller_query.h"
+#include "net.h"
+#include "upstream_connection.h"
+
+#include <openssl/rand.h>
+#include <string.h>
+
+/* Bytes a caller may send ahead of the answer before reading pauses. */
+#define AHEAD_MAX (64u * 1024)
+/* Time a caller has for start-up and login. */
+#define LOGIN_TIMEOUT_US (10 * 1000000ll)
+
+struct pg_buffer *caller_out(struct caller *caller)
+{
+	return &caller->stream.out;
+}
+
+static unsigned take_index(struct proxy *proxy, struct caller *caller)
+{
+	GArray *spare = proxy->free_callers;
+	unsigned index;
+
+	if (spare->len) {
+		index = g_array_index(spare, unsigned, spare->len - 1);
+		g_array_set_size(spare, spare->len - 1);
+		proxy->callers->pdata[index] = caller;
+		return index;
+	}
+	g_ptr_array_add(proxy->callers, caller);
+	return proxy->callers->len - 1;
+}
+
+void caller_close(struct caller *caller)
+{
+	struct proxy *proxy = caller->proxy;
+
+	if (caller->state == CALLER_CLOSED)
+		return;
+	if (caller->state == CALLER_AUTH_FINAL ||
+	    caller->state == CALLER_AUTH_FIRST)
+		scram_server_finish(&caller->scram);
+	caller->state = CALLER_CLOSED;
+	request_drop(&caller->request);
+	stream_close(&caller->stream);
+	timer_cancel(&proxy->timers, &caller->login_timer);
+	caller_settings_finish(&caller->settings);
+	g_free(caller->user);
+	g_free(caller->database);
+	proxy->callers->pdata[caller->index] = NULL;
+	g_array_append_val(proxy->free_callers, caller->index);
+	proxy->nr_callers--;
+	proxy_gauge(proxy, COUNT_CALLERS_OPEN, proxy->nr_callers);
+	proxy_discard(proxy, caller);
+}
+
+static void on_input(void *data)
+{
+	struct caller *caller = data;
+
+	if (caller->state < CALLER_READY)
+		caller_startup(caller);
+	if (caller->state == CALLER_READY)
+		caller_input(caller);
+	if (caller->state == CALLER_CLOSING)
+		pg_buffer_consume(&caller->stream.in,
+				  pg_buffer_length(&caller->stream.in));
+	if (caller->state == CALLER_CLOSED)
+		return;
+	stream_flush(&caller->stream);
+	if (caller->state == CALLER_CLOSING &&
+	    !pg_buffer_length(&caller->stream.out))
+		caller_close(caller);
+}
+
+static void on_drained(void *data)
+{
+	struct caller *caller = data;
+
+	if (caller->request.conn)
+		upstream_connection_resume(caller->request.conn);
+}
+
+static void on_closed(int err, void *data)
+{
+	caller_close(data);
+}
+
+static const struct stream_events caller_events = {
+	.input = on_input,
+	.drained = on_drained,
+	.closed = on_closed,
+};
+
+void caller_login_timeout(int64_t now_us, void *data)
+{
+	struct caller *caller = data;
+
+	caller->login_timer = TIMER_NONE;
+	caller_close(caller);
+}
+
+void caller_accept(struct proxy *proxy, int fd)
+{
+	struct caller *caller = g_new0(struct caller, 1);
+	static uint32_t generation;
+
+	caller->proxy = proxy;
+	caller->index = take_index(proxy, caller);
+	caller->generation = ++generation;
+	caller->transaction = 'I';
+	caller->cluster = CLUSTER_NONE;
+	if (RAND_bytes((unsigned char *)&caller->secret,
+		       sizeof(caller->secret)) != 1)
+		caller->secret = g_random_int();
+	caller_settings_init(&caller->settings);
+	request_init(&caller->request, caller);
+	stream_init(&caller->stream, proxy->loop, fd, false, &caller_events,
+		    caller);
+	caller->login_timer = timer_subscribe(&proxy->timers,
+					      proxy_now() + LOGIN_TIMEOUT_US, 0,
+					      caller_login_timeout, caller);
+	proxy->nr_callers++;
+	proxy_count(proxy, COUNT_CALLERS_ACCEPTED);
+	proxy_gauge(proxy, COUNT_CALLERS_OPEN, proxy->nr_callers);
+	if (proxy->nr_callers <= proxy->settings->max_callers)
+		return;
+	proxy_count(proxy, COUNT_CALLERS_REFUSED);
+	caller_fatal(caller, "53300", "too many callers on this daemon",
+		     "Connect again to reach another daemon, or raise "
+		     "max_callers.");
+}
+
+void caller_fatal(struct caller *caller, const char *sqlstate,
+		  const char *message, const char *hint)
+{
+	pg_put_error(caller_out(caller), "FATAL", sqlstate, message, hint);
+	caller->state = CALLER_CLOSING;
+	stream_flush(&caller->stream);
+}
+
+void caller_error(struct caller *caller, const char *sqlstate,
+		  const char *message, const char *hint)
+{
+	pg_put_error(caller_out(caller), "ERROR", sqlstate, message, hint);
+	pg_put_ready(caller_out(caller), caller->transaction);
+}
+
+bool caller_resolve(struct caller *caller, GError **error)
+{
+	struct proxy *proxy = caller->proxy;
+	const struct tables *tables = control_client_tables(proxy->control);
+	const char *cluster;
+
+	if (!tables) {
+		g_set_error(error, CW_ERROR, CW_ERROR_UNAVAILABLE,
+			    "this daemon has no tables yet; connect again "
+			    "once a control leader is reachable");
+		return false;
+	}
+	if (caller->route && caller->tables_version == tables->version)
+		return true;
+	caller->route = tables_route(tables, caller->user, caller->database,
+				     &cluster, error);
+	if (!caller->route)
+		return false;
+	caller->pool = tables_pool(tables, caller->route);
+	caller->tables_version = tables->version;
+	/* An open transaction stays where it began. */
+	if (caller->transaction == 'I')
+		caller->cluster = directory_cluster(
+			&proxy->directory, caller->route->service, cluster);
+	return true;
+}
+
+/* Return: false if no whole frame is there. */
+static bool take_frame(struct caller *caller)
+{
+	struct pg_buffer *in = &caller->stream.in;
+	struct pg_frame frame;
+
+	switch (pg_frame_peek(pg_buffer_head(in), pg_buffer_length(in),
+			      PG_FRAME_MAX, &frame)) {
+	case PG_FRAME_INCOMPLETE:
+		return false;
+	case PG_FRAME_INVALID:
+		caller_fatal(caller, "08P01", "invalid frame length",
+			     "Send frames of at most 16 MiB.");
+		return false;
+	case PG_FRAME_READY:
+		break;
+	}
+	caller_frame(caller, &frame, pg_buffer_head(in));
+	if (caller->state == CALLER_READY)
+		pg_buffer_consume(in, frame.frame_len);
+	return caller->state == CALLER_READY;
+}
+
+void caller_input(struct caller *caller)
+{
+	if (caller->in_input)
+		return;
+	caller->in_input = true;
+	while (caller->state == CALLER_READY && !caller->busy &&
+	       take_frame(caller))
+		;
+	caller->in_input = false;
+	if (caller->state != CALLER_READY)
+		return;
+	stream_pause(&caller->stream,
+		     caller->busy &&
+			     pg_buffer_length(&caller->stream.in) > AHEAD_MAX);
+}
+
+void caller_answered(struct caller *caller)
+{
+	caller->busy = false;
+	if (caller->state != CALLER_READY)
+		return;
+	caller_input(caller);
+	if (caller->state == CALLER_READY || caller->state == CALLER_CLOSING)
+		stream_flush(&caller->stream);
+}
--- /dev/null
+++ b/comfreywheeld/caller.h
@@ -0,0 +1,89 @@
+#ifndef CALLER_H
+#define CALLER_H
+
+#include "caller_settings.h"
+#include "request.h"
+#include "scram.h"
+#include "error.h"
+#include "stream.h"
+
+/**
+ * DOC: One caller connection.
+ */
+
+enum caller_state {
+	CALLER_STARTUP,
+	CALLER_AUTH_FIRST,
+	CALLER_AUTH_FINAL,
+	CALLER_READY,
+	/** the output is written, then the connection closes */
+	CALLER_CLOSING,
+	CALLER_CLOSED,
+};
+
+/**
+ * struct caller - one connection
+ * @index: handle; @generation distinguishes reuse of the handle
+ * @secret: cancel key
+ * @transaction: 'I', 'T' or 'E', as the caller was told
+ * @held: connection of the open transaction; NULL with 'E' if it was lost
+ * @wrote: the open transaction may have written
+ * @read_only: the open transaction was begun READ ONLY
+ * @skip_to_sync: an extended batch failed; its rest is dropped
+ * @busy: a request is under way
+ * @in_input: caller_input() runs further up the stack
+ * @cluster: directory handle
+ */
+struct caller {
+	struct proxy *proxy;
+	unsigned index;
+	uint32_t generation;
+	uint32_t secret;
+	struct stream stream;
+	enum caller_state state;
+	char *user;
+	char *database;
+	struct scram_server scram;
+	struct caller_settings settings;
+	uint64_t tables_version;
+	const struct route *route;
+	const struct pool *pool;
+	int cluster;
+	char transaction;
+	struct upstream_connection *held;
+	bool wrote;
+	bool read_only;
+	bool skip_to_sync;
+	bool busy;
+	bool in_input;
+	struct request request;
+	int login_timer;
+};
+
+void caller_accept(struct proxy *proxy, int fd);
+void caller_close(struct caller *caller);
+
+/** caller_startup() - consume start-up and login frames */
+void caller_startup(struct caller *caller);
+void caller_login_timeout(int64_t now_us, void *data);
+
+/** caller_input() - take the next request, if none is under way */
+void caller_input(struct caller *caller);
+
+/** caller_resolve() - bring route and pool up to the tables in force */
+bool caller_resolve(struct caller *caller, GError **error);
+
+/** caller_answered() - the request ended; go on with what was sent ahead */
+void caller_answered(struct caller *caller);
+
+/** caller_fatal() - send an error and close once it is written */
+void caller_fatal(struct caller *caller, const char *sqlstate,
+		  const char *message, const char *hint);
+
+/** caller_error() - error and ReadyForQuery for a simple query */
+void caller_error(struct caller *caller, const char *sqlstate,
+		  const char *message, const char *hint);
+
+struct pg_buffer *caller_out(struct caller *caller);
+
+#endif
--- /dev/null
+++ b/comfreywheeld/http.h
@@ -0,0 +1,20 @@
+#ifndef HTTP_H
+#define HTTP_H
+
+#include "proxy.h"
+
+/**
+ * DOC: HTTP on admin_listen: POST /announce and GET /metrics.
+ *
+ * libmicrohttpd runs inside the task's loop through its epoll descriptor.
+ */
+
+struct http;
+
+struct http *http_new(struct proxy *proxy, GError **error);
+void http_free(struct http *http);
+
+/** metrics_print() - all counters in the text exposition format */
+void metrics_print(struct proxy *proxy, GString *out);
+
+#endif
--- /dev/null
+++ b/comfreywheeld/net.c
@@ -0,0 +1,130 @@
+#include "net.h"
+
+#include "error.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Callers of a failed daemon reconnect at once through the load balancer. */
+#define LISTEN_BACKLOG 1024
+#define HOST_MAX 64
+
+bool net_split(const char *address, char *host, uint16_t *port)
+{
+	const char *colon = strrchr(address, ':');
+	size_t len = colon ? (size_t)(colon - address) : 0;
+	guint64 value;
+	char *end;
+
+	if (!len || len >= HOST_MAX || !g_ascii_isdigit(colon[1]))
+		return false;
+	value = g_ascii_strtoull(colon + 1, &end, 10);
+	if (*end || value > UINT16_MAX)
+		return false;
+	if (address[0] == '[' && address[len - 1] == ']') {
+		address++;
+		len -= 2;
+	}
+	memcpy(host, address, len);
+	host[len] = 0;
+	*port = value;
+	return true;
+}
+
+static bool fill_address(const char *host, uint16_t port,
+			 struct sockaddr_storage *ss, socklen_t *len)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)ss;
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)ss;
+
+	memset(ss, 0, sizeof(*ss));
+	if (inet_pton(AF_INET, host, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons(port);
+		*len = sizeof(*v4);
+		return true;
+	}
+	if (inet_pton(AF_INET6, host, &v6->sin6_addr) == 1) {
+		v6->sin6_family = AF_INET6;
+		v6->sin6_port = htons(port);
+		*len = sizeof(*v6);
+		return true;
+	}
+	return false;
+}
+
+static void set_no_delay(int fd)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+int net_listen(const char *address, GError **error)
+{
+	struct sockaddr_storage ss;
+	socklen_t len;
+	char host[HOST_MAX];
+	uint16_t port;
+	int fd, on = 1;
+
+	if (!net_split(address, host, &port) ||
+	    !fill_address(host, port, &ss, &len)) {
+		g_set_error(error, CW_ERROR, CW_ERROR_SETTINGS,
+			    "%s is no address; give an IP address and a "
+			    "port, such as 127.0.0.1:5432",
+			    address);
+		return -1;
+	}
+	fd = socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+		    0);
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (fd < 0 || bind(fd, (struct sockaddr *)&ss, len) < 0 ||
+	    listen(fd, LISTEN_BACKLOG) < 0) {
+		g_set_error(error, CW_ERROR, CW_ERROR_IO,
+			    "cannot listen on %s: %s; free the port or "
+			    "change the setting",
+			    address, g_strerror(errno));
+		if (fd >= 0)
+			close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+int net_accept(int listener)
+{
+	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd >= 0)
+		set_no_delay(fd);
+	return fd;
+}
+
+int net_connect(const char *host, uint16_t port)
+{
+	struct sockaddr_storage ss;
+	socklen_t len;
+	int fd;
+
+	if (!fill_address(host, port, &ss, &len))
+		return -1;
+	fd = socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+		    0);
+	if (fd < 0)
+		return -1;
+	set_no_delay(fd);
+	if (connect(fd, (struct sockaddr *)&ss, len) < 0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
--- /dev/null
+++ b/comfreywheeld/net.h
@@ -0,0 +1,30 @@
+#ifndef NET_H
+#define NET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * DOC: Non-blocking TCP sockets by IP address.
+ */
+
+/**
+ * net_split() - split "IP:PORT", an IPv6 address in brackets
+ * @host: room for 64 bytes
+ */
+bool net_split(const char *address, char *host, uint16_t *port);
+
+/** net_listen() - Return: listening socket, or -1 with CW_ERROR_IO */
+int net_listen(const char *address, GError **error);
+
+/** net_accept() - Return: non-blocking socket, or -1 if none is waiting */
+int net_accept(int listener);
+
+/**
+ * net_connect() - start to connect
+ * Return: socket whose connection is under way, or -1
+ */
+int net_connect(const char *host, uint16_t port);
+
+#endif
--- /dev/null
+++ b/comfreywheeld/proxy.c
@@ -0,0 +1,194 @@
+#include "proxy.h"
+
+#include "caller.h"
+#include "cluster_links.h"
+#include "commit_wait.h"
+#include "drain.h"
+#include "error.h"
+#include "log.h"
+#include "net.h"
+#include "upstream_pool.h"
+
+#include <stdlib.h>
+#include <unistd.h>
+
+/* Announcements arrive every 5 s; three missed ones end the selection. */
+#define DIRECTORY_EXPIRY_US (15 * 1000000ll)
+/* Memory for classified statement texts, bytes. */
+#define CLASSIFIER_BYTES (8u * 1024 * 1024)
+/* Time between looks at callers that do not read. */
+#define SWEEP_US (250 * 1000ll)
+/* Connections taken from the listener at once. */
+#define ACCEPT_BATCH 64
+
+void proxy_discard(struct proxy *proxy, void *memory)
+{
+	g_ptr_array_add(proxy->discarded, memory);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct proxy *proxy = w->data;
+
+	timer_service_advance(&proxy->timers, proxy_now());
+}
+
+static void on_prepare(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	struct proxy *proxy = w->data;
+	int64_t next = timer_service_next(&proxy->timers);
+	double after;
+
+	g_ptr_array_set_size(proxy->discarded, 0);
+	ev_timer_stop(loop, &proxy->tick);
+	if (next == INT64_MAX)
+		return;
+	after = MAX(next - proxy_now(), 0) / 1e6;
+	ev_now_update(loop);
+	ev_timer_set(&proxy->tick, after, 0.);
+	ev_timer_start(loop, &proxy->tick);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct proxy *proxy = w->data;
+	int i, fd;
+
+	for (i = 0; i < ACCEPT_BATCH; i++) {
+		fd = net_accept(w->fd);
+		if (fd < 0)
+			return;
+		caller_accept(proxy, fd);
+	}
+}
+
+static void sweep(int64_t now_us, void *data)
+{
+	struct proxy *proxy = data;
+	int64_t limit = now_us - proxy->settings->caller_write_us;
+	struct caller *caller;
+	guint i;
+
+	for (i = 0; i < proxy->callers->len; i++) {
+		caller = proxy->callers->pdata[i];
+		if (!caller || !caller->stream.stalled_since_us ||
+		    caller->stream.stalled_since_us > limit)
+			continue;
+		proxy_count(proxy, COUNT_CALLERS_STALLED);
+		caller_close(caller);
+	}
+}
+
+static void init_parts(struct proxy *proxy)
+{
+	proxy_counters_init(proxy);
+	timer_service_init(&proxy->timers);
+	directory_init(&proxy->directory, DIRECTORY_EXPIRY_US);
+	router_init(&proxy->router, proxy->settings->availability_zone,
+		    g_random_int());
+	sql_classifier_init(&proxy->classifier, CLASSIFIER_BYTES);
+	retry_budget_init(&proxy->retries);
+	proxy->callers = g_ptr_array_new();
+	proxy->free_callers = g_array_new(FALSE, FALSE, sizeof(unsigned));
+	proxy->homes = g_ptr_array_new();
+	proxy->shares =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	proxy->announced_terms = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	proxy->acknowledged = cluster_links_new();
+	proxy->parameters =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	proxy->discarded = g_ptr_array_new_with_free_func(g_free);
+	proxy->commits = commit_wait_new(proxy);
+	proxy->sweep_timer = timer_subscribe(
+		&proxy->timers, proxy_now() + SWEEP_US, SWEEP_US, sweep, proxy);
+	proxy->drain_timer = TIMER_NONE;
+}
+
+static void finish_callers(struct proxy *proxy)
+{
+	struct caller *caller;
+	guint i;
+
+	for (i = 0; i < proxy->callers->len; i++) {
+		caller = proxy->callers->pdata[i];
+		if (caller)
+			caller_close(caller);
+	}
+}
+
+static void finish_homes(struct proxy *proxy)
+{
+	guint i;
+
+	for (i = 0; i < proxy->homes->len; i++)
+		if (proxy->homes->pdata[i])
+			upstream_home_free(proxy->homes->pdata[i]);
+}
+
+static void finish_parts(struct proxy *proxy)
+{
+	finish_callers(proxy);
+	finish_homes(proxy);
+	proxy_links_finish(proxy);
+	commit_wait_free(proxy->commits);
+	g_ptr_array_free(proxy->callers, TRUE);
+	g_array_free(proxy->free_callers, TRUE);
+	g_ptr_array_free(proxy->homes, TRUE);
+	g_hash_table_destroy(proxy->shares);
+	g_array_free(proxy->announced_terms, TRUE);
+	g_array_free(proxy->acknowledged, TRUE);
+	g_hash_table_destroy(proxy->parameters);
+	g_ptr_array_free(proxy->discarded, TRUE);
+	sql_classifier_finish(&proxy->classifier);
+	directory_finish(&proxy->directory);
+	timer_service_finish(&proxy->timers);
+	counter_set_finish(&proxy->counters);
+}
+
+static void start_loop(struct proxy *proxy, int listener)
+{
+	ev_timer_init(&proxy->tick, on_tick, 0., 0.);
+	ev_prepare_init(&proxy->prepare, on_prepare);
+	ev_io_init(&proxy->listener, on_accept, listener, EV_READ);
+	proxy->tick.data = proxy;
+	proxy->prepare.data = proxy;
+	proxy->listener.data = proxy;
+	ev_prepare_start(proxy->loop, &proxy->prepare);
+	ev_io_start(proxy->loop, &proxy->listener);
+}
+
+static void stop_loop(struct proxy *proxy)
+{
+	ev_prepare_stop(proxy->loop, &proxy->prepare);
+	ev_timer_stop(proxy->loop, &proxy->tick);
+	ev_io_stop(proxy->loop, &proxy->listener);
+	close(proxy->listener.fd);
+}
+
+int proxy_run(struct settings *settings, const char *settings_path,
+	      GError **error)
+{
+	struct proxy proxy = { .settings = settings,
+			       .settings_path = settings_path };
+	int listener = net_listen(settings->caller_listen, error);
+	bool ok;
+
+	if (listener < 0)
+		return EXIT_FAILURE;
+	proxy.loop = ev_loop_new(EVBACKEND_EPOLL);
+	init_parts(&proxy);
+	ok = proxy_links_init(&proxy, error);
+	start_loop(&proxy, listener);
+	if (ok) {
+		log_notice("%s serves callers on %s", settings->name,
+			   settings->caller_listen);
+		drain_watch_signals(&proxy);
+		ev_run(proxy.loop, 0);
+		drain_unwatch_signals(&proxy);
+		log_notice("%s stops", settings->name);
+	}
+	finish_parts(&proxy);
+	stop_loop(&proxy);
+	ev_loop_destroy(proxy.loop);
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/comfreywheeld/proxy.h
@@ -0,0 +1,149 @@
+#ifndef PROXY_H
+#define PROXY_H
+
+#include "admission.h"
+#include "bus.h"
+#include "control_client.h"
+#include "counters.h"
+#include "retry.h"
+#include "router.h"
+#include "session_client.h"
+#include "settings.h"
+#include "sql_classify.h"
+#include "tables.h"
+#include "timer_service.h"
+#include "upstream_directory.h"
+
+#include <ev.h>
+
+/**
+ * DOC: The proxy task: callers, upstreams and what connects them.
+ *
+ * One thread owns all of it. Objects that may be freed inside their own
+ * callbacks are handed to proxy_discard() and freed before the loop waits.
+ */
+
+enum proxy_counter {
+	COUNT_CALLERS_ACCEPTED,
+	COUNT_CALLERS_REFUSED,
+	COUNT_CALLERS_OPEN,
+	COUNT_CALLERS_STALLED,
+	COUNT_CALLERS_REJECTED_LOGIN,
+	COUNT_REQUESTS,
+	COUNT_REQUESTS_REPLICA,
+	COUNT_REQUESTS_PRIMARY,
+	COUNT_READS,
+	COUNT_READS_REPLICA,
+	COUNT_LOCAL_ANSWERS,
+	COUNT_REFUSED_STATEMENTS,
+	COUNT_REFUSED_QUEUE,
+	COUNT_REFUSED_DEADLINE,
+	COUNT_REFUSED_NO_LEASE,
+	COUNT_OUTCOME_UNKNOWN,
+	COUNT_OUTCOME_FAILED,
+	COUNT_RETRIES,
+	COUNT_RETRIES_DENIED,
+	COUNT_COMMITS_WAITED,
+	COUNT_COMMITS_ACKNOWLEDGED,
+	COUNT_POSITION_QUERIES,
+	COUNT_PROBES_MISSED,
+	COUNT_UPSTREAM_OPENED,
+	COUNT_UPSTREAM_CLOSED,
+	COUNT_UPSTREAM_FAILED,
+	COUNT_UPSTREAM_OPEN,
+	COUNT_LOOKUPS,
+	COUNT_LOOKUPS_UNREACHED,
+	COUNT_CANCELS,
+	COUNT_CANCELS_LATE,
+	COUNT_ANNOUNCEMENTS,
+	COUNT_ANNOUNCEMENTS_MALFORMED,
+	COUNT_ANNOUNCEMENTS_STALE,
+	COUNT_NEWS_SENT,
+	COUNT_NEWS_RECEIVED,
+	COUNT_BUS_UNKNOWN,
+	PROXY_COUNTERS,
+};
+
+struct announce;
+struct commit_wait;
+
+/**
+ * struct proxy - state of the task
+ * @callers: struct caller by handle, NULL where free
+ * @homes: struct upstream_home by directory handle
+ * @shares: connections granted, by upstream name
+ * @announced_terms: uint32_t, by directory handle of the upstream
+ * @acknowledged: what was acknowledged, by directory handle of the cluster
+ * @parameters: ParameterStatus values learned from upstreams, by name
+ * @users: SCRAM verifiers by user name, NULL trusts every caller
+ */
+struct proxy {
+	struct ev_loop *loop;
+	struct settings *settings;
+	const char *settings_path;
+	struct timer_service timers;
+	ev_timer tick;
+	ev_prepare prepare;
+	ev_io listener;
+	ev_signal signals[3];
+	struct counter_set counters;
+	int counter[PROXY_COUNTERS];
+	struct bus *bus;
+	struct control_client *control;
+	struct session_client *sessions;
+	struct upstream_directory directory;
+	struct router router;
+	struct sql_classifier classifier;
+	struct retry_budget retries;
+	GPtrArray *callers;
+	GArray *free_callers;
+	unsigned nr_callers;
+	GPtrArray *homes;
+	GHashTable *shares;
+	GArray *announced_terms;
+	GArray *acknowledged;
+	GHashTable *parameters;
+	GHashTable *users;
+	GPtrArray *discarded;
+	struct announce *announce;
+	struct commit_wait *commits;
+	int sweep_timer;
+	int drain_timer;
+	bool draining;
+};
+
+/** proxy_run() - run until a shutdown ends; Return: process exit status */
+int proxy_run(struct settings *settings, const char *settings_path,
+	      GError **error);
+
+static inline int64_t proxy_now(void)
+{
+	return g_get_monotonic_time();
+}
+
+static inline void proxy_count(struct proxy *proxy, enum proxy_counter which)
+{
+	counter_add(&proxy->counters, proxy->counter[which], 1);
+}
+
+static inline void proxy_gauge(struct proxy *proxy, enum proxy_counter which,
+			       int64_t value)
+{
+	counter_assign(&proxy->counters, proxy->counter[which], value);
+}
+
+/** proxy_discard() - g_free() @memory once no callback uses it */
+void proxy_discard(struct proxy *proxy, void *memory);
+
+void proxy_counters_init(struct proxy *proxy);
+
+/** proxy_links_init() - bus, control client, session client */
+bool proxy_links_init(struct proxy *proxy, GError **error);
+void proxy_links_finish(struct proxy *proxy);
+
+/** proxy_acknowledged() - a commit was acknowledged to a caller */
+void proxy_acknowledged(struct proxy *proxy, int cluster, struct position pos);
+/** proxy_may_write() - lease valid and the cluster not fenced */
+bool proxy_may_write(struct proxy *proxy, int cluster);
+
+#endif
--- /dev/null
+++ b/comfreywheeld/request_run.c
@@ -0,0 +1,288 @@
+#include "request.h"
+
+#include "caller.h"
+#include "upstream_pool.h"
+
+#include <string.h>
+
+/* Withheld frames above this are passed on, all but the last, bytes. */
+#define HOLD_MAX (32u * 1024)
+
+static struct proxy *proxy_of(const struct request *req)
+{
+	return req->caller->proxy;
+}
+
+static const struct cluster *cluster_of(const struct request *req)
+{
+	return directory_cluster_at(&proxy_of(req)->directory,
+				    req->caller->cluster);
+}
+
+/* Whether the answer waits for replicas and session owners. */
+static bool is_withheld(const struct request *req)
+{
+	return req->writes;
+}
+
+static void put_identity(struct request *req)
+{
+	struct upstream_connection *conn = req->conn;
+	char *id = req->caller->settings.request_id;
+	char **parts = g_strsplit(id, "'", -1);
+	char *quoted = g_strjoinv("''", parts);
+	char *sql = g_strdup_printf(
+		"INSERT INTO comfreywheel_request (id) VALUES ('%s')", quoted);
+
+	upstream_connection_query(conn, STEP_HIDDEN, "BEGIN");
+	upstream_connection_query(conn, STEP_HIDDEN, sql);
+	g_free(sql);
+	g_free(quoted);
+	g_strfreev(parts);
+}
+
+void request_send(struct request *req)
+{
+	struct upstream_connection *conn = req->conn;
+
+	req->stage = STAGE_NOT_SENT;
+	if (req->identified)
+		put_identity(req);
+	upstream_connection_step(conn, STEP_RELAY);
+	pg_buffer_append(&conn->stream.out, pg_buffer_head(&req->bytes),
+			 pg_buffer_length(&req->bytes));
+	if (req->identified)
+		upstream_connection_query(conn, STEP_HIDDEN, "COMMIT");
+	if (is_withheld(req))
+		upstream_connection_position(conn);
+	req->stage = req->writes ? STAGE_COMMIT_SENT : STAGE_SENT;
+	stream_flush(&conn->stream);
+}
+
+static bool primary_allowed(struct request *req, int upstream)
+{
+	return cluster_of(req)->primary == upstream &&
+	       proxy_may_write(proxy_of(req), req->caller->cluster);
+}
+
+/* Between the choice and now the lease, the primary or the fence moved. */
+static bool may_run(struct request *req, int upstream)
+{
+	struct proxy *proxy = proxy_of(req);
+
+	if (!req->read || !req->has_lookup || req->must_primary)
+		return primary_allowed(req, upstream);
+	return control_client_may_serve(proxy->control, proxy_now());
+}
+
+static bool may_continue(struct request *req, struct upstream_connection *conn)
+{
+	struct caller *caller = req->caller;
+
+	if (caller->read_only)
+		return control_client_may_serve(caller->proxy->control,
+						proxy_now());
+	return primary_allowed(req, conn->home->handle);
+}
+
+static void count_run(struct request *req, int upstream)
+{
+	struct proxy *proxy = proxy_of(req);
+	bool primary = cluster_of(req)->primary == upstream;
+
+	proxy_count(proxy,
+		    primary ? COUNT_REQUESTS_PRIMARY : COUNT_REQUESTS_REPLICA);
+	if (req->read && !primary)
+		proxy_count(proxy, COUNT_READS_REPLICA);
+}
+
+void request_run(struct request *req, struct upstream_connection *conn)
+{
+	struct caller *caller = req->caller;
+	int upstream = conn->home->handle;
+
+	req->home = conn->home;
+	if (caller->held && !may_continue(req, conn)) {
+		req->state = REQUEST_RUNNING;
+		request_refuse(req, "57P03",
+			       "did not run: the primary is being replaced or "
+			       "this daemon lost its lease",
+			       "The transaction was rolled back; run it "
+			       "again.");
+		return;
+	}
+	if (!caller->held && !may_run(req, upstream)) {
+		req->state = REQUEST_NONE;
+		upstream_home_release(conn->home, conn);
+		request_decide(req);
+		return;
+	}
+	req->state = REQUEST_RUNNING;
+	req->conn = conn;
+	req->running_us = proxy_now();
+	req->term = cluster_of(req)->term;
+	req->attempts++;
+	conn->request = req;
+	directory_upstream_at(&proxy_of(req)->directory, upstream)->in_flight++;
+	count_run(req, upstream);
+	request_send(req);
+}
+
+/* What is withheld goes on, up to what was appended last. */
+static void release_hold(struct request *req)
+{
+	struct pg_buffer *hold = &req->hold;
+
+	if (!pg_buffer_length(hold))
+		return;
+	req->answer_started = true;
+	pg_buffer_append(caller_out(req->caller), pg_buffer_head(hold),
+			 pg_buffer_length(hold));
+	pg_buffer_consume(hold, pg_buffer_length(hold));
+}
+
+void request_relay_header(struct request *req)
+{
+	release_hold(req);
+	req->answer_started = true;
+}
+
+void request_relay_more(struct request *req, const uint8_t *data, size_t len)
+{
+	pg_buffer_append(caller_out(req->caller), data, len);
+}
+
+/* The first error of an identified request may be our own insert's. */
+static bool is_hidden(const struct request *req, const struct pg_frame *frame)
+{
+	return req->hidden_error && frame->type == 'E';
+}
+
+void request_frame(struct request *req, const struct pg_frame *frame)
+{
+	const uint8_t *data =
+		frame->payload - (frame->frame_len - frame->payload_len);
+
+	if (is_hidden(req, frame))
+		return;
+	if (frame->type == 'C')
+		req->saw_complete = true;
+	if (frame->type == 'E')
+		req->saw_error = true;
+	if (is_withheld(req) && (req->saw_complete || req->saw_error)) {
+		if (pg_buffer_length(&req->hold) > HOLD_MAX)
+			release_hold(req);
+		pg_buffer_append(&req->hold, data, frame->frame_len);
+		return;
+	}
+	req->answer_started = true;
+	pg_buffer_append(caller_out(req->caller), data, frame->frame_len);
+}
+
+void request_hidden_error(struct request *req, const char *sqlstate)
+{
+	if (req->final_status)
+		req->commit_failed = true;
+	else if (!req->hidden_error && !strcmp(sqlstate, "23505"))
+		req->identity_seen = true;
+	req->hidden_error = true;
+}
+
+void request_relayed(struct request *req, char status)
+{
+	req->final_status = req->identified ? 'I' : status;
+}
+
+static void note_transaction(struct request *req)
+{
+	struct caller *caller = req->caller;
+	bool was_open = caller->transaction != 'I';
+
+	caller->transaction = req->final_status;
+	if (caller->transaction == 'I') {
+		caller->wrote = false;
+		caller->read_only = false;
+		return;
+	}
+	if (!was_open)
+		caller->read_only = req->begins_read_only;
+	if (!req->read)
+		caller->wrote = true;
+}
+
+/* Hands the connection back, or keeps it for the open transaction. */
+static void give_back(struct request *req)
+{
+	struct caller *caller = req->caller;
+	struct upstream_connection *conn = req->conn;
+	struct upstream_home *home = conn->home;
+
+	request_detach(req);
+	conn->request = NULL;
+	if (caller->transaction != 'I') {
+		caller->held = conn;
+		return;
+	}
+	caller->held = NULL;
+	upstream_home_release(home, conn);
+}
+
+static void report_identity(struct request *req)
+{
+	struct pg_buffer *out = caller_out(req->caller);
+
+	pg_buffer_consume(&req->hold, pg_buffer_length(&req->hold));
+	if (req->identity_seen)
+		pg_put_error(out, "ERROR", "23505",
+			     "a request with this comfreywheel.request_id "
+			     "already ran",
+			     "Do not repeat it; read the data back, or set "
+			     "another identity for another request.");
+	else if (req->commit_failed)
+		pg_put_error(out, "ERROR", "40000",
+			     "the request could not be committed and was "
+			     "rolled back",
+			     "Repeat the request.");
+	else
+		pg_put_error(out, "ERROR", "55000",
+			     "the request identity could not be recorded; "
+			     "the request was rolled back",
+			     "Create the table comfreywheel_request (id text "
+			     "PRIMARY KEY) in the database.");
+}
+
+void request_deliver(struct request *req)
+{
+	struct caller *caller = req->caller;
+
+	if (req->hidden_error)
+		report_identity(req);
+	release_hold(req);
+	pg_put_ready(caller_out(caller), caller->transaction);
+	request_finish(req);
+}
+
+void request_position(struct request *req, const struct position *pos)
+{
+	req->has_commit = pos != NULL;
+	if (pos)
+		req->commit = *pos;
+}
+
+void request_steps_done(struct request *req)
+{
+	bool unsure = is_withheld(req) && req->saw_complete &&
+		      !req->hidden_error;
+
+	req->stage = STAGE_ANSWERED;
+	if (req->admission)
+		admission_note_service(req->admission,
+				       proxy_now() - req->running_us);
+	note_transaction(req);
+	give_back(req);
+	if (!unsure || req->caller->transaction != 'I') {
+		request_deliver(req);
+		return;
+	}
+	request_wait_commit(req);
+}
--- /dev/null
+++ b/comfreywheeld/stream.c
@@ -0,0 +1,156 @@
+#include "stream.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Bytes asked of the socket at once. */
+#define READ_SIZE (16u * 1024)
+
+static void on_readable(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct stream *s = w->data;
+	uint8_t *room = pg_buffer_reserve(&s->in, READ_SIZE);
+	ssize_t n = recv(s->fd, room, READ_SIZE, 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		ev_io_stop(loop, w);
+		s->events->closed(n < 0 ? errno : 0, s->data);
+		return;
+	}
+	pg_buffer_commit(&s->in, n);
+	s->events->input(s->data);
+}
+
+/* Return: errno of a failed write, 0 otherwise. */
+static int write_some(struct stream *s)
+{
+	ssize_t n;
+
+	while (pg_buffer_length(&s->out)) {
+		n = send(s->fd, pg_buffer_head(&s->out),
+			 pg_buffer_length(&s->out), MSG_NOSIGNAL);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN)
+			break;
+		if (n < 0)
+			return errno;
+		pg_buffer_consume(&s->out, n);
+		s->stalled_since_us = 0;
+	}
+	if (!pg_buffer_length(&s->out))
+		s->stalled_since_us = 0;
+	else if (!s->stalled_since_us)
+		s->stalled_since_us = g_get_monotonic_time();
+	return 0;
+}
+
+static bool finish_connecting(struct stream *s)
+{
+	socklen_t len = sizeof(int);
+	int err = 0;
+
+	if (getsockopt(s->fd, SOL_SOCKET, SO_ERROR, &err, &len) < 0)
+		err = errno;
+	if (err) {
+		ev_io_stop(s->loop, &s->writer);
+		s->events->closed(err, s->data);
+		return false;
+	}
+	s->connecting = false;
+	if (!s->paused)
+		ev_io_start(s->loop, &s->reader);
+	s->events->opened(s->data);
+	return stream_is_open(s);
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct stream *s = w->data;
+	int err;
+
+	if (s->connecting && !finish_connecting(s))
+		return;
+	err = write_some(s);
+	if (err) {
+		ev_io_stop(loop, w);
+		s->events->closed(err, s->data);
+		return;
+	}
+	if (!pg_buffer_length(&s->out))
+		ev_io_stop(loop, w);
+	if (s->was_high && pg_buffer_length(&s->out) < STREAM_LOW) {
+		s->was_high = false;
+		if (s->events->drained)
+			s->events->drained(s->data);
+	}
+}
+
+void stream_init(struct stream *s, struct ev_loop *loop, int fd,
+		 bool connecting, const struct stream_events *events,
+		 void *data)
+{
+	s->loop = loop;
+	s->fd = fd;
+	s->events = events;
+	s->data = data;
+	s->connecting = connecting;
+	s->paused = false;
+	s->was_high = false;
+	s->stalled_since_us = 0;
+	pg_buffer_init(&s->in);
+	pg_buffer_init(&s->out);
+	ev_io_init(&s->reader, on_readable, fd, EV_READ);
+	ev_io_init(&s->writer, on_writable, fd, EV_WRITE);
+	s->reader.data = s;
+	s->writer.data = s;
+	ev_io_start(loop, connecting ? &s->writer : &s->reader);
+}
+
+void stream_flush(struct stream *s)
+{
+	if (!stream_is_open(s) || s->connecting || !pg_buffer_length(&s->out))
+		return;
+	/* A failed write is reported from the loop, not to this caller. */
+	if (write_some(s) || pg_buffer_length(&s->out))
+		ev_io_start(s->loop, &s->writer);
+}
+
+void stream_pause(struct stream *s, bool paused)
+{
+	if (!stream_is_open(s) || s->paused == paused)
+		return;
+	s->paused = paused;
+	if (s->connecting)
+		return;
+	if (paused)
+		ev_io_stop(s->loop, &s->reader);
+	else
+		ev_io_start(s->loop, &s->reader);
+}
+
+bool stream_is_high(struct stream *s)
+{
+	if (pg_buffer_length(&s->out) <= STREAM_HIGH)
+		return false;
+	stream_flush(s);
+	if (pg_buffer_length(&s->out) <= STREAM_HIGH)
+		return false;
+	s->was_high = true;
+	return true;
+}
+
+void stream_close(struct stream *s)
+{
+	if (!stream_is_open(s))
+		return;
+	ev_io_stop(s->loop, &s->reader);
+	ev_io_stop(s->loop, &s->writer);
+	close(s->fd);
+	s->fd = -1;
+	pg_buffer_finish(&s->in);
+	pg_buffer_finish(&s->out);
+}
--- /dev/null
+++ b/comfreywheeld/upstream_pool.c
@@ -0,0 +1,284 @@
+#include "upstream_pool.h"
+
+#include "caller.h"
+#include "log.h"
+
+#include <string.h>
+
+/* Time to the next attempt after a connection could not be opened. */
+#define REOPEN_DELAY_US (100 * 1000ll)
+
+struct upstream_home *upstream_home_at(struct proxy *proxy, int handle)
+{
+	struct upstream_home *home;
+	gpointer share;
+
+	if (handle < 0)
+		return NULL;
+	if ((guint)handle >= proxy->homes->len)
+		g_ptr_array_set_size(proxy->homes, handle + 1);
+	home = proxy->homes->pdata[handle];
+	if (home)
+		return home;
+	home = g_new0(struct upstream_home, 1);
+	home->proxy = proxy;
+	home->handle = handle;
+	home->name = g_strdup(
+		directory_upstream_at(&proxy->directory, handle)->name);
+	home->queues = g_ptr_array_new();
+	home->probe_timer = TIMER_NONE;
+	proxy->homes->pdata[handle] = home;
+	share = g_hash_table_lookup(proxy->shares, home->name);
+	upstream_home_share(home, GPOINTER_TO_UINT(share));
+	upstream_probe_start(home);
+	return home;
+}
+
+static void close_all(GQueue *queue)
+{
+	while (queue->head)
+		upstream_connection_close(queue->head->data, false);
+}
+
+static void free_queue(struct pool_queue *queue)
+{
+	admission_finish(&queue->admission);
+	g_free(queue->pool);
+	g_free(queue);
+}
+
+void upstream_home_free(struct upstream_home *home)
+{
+	guint i;
+
+	home->share = 0;
+	timer_cancel(&home->proxy->timers, &home->probe_timer);
+	if (home->probe)
+		upstream_connection_close(home->probe, false);
+	close_all(&home->idle);
+	close_all(&home->busy);
+	close_all(&home->opening);
+	for (i = 0; i < home->queues->len; i++)
+		free_queue(home->queues->pdata[i]);
+	g_ptr_array_free(home->queues, TRUE);
+	g_free(home->name);
+	g_free(home);
+}
+
+static struct pool_queue *queue_of(struct upstream_home *home,
+				   const struct pool *pool)
+{
+	struct pool_queue *queue;
+	guint i;
+
+	for (i = 0; i < home->queues->len; i++) {
+		queue = home->queues->pdata[i];
+		if (!strcmp(queue->pool, pool->name)) {
+			queue->admission.max_queue = pool->max_queue;
+			return queue;
+		}
+	}
+	queue = g_new0(struct pool_queue, 1);
+	queue->pool = g_strdup(pool->name);
+	admission_init(&queue->admission, ADMISSION_FAIR, pool->max_queue,
+		       pool->slots);
+	g_ptr_array_add(home->queues, queue);
+	return queue;
+}
+
+static unsigned waiting(const struct upstream_home *home)
+{
+	const struct pool_queue *queue;
+	unsigned nr = 0;
+	guint i;
+
+	for (i = 0; i < home->queues->len; i++) {
+		queue = home->queues->pdata[i];
+		nr += admission_waiting(&queue->admission);
+	}
+	return nr;
+}
+
+unsigned upstream_home_wanted(const struct upstream_home *home)
+{
+	/* The probe connection, and one kept free for the next request. */
+	return 2 + home->busy.length + waiting(home);
+}
+
+/* A place is kept for the probe connection while that is closed. */
+static bool may_open(const struct upstream_home *home)
+{
+	return home->open + (home->probe ? 0 : 1) < home->share &&
+	       proxy_now() >= home->retry_us;
+}
+
+static void open_needed(struct upstream_home *home)
+{
+	struct upstream_connection *conn;
+
+	while (home->opening.length < waiting(home) && may_open(home)) {
+		conn = upstream_connection_open(home, false);
+		if (!conn) {
+			home->retry_us = proxy_now() + REOPEN_DELAY_US;
+			return;
+		}
+		home->open++;
+		g_queue_push_tail(&home->opening, conn);
+	}
+}
+
+static void trim(struct upstream_home *home)
+{
+	while (home->open > home->share && home->idle.head)
+		upstream_connection_close(home->idle.head->data, false);
+	while (home->open > home->share && home->opening.head)
+		upstream_connection_close(home->opening.head->data, false);
+	if (!home->share && home->probe)
+		upstream_connection_close(home->probe, false);
+}
+
+void upstream_home_share(struct upstream_home *home, unsigned connections)
+{
+	home->share = connections;
+	trim(home);
+	upstream_home_dispatch(home);
+}
+
+bool upstream_home_enqueue(struct upstream_home *home, struct request *req,
+			   const struct route *route, const struct pool *pool,
+			   enum admission_verdict *verdict)
+{
+	struct pool_queue *queue = queue_of(home, pool);
+
+	req->tenant = admission_tenant(&queue->admission, route->tenant,
+				       route->weight);
+	*verdict = admission_enqueue(&queue->admission, req->tenant,
+				     request_handle(req), req->deadline_us,
+				     proxy_now());
+	if (*verdict != ADMISSION_QUEUED)
+		return false;
+	req->home = home;
+	req->admission = &queue->admission;
+	return true;
+}
+
+void upstream_home_remove(struct upstream_home *home, struct request *req)
+{
+	admission_remove(req->admission, req->tenant, request_handle(req));
+	req->home = NULL;
+	req->admission = NULL;
+}
+
+static bool accept_any(uint64_t request, void *data)
+{
+	return true;
+}
+
+/* Return: the next request, from the pools in turn. */
+static struct request *next_request(struct upstream_home *home)
+{
+	struct pool_queue *queue;
+	struct request *req;
+	uint64_t handle;
+	guint i, nr = home->queues->len;
+
+	for (i = 0; i < nr; i++) {
+		queue = home->queues->pdata[(home->turn + i) % nr];
+		if (!admission_next(&queue->admission, proxy_now(), accept_any,
+				    NULL, &handle))
+			continue;
+		home->turn = (home->turn + i + 1) % nr;
+		req = request_by_handle(home->proxy, handle);
+		if (req)
+			return req;
+	}
+	return NULL;
+}
+
+void upstream_home_dispatch(struct upstream_home *home)
+{
+	struct upstream_connection *conn;
+	struct request *req;
+
+	while (home->idle.tail) {
+		req = next_request(home);
+		if (!req)
+			break;
+		conn = g_queue_pop_tail(&home->idle);
+		g_queue_push_tail(&home->busy, conn);
+		request_run(req, conn);
+	}
+	open_needed(home);
+}
+
+void upstream_home_ready(struct upstream_home *home,
+			 struct upstream_connection *conn)
+{
+	home->refused = 0;
+	home->retry_us = 0;
+	if (conn->probe) {
+		upstream_probe_ready(home);
+		return;
+	}
+	g_queue_remove(&home->opening, conn);
+	g_queue_push_tail(&home->idle, conn);
+	upstream_home_dispatch(home);
+}
+
+void upstream_home_release(struct upstream_home *home,
+			   struct upstream_connection *conn)
+{
+	conn->request = NULL;
+	if (!upstream_connection_is_clean(conn) || home->open > home->share) {
+		upstream_connection_close(conn, false);
+		return;
+	}
+	g_queue_remove(&home->busy, conn);
+	g_queue_push_tail(&home->idle, conn);
+	upstream_home_dispatch(home);
+}
+
+void upstream_home_gone(struct upstream_home *home,
+			struct upstream_connection *conn, bool refused)
+{
+	home->open--;
+	if (refused)
+		home->retry_us = proxy_now() + REOPEN_DELAY_US;
+	if (conn == home->probe) {
+		home->probe = NULL;
+		upstream_probe_lost(home, refused);
+		return;
+	}
+	g_queue_remove(&home->idle, conn);
+	g_queue_remove(&home->busy, conn);
+	g_queue_remove(&home->opening, conn);
+	if (!refused)
+		open_needed(home);
+}
+
+static void requeue_one(uint64_t request, void *data)
+{
+	struct upstream_home *home = data;
+	struct request *req = request_by_handle(home->proxy, request);
+
+	if (req)
+		request_requeue(req);
+}
+
+void upstream_home_requeue(struct upstream_home *home)
+{
+	struct pool_queue *queue;
+	GArray *handles = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	uint64_t handle;
+	guint i;
+
+	for (i = 0; i < home->queues->len; i++) {
+		queue = home->queues->pdata[i];
+		while (admission_next(&queue->admission, proxy_now(),
+				      accept_any, NULL, &handle))
+			g_array_append_val(handles, handle);
+	}
+	for (i = 0; i < handles->len; i++)
+		requeue_one(g_array_index(handles, uint64_t, i), home);
+	g_array_free(handles, TRUE);
+}
--- /dev/null
+++ b/comfreywheeld/upstream_pool.h
@@ -0,0 +1,95 @@
+#ifndef UPSTREAM_POOL_H
+#define UPSTREAM_POOL_H
+
+#include "proxy.h"
+#include "request.h"
+#include "upstream_connection.h"
+
+/**
+ * DOC: Connections to one upstream, and the requests that wait for one.
+ *
+ * A home never holds more connections than the control leader granted, the
+ * probe connection included. Waiting requests are queued per pool, and the
+ * pools that share an upstream take turns.
+ */
+
+/** struct pool_queue - waiting requests of one pool at one upstream */
+struct pool_queue {
+	char *pool;
+	struct admission admission;
+};
+
+/**
+ * struct upstream_home - one upstream
+ * @handle: in the directory; also the index in struct proxy.homes
+ * @idle: clean connections, last used at the tail
+ * @busy: connections that run or hold a request
+ * @opening: connections not ready yet, the probe connection aside
+ * @open: all connections, from connect() to close()
+ * @share: connections granted
+ * @refused: consecutive refused connections of the probe
+ * @retry_us: no new connection before this time, after a failed one
+ */
+struct upstream_home {
+	struct proxy *proxy;
+	int handle;
+	char *name;
+	struct upstream_connection *probe;
+	GQueue idle;
+	GQueue busy;
+	GQueue opening;
+	unsigned open;
+	unsigned share;
+	unsigned refused;
+	int64_t retry_us;
+	GPtrArray *queues;
+	unsigned turn;
+	int probe_timer;
+	bool suspect;
+	bool position_wanted;
+};
+
+/** upstream_home_at() - home of a directory handle, created at first use */
+struct upstream_home *upstream_home_at(struct proxy *proxy, int handle);
+void upstream_home_free(struct upstream_home *home);
+
+void upstream_home_share(struct upstream_home *home, unsigned connections);
+
+/** upstream_home_enqueue() - false if refused; @verdict tells why */
+bool upstream_home_enqueue(struct upstream_home *home, struct request *req,
+			   const struct route *route, const struct pool *pool,
+			   enum admission_verdict *verdict);
+void upstream_home_remove(struct upstream_home *home, struct request *req);
+
+/** upstream_home_dispatch() - run what can run, open what is needed */
+void upstream_home_dispatch(struct upstream_home *home);
+
+/** upstream_home_ready() - a connection finished its start-up */
+void upstream_home_ready(struct upstream_home *home,
+			 struct upstream_connection *conn);
+
+/** upstream_home_release() - take back a connection, or close it */
+void upstream_home_release(struct upstream_home *home,
+			   struct upstream_connection *conn);
+
+/** upstream_home_gone() - @conn is closed; forget it */
+void upstream_home_gone(struct upstream_home *home,
+			struct upstream_connection *conn, bool refused);
+
+/** upstream_home_wanted() - connections that could be used now */
+unsigned upstream_home_wanted(const struct upstream_home *home);
+
+/** upstream_probe_start() - probe the upstream every probe_us */
+void upstream_probe_start(struct upstream_home *home);
+void upstream_probe_ready(struct upstream_home *home);
+/** upstream_probe_lost() - the probe connection is closed */
+void upstream_probe_lost(struct upstream_home *home, bool refused);
+/** upstream_home_probed() - the position query on it was answered */
+void upstream_home_probed(struct upstream_home *home, bool has_position);
+/** upstream_probe_ask() - ask for the position now, for waiting commits */
+void upstream_probe_ask(struct upstream_home *home);
+
+/** upstream_home_requeue() - route every waiting request anew */
+void upstream_home_requeue(struct upstream_home *home);
+
+#endif
