--- a/comfreywheel-standin/execute.c
+++ b/comfreywheel-standin/execute.c
@@ -115,6 +115,8 @@
 	struct standin *s = c->server;
 
 	c->busy = true;
+	if (!strstr(sql, "pg_is_in_recovery") && !strstr(sql, "standin_"))
+		s->statements++;
 	g_free(c->sql);
 	c->sql = g_strdup(sql);
 	c->sql_at = 0;
--- a/comfreywheel-standin/functions.c
+++ b/comfreywheel-standin/functions.c
@@ -137,6 +137,13 @@
 	sqlite3_result_int(ctx, s->peak_connections);
 }
 
+static void statements(sqlite3_context *ctx, int nr, sqlite3_value **args)
+{
+	const struct standin *s = sqlite3_user_data(ctx);
+
+	sqlite3_result_int64(ctx, s->statements);
+}
+
 static void server_name(sqlite3_context *ctx, int nr, sqlite3_value **args)
 {
 	const struct standin *s = sqlite3_user_data(ctx);
@@ -160,6 +167,7 @@
 	{ "standin_received_tli", 0, received_tli },
 	{ "standin_fault", 2, set_fault },
 	{ "standin_peak_connections", 0, peak_connections },
+	{ "standin_statements", 0, statements },
 	{ "standin_name", 0, server_name },
 };
 
--- a/comfreywheel-standin/standin.h
+++ b/comfreywheel-standin/standin.h
@@ -66,6 +66,7 @@
  * @replayed: end of the log visible to reads
  * @unreplayed: struct log_record not yet replayed, replica only
  * @closed_clients: freed once no handler can hold them any more
+ * @statements: executed, without probes and the stand-in's own functions
  * @replay_db: connection that replays and reads the log
  * @link: connection to the primary, replica only
  */
@@ -91,6 +92,7 @@
 	struct replication_link *link;
 	char *follow;
 	char *configured_follow;
+	uint64_t statements;
 	int64_t faults[FAULT_NR];
 	struct announcer *announcer;
 	uint32_t next_pid;
