Run batches of the extended protocol, cancels and logins

Callers could send simple queries only. Batches up to Sync are now gathered, classified as a whole and run as one request; prepared statements are shared by text and parsed on a connection when first used there. A Flush sends the batch so far to the primary. Cancel requests go out on a fresh connection, and the connection that was canceled is closed after its answer. Callers log in by SCRAM against the users file. A script with BEGIN and COMMIT in one query runs on the primary and its answer waits like that of a commit.

--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include "caller_batch.h"
 #include "caller_query.h"
 #include "net.h"
 #include "upstream_connection.h"
@@ -46,6 +47,7 @@
 	stream_close(&caller->stream);
 	timer_cancel(&proxy->timers, &caller->login_timer);
 	caller_settings_finish(&caller->settings);
+	caller_statements_finish(caller);
 	g_free(caller->user);
 	g_free(caller->database);
 	proxy->callers->pdata[caller->index] = NULL;
@@ -115,6 +117,7 @@
 		       sizeof(caller->secret)) != 1)
 		caller->secret = g_random_int();
 	caller_settings_init(&caller->settings);
+	caller_statements_init(caller);
 	request_init(&caller->request, caller);
 	stream_init(&caller->stream, proxy->loop, fd, false, &caller_events,
 		    caller);
@@ -132,9 +135,11 @@
 		     "max_callers.");
 }
 
+/* What runs for the caller is given up with it. */
 void caller_fatal(struct caller *caller, const char *sqlstate,
 		  const char *message, const char *hint)
 {
+	request_drop(&caller->request);
 	pg_put_error(caller_out(caller), "FATAL", sqlstate, message, hint);
 	caller->state = CALLER_CLOSING;
 	stream_flush(&caller->stream);
@@ -197,12 +202,20 @@
 	return caller->state == CALLER_READY;
 }
 
+/* A batch that was flushed goes on while its beginning runs. */
+static bool may_take(const struct caller *caller)
+{
+	const struct request *req = &caller->request;
+
+	return !caller->busy || (req->open && req->state == REQUEST_RUNNING);
+}
+
 void caller_input(struct caller *caller)
 {
 	if (caller->in_input)
 		return;
 	caller->in_input = true;
-	while (caller->state == CALLER_READY && !caller->busy &&
+	while (caller->state == CALLER_READY && may_take(caller) &&
 	       take_frame(caller))
 		;
 	caller->in_input = false;
--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -30,6 +30,7 @@
  * @wrote: the open transaction may have written
  * @read_only: the open transaction was begun READ ONLY
  * @skip_to_sync: an extended batch failed; its rest is dropped
+ * @statements: struct statement by the caller's name for it
  * @busy: a request is under way
  * @in_input: caller_input() runs further up the stack
  * @cluster: directory handle
@@ -56,6 +57,7 @@
 	bool skip_to_sync;
 	bool busy;
 	bool in_input;
+	GHashTable *statements;
 	struct request request;
 	int login_timer;
 };
--- a/comfreywheeld/caller_query.c
+++ b/comfreywheeld/caller_query.c
@@ -1,10 +1,9 @@
 #include "caller_query.h"
 
-#include "upstream_connection.h"
+#include "caller_batch.h"
 
-#include <string.h>
 
-static void start(struct caller *caller, const uint8_t *data, size_t len)
+void caller_start(struct caller *caller, const uint8_t *data, size_t len)
 {
 	struct request *req = &caller->request;
 	GError *error = NULL;
@@ -12,8 +11,7 @@
 	if (!caller_resolve(caller, &error)) {
 		caller_error(caller, "28000", error->message, NULL);
 		g_error_free(error);
-		pg_buffer_finish(&req->bytes);
-		request_init(req, caller);
+		request_clear(req);
 		return;
 	}
 	pg_buffer_append(&req->bytes, data, len);
@@ -28,70 +26,6 @@
 	proxy_count(caller->proxy, COUNT_LOCAL_ANSWERS);
 }
 
-static void put_row_description(struct pg_buffer *out, const char *name)
-{
-	size_t begin = pg_begin(out, 'T');
-
-	pg_put_u16(out, 1);
-	pg_put_string(out, name);
-	pg_put_u32(out, 0);
-	pg_put_u16(out, 0);
-	pg_put_u32(out, 25);
-	pg_put_u16(out, UINT16_MAX);
-	pg_put_u32(out, UINT32_MAX);
-	pg_put_u16(out, 0);
-	pg_end(out, begin);
-}
-
-static void put_row(struct pg_buffer *out, const char *value)
-{
-	size_t begin = pg_begin(out, 'D');
-
-	pg_put_u16(out, 1);
-	pg_put_u32(out, strlen(value));
-	pg_buffer_append(out, value, strlen(value));
-	pg_end(out, begin);
-}
-
-static void answer_show(struct caller *caller, const struct sql_class *class)
-{
-	char *value = caller_settings_show(&caller->settings, class->name);
-
-	if (!value) {
-		caller_error(caller, "42704", "there is no such setting",
-			     "Use session, position, max_age, repeatable, "
-			     "request_id or deadline after the prefix "
-			     "comfreywheel.");
-		return;
-	}
-	put_row_description(caller_out(caller), class->name);
-	put_row(caller_out(caller), value);
-	complete(caller, "SHOW");
-	g_free(value);
-}
-
-static void answer_set(struct caller *caller, const struct sql_class *class)
-{
-	GError *error = NULL;
-
-	if (caller_settings_assign(
-		    &caller->settings, class->name,
-		    class->value_is_default ? NULL : class->value, &error)) {
-		complete(caller, "SET");
-		return;
-	}
-	caller_error(caller, "22023", error->message, NULL);
-	g_error_free(error);
-}
-
-void caller_local(struct caller *caller, const struct sql_class *class)
-{
-	if (class->kind == SQL_PRODUCT_SHOW)
-		answer_show(caller, class);
-	else
-		answer_set(caller, class);
-}
-
 static void answer_empty(struct caller *caller)
 {
 	struct pg_buffer *out = caller_out(caller);
@@ -104,13 +38,6 @@
 static void refuse(struct caller *caller, const struct sql_class *class)
 {
 	proxy_count(caller->proxy, COUNT_REFUSED_STATEMENTS);
-	if (class->kind == SQL_SCRIPT) {
-		caller_error(caller, "0A000",
-			     "BEGIN and COMMIT cannot share one query with "
-			     "other statements",
-			     "Send each of them as a query of its own.");
-		return;
-	}
 	caller_error(caller, class->sqlstate,
 		     "this statement does not work on pooled connections",
 		     class->remedy);
@@ -132,27 +59,6 @@
 		     "Send ROLLBACK and run the transaction again.");
 }
 
-static void fill(struct caller *caller, const struct sql_class *class)
-{
-	struct request *req = &caller->request;
-	bool open = caller->transaction != 'I';
-
-	req->read = class->kind == SQL_READ || class->kind == SQL_SET_LOCAL ||
-		    class->kind == SQL_SAVEPOINT;
-	req->begins = class->kind == SQL_BEGIN;
-	req->begins_read_only = req->begins && class->read_only;
-	if (req->begins_read_only)
-		req->read = true;
-	req->ends = class->kind == SQL_COMMIT || class->kind == SQL_ROLLBACK;
-	if (open)
-		req->writes = class->kind == SQL_COMMIT && caller->wrote;
-	else
-		req->writes = class->kind == SQL_WRITE;
-	if (req->ends)
-		req->read = !req->writes;
-	req->identified = req->writes && !open && caller->settings.request_id;
-}
-
 static void simple_query(struct caller *caller, const struct pg_frame *frame,
 			 const uint8_t *data)
 {
@@ -160,6 +66,15 @@
 	struct pg_reader r;
 	const char *sql;
 
+	if (caller->request.open) {
+		caller_fatal(caller, "08P01",
+			     "a simple query inside a flushed batch",
+			     "Send Sync first.");
+		return;
+	}
+	/* A simple query ends a batch that has no Sync. */
+	request_clear(&caller->request);
+	caller->skip_to_sync = false;
 	pg_reader_init(&r, frame->payload, frame->payload_len);
 	sql = pg_read_string(&r);
 	if (r.failed) {
@@ -175,7 +90,7 @@
 		answer_empty(caller);
 		return;
 	}
-	if (class->kind == SQL_REFUSED || class->kind == SQL_SCRIPT) {
+	if (class->kind == SQL_REFUSED) {
 		refuse(caller, class);
 		return;
 	}
@@ -189,8 +104,8 @@
 			 class->kind == SQL_COMMIT ? "COMMIT" : "ROLLBACK");
 		return;
 	}
-	fill(caller, class);
-	start(caller, data, frame->frame_len);
+	request_classify(&caller->request, class->kind, class->read_only);
+	caller_start(caller, data, frame->frame_len);
 }
 
 void caller_frame(struct caller *caller, const struct pg_frame *frame,
@@ -200,6 +115,15 @@
 	case 'Q':
 		simple_query(caller, frame, data);
 		return;
+	case 'P':
+	case 'B':
+	case 'D':
+	case 'E':
+	case 'C':
+	case 'H':
+	case 'S':
+		caller_batch_frame(caller, frame, data);
+		return;
 	case 'X':
 		caller_close(caller);
 		return;
--- a/comfreywheeld/caller_query.h
+++ b/comfreywheeld/caller_query.h
@@ -11,6 +11,9 @@
 void caller_frame(struct caller *caller, const struct pg_frame *frame,
 		  const uint8_t *data);
 
+/** caller_start() - run the classified request; @data is appended to it */
+void caller_start(struct caller *caller, const uint8_t *data, size_t len);
+
 /** caller_local() - answer a statement that concerns the daemon alone */
 void caller_local(struct caller *caller, const struct sql_class *class);
 
--- a/comfreywheeld/caller_startup.c
+++ b/comfreywheeld/caller_startup.c
@@ -1,5 +1,8 @@
 #include "caller.h"
 
+#include "caller_auth.h"
+#include "cancel.h"
+
 #include <string.h>
 
 #define PRODUCT_PREFIX "comfreywheel."
@@ -42,7 +45,7 @@
 	pg_end(out, begin);
 }
 
-static void put_authentication(struct caller *caller, uint32_t kind,
+void caller_put_authentication(struct caller *caller, uint32_t kind,
 			       const char *text, size_t len)
 {
 	struct pg_buffer *out = caller_out(caller);
@@ -53,7 +56,7 @@
 	pg_end(out, begin);
 }
 
-static void logged_in(struct caller *caller)
+void caller_logged_in(struct caller *caller)
 {
 	GError *error = NULL;
 
@@ -69,7 +72,7 @@
 		g_error_free(error);
 		return;
 	}
-	put_authentication(caller, 0, NULL, 0);
+	caller_put_authentication(caller, 0, NULL, 0);
 	put_parameters(caller);
 	put_cancel_key(caller);
 	pg_put_ready(caller_out(caller), 'I');
@@ -193,17 +196,27 @@
 			     "Connect again to reach another daemon.");
 		return;
 	}
-	logged_in(caller);
+	if (caller->proxy->users)
+		caller_auth_start(caller);
+	else
+		caller_logged_in(caller);
 }
 
 static void startup_packet(struct caller *caller, const struct pg_frame *frame)
 {
 	struct pg_reader r;
-	uint32_t version;
+	uint32_t version, pid, secret;
 
 	pg_reader_init(&r, frame->payload, frame->payload_len);
 	version = pg_read_u32(&r);
 	switch (version) {
+	case PG_CANCEL_CODE:
+		pid = pg_read_u32(&r);
+		secret = pg_read_u32(&r);
+		if (!r.failed)
+			cancel_request(caller->proxy, pid, secret);
+		caller_close(caller);
+		return;
 	case PG_SSL_CODE:
 	case PG_GSS_CODE:
 		pg_put_u8(caller_out(caller), 'N');
@@ -245,4 +258,8 @@
 {
 	while (caller->state == CALLER_STARTUP && take_startup(caller))
 		;
+	while ((caller->state == CALLER_AUTH_FIRST ||
+		caller->state == CALLER_AUTH_FINAL) &&
+	       caller_auth_input(caller))
+		;
 }
--- a/comfreywheeld/drain.c
+++ b/comfreywheeld/drain.c
@@ -2,6 +2,7 @@
 
 #include "caller.h"
 #include "log.h"
+#include "users.h"
 
 #include <signal.h>
 
@@ -85,13 +86,18 @@
 static void on_hangup(struct ev_loop *loop, ev_signal *w, int revents)
 {
 	struct proxy *proxy = w->data;
+	GHashTable *users = NULL;
 	GError *error = NULL;
 
-	if (!settings_reload(proxy->settings, proxy->settings_path, &error)) {
+	if (!settings_reload(proxy->settings, proxy->settings_path, &error) ||
+	    !users_load(proxy->settings->users_file, &users, &error)) {
 		log_error("settings are not reloaded: %s", error->message);
 		g_error_free(error);
 		return;
 	}
+	if (proxy->users)
+		g_hash_table_destroy(proxy->users);
+	proxy->users = users;
 	log_init("comfreywheeld", proxy->settings->log_level);
 	log_notice("settings are reloaded from %s", proxy->settings_path);
 }
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -1,6 +1,7 @@
 #include "proxy.h"
 
 #include "caller.h"
+#include "cancel.h"
 #include "cluster_links.h"
 #include "commit_wait.h"
 #include "drain.h"
@@ -8,6 +9,7 @@
 #include "log.h"
 #include "net.h"
 #include "upstream_pool.h"
+#include "users.h"
 
 #include <stdlib.h>
 #include <unistd.h>
@@ -87,6 +89,7 @@
 	router_init(&proxy->router, proxy->settings->availability_zone,
 		    g_random_int());
 	sql_classifier_init(&proxy->classifier, CLASSIFIER_BYTES);
+	statement_table_init(&proxy->statements);
 	retry_budget_init(&proxy->retries);
 	proxy->callers = g_ptr_array_new();
 	proxy->free_callers = g_array_new(FALSE, FALSE, sizeof(unsigned));
@@ -98,6 +101,7 @@
 	proxy->parameters =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	proxy->discarded = g_ptr_array_new_with_free_func(g_free);
+	proxy->cancels = g_ptr_array_new();
 	proxy->commits = commit_wait_new(proxy);
 	proxy->sweep_timer = timer_subscribe(
 		&proxy->timers, proxy_now() + SWEEP_US, SWEEP_US, sweep, proxy);
@@ -128,9 +132,12 @@
 static void finish_parts(struct proxy *proxy)
 {
 	finish_callers(proxy);
+	cancel_finish(proxy);
 	finish_homes(proxy);
 	proxy_links_finish(proxy);
 	commit_wait_free(proxy->commits);
+	if (proxy->users)
+		g_hash_table_destroy(proxy->users);
 	g_ptr_array_free(proxy->callers, TRUE);
 	g_array_free(proxy->free_callers, TRUE);
 	g_ptr_array_free(proxy->homes, TRUE);
@@ -139,6 +146,7 @@
 	g_array_free(proxy->acknowledged, TRUE);
 	g_hash_table_destroy(proxy->parameters);
 	g_ptr_array_free(proxy->discarded, TRUE);
+	statement_table_finish(&proxy->statements);
 	sql_classifier_finish(&proxy->classifier);
 	directory_finish(&proxy->directory);
 	timer_service_finish(&proxy->timers);
@@ -170,9 +178,12 @@
 {
 	struct proxy proxy = { .settings = settings,
 			       .settings_path = settings_path };
-	int listener = net_listen(settings->caller_listen, error);
+	int listener;
 	bool ok;
 
+	if (!users_load(settings->users_file, &proxy.users, error))
+		return EXIT_FAILURE;
+	listener = net_listen(settings->caller_listen, error);
 	if (listener < 0)
 		return EXIT_FAILURE;
 	proxy.loop = ev_loop_new(EVBACKEND_EPOLL);
--- a/comfreywheeld/proxy.h
+++ b/comfreywheeld/proxy.h
@@ -10,6 +10,7 @@
 #include "session_client.h"
 #include "settings.h"
 #include "sql_classify.h"
+#include "statements.h"
 #include "tables.h"
 #include "timer_service.h"
 #include "upstream_directory.h"
@@ -75,6 +76,7 @@
  * @announced_terms: uint32_t, by directory handle of the upstream
  * @acknowledged: what was acknowledged, by directory handle of the cluster
  * @parameters: ParameterStatus values learned from upstreams, by name
+ * @cancels: struct cancel under way
  * @users: SCRAM verifiers by user name, NULL trusts every caller
  */
 struct proxy {
@@ -94,6 +96,7 @@
 	struct upstream_directory directory;
 	struct router router;
 	struct sql_classifier classifier;
+	struct statement_table statements;
 	struct retry_budget retries;
 	GPtrArray *callers;
 	GArray *free_callers;
@@ -105,6 +108,7 @@
 	GHashTable *parameters;
 	GHashTable *users;
 	GPtrArray *discarded;
+	GPtrArray *cancels;
 	struct announce *announce;
 	struct commit_wait *commits;
 	int sweep_timer;
--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -1,6 +1,7 @@
 #include "request.h"
 
 #include "caller.h"
+#include "caller_batch.h"
 #include "commit_wait.h"
 #include "upstream_pool.h"
 
@@ -56,9 +57,23 @@
 	req->store = 0;
 }
 
-static void clear(struct request *req)
+static void release_statements(struct request *req)
+{
+	guint i;
+
+	for (i = 0; req->used && i < req->used->len; i++)
+		statement_unref(&proxy_of(req)->statements,
+				req->used->pdata[i]);
+	if (req->used)
+		g_ptr_array_free(req->used, TRUE);
+	if (req->new_names)
+		g_ptr_array_free(req->new_names, TRUE);
+}
+
+void request_clear(struct request *req)
 {
 	request_leave(req);
+	release_statements(req);
 	timer_cancel(&proxy_of(req)->timers, &req->deadline_timer);
 	pg_buffer_finish(&req->bytes);
 	pg_buffer_finish(&req->hold);
@@ -69,7 +84,7 @@
 {
 	struct caller *caller = req->caller;
 
-	clear(req);
+	request_clear(req);
 	caller_answered(caller);
 }
 
@@ -100,10 +115,28 @@
 	upstream_connection_close(conn, false);
 }
 
+/* The transaction, if one was open, is lost with its connection. */
+static void note_lost_transaction(struct caller *caller)
+{
+	if (caller->transaction != 'I' && !caller->held)
+		caller->transaction = 'E';
+}
+
+void request_abandon(struct request *req)
+{
+	struct caller *caller = req->caller;
+
+	request_leave(req);
+	abandon_connection(req);
+	note_lost_transaction(caller);
+	req->state = REQUEST_NONE;
+	request_finish(req);
+}
+
 void request_drop(struct request *req)
 {
 	abandon_connection(req);
-	clear(req);
+	request_clear(req);
 }
 
 static void on_deadline(int64_t now_us, void *data)
@@ -153,13 +186,6 @@
 	request_decide(req);
 }
 
-/* The transaction, if one was open, is lost with its connection. */
-static void note_lost_transaction(struct caller *caller)
-{
-	if (caller->transaction != 'I' && !caller->held)
-		caller->transaction = 'E';
-}
-
 void request_refuse(struct request *req, const char *sqlstate,
 		    const char *message, const char *hint)
 {
@@ -169,16 +195,18 @@
 	abandon_connection(req);
 	note_lost_transaction(caller);
 	req->state = REQUEST_NONE;
+	caller_batch_failed(caller);
 	pg_put_error(caller_out(caller), "ERROR", sqlstate, message, hint);
-	pg_put_ready(caller_out(caller), caller->transaction);
+	if (req->open)
+		caller->skip_to_sync = true;
+	else
+		pg_put_ready(caller_out(caller), caller->transaction);
 	request_finish(req);
 }
 
 void request_outcome_unknown(struct request *req, const char *why)
 {
-	bool open = req->caller->transaction != 'I' && !req->ends;
-
-	if (open) {
+	if (!req->writes) {
 		proxy_count(proxy_of(req), COUNT_OUTCOME_FAILED);
 		request_refuse(req, outcome_sqlstate(OUTCOME_FAILED), why,
 			       "The transaction was rolled back; run it "
@@ -198,7 +226,7 @@
 	struct caller *caller = req->caller;
 	struct proxy *proxy = caller->proxy;
 	struct retry_request retry = {
-		.idempotent = req->read || caller->settings.repeatable ||
+		.idempotent = !req->writes || caller->settings.repeatable ||
 			      outcome == OUTCOME_REFUSED,
 		.answer_started = req->answer_started,
 		.in_transaction = caller->transaction != 'I',
@@ -230,7 +258,9 @@
 	req->exclude = req->home ? req->home->handle : UPSTREAM_NONE;
 	request_detach(req);
 	caller->held = NULL;
-	outcome = outcome_of_loss(req->stage, req->read, in_transaction);
+	outcome = outcome_of_loss(req->stage,
+				  !req->writes && !req->pending_writes,
+				  in_transaction);
 	if (!in_transaction && request_retry(req, outcome))
 		return;
 	if (outcome == OUTCOME_UNKNOWN) {
--- a/comfreywheeld/request.h
+++ b/comfreywheeld/request.h
@@ -34,10 +34,22 @@
  * struct request - one request
  * @bytes: frames as the caller sent them, kept until the outcome is known
  * @extended: a batch of the extended protocol
+ * @flushed: sent before its Sync came
+ * @open: its Sync is still to come
+ * @unnamed_parsed: the batch itself parsed the unnamed statement
+ * @has_local: contains statements that the daemon answers
+ * @has_remote: contains others
+ * @used: struct statement, referenced
+ * @new_names: names given by the batch's Parse frames, in order
+ * @binds: Bind frames
+ * @parse_completes: how many of these are confirmed
+ * @classified: at least one statement was classified
  * @read: shown to have no effects
  * @begins: opens a transaction
+ * @begins_read_only: and that is READ ONLY
  * @ends: ends one
- * @writes: may have effects outside a transaction, or commits some
+ * @pending_writes: has effects that its own commit is still to confirm
+ * @writes: commits effects, so that the answer is withheld
  * @identified: runs together with an insert of the request identity
  * @must_primary: the session's position is unknown, use the primary
  * @stage: how far it got, for the outcome when its upstream is lost
@@ -59,10 +71,21 @@
 	enum request_state state;
 	struct pg_buffer bytes;
 	bool extended;
+	bool flushed;
+	bool open;
+	bool unnamed_parsed;
+	bool has_local;
+	bool has_remote;
+	GPtrArray *used;
+	GPtrArray *new_names;
+	unsigned parse_completes;
+	unsigned binds;
+	bool classified;
 	bool read;
 	bool begins;
 	bool begins_read_only;
 	bool ends;
+	bool pending_writes;
 	bool writes;
 	bool identified;
 	bool must_primary;
@@ -101,9 +124,24 @@
 };
 
 void request_init(struct request *req, struct caller *caller);
+/** request_clear() - forget what was gathered; nothing is under way */
+void request_clear(struct request *req);
+/** request_abandon() - give up a flushed batch without an answer */
+void request_abandon(struct request *req);
+/** request_follow() - send more of a flushed batch; @type of the last frame */
+void request_follow(struct request *req, const struct pg_buffer *frames,
+		    char type);
 /** request_drop() - the caller is gone */
 void request_drop(struct request *req);
 
+/**
+ * request_classify() - note what the request's next statement does
+ *
+ * Called once for each statement of a batch, in order.
+ */
+void request_classify(struct request *req, enum sql_kind kind,
+		      bool read_only);
+
 /** request_start() - run what the caller module gathered and classified */
 void request_start(struct request *req);
 
--- a/comfreywheeld/request_run.c
+++ b/comfreywheeld/request_run.c
@@ -1,6 +1,7 @@
 #include "request.h"
 
 #include "caller.h"
+#include "caller_batch.h"
 #include "upstream_pool.h"
 
 #include <string.h>
@@ -22,7 +23,7 @@
 /* Whether the answer waits for replicas and session owners. */
 static bool is_withheld(const struct request *req)
 {
-	return req->writes;
+	return req->writes && !req->flushed;
 }
 
 static void put_identity(struct request *req)
@@ -41,6 +42,38 @@
 	g_strfreev(parts);
 }
 
+static void put_frames(struct request *req)
+{
+	struct upstream_connection *conn = req->conn;
+	const uint8_t *data = pg_buffer_head(&req->bytes);
+	size_t len = pg_buffer_length(&req->bytes);
+
+	if (req->extended)
+		parsed_statements_forward(&conn->parsed, req->used, data, len,
+					  &conn->stream.out);
+	else
+		pg_buffer_append(&conn->stream.out, data, len);
+}
+
+/* The answer to a flushed batch may have been read before its Sync came. */
+void request_follow(struct request *req, const struct pg_buffer *frames,
+		    char type)
+{
+	struct upstream_connection *conn = req->conn;
+
+	parsed_statements_forward(&conn->parsed, req->used,
+				  pg_buffer_head(frames),
+				  pg_buffer_length(frames), &conn->stream.out);
+	if (type == 'S') {
+		req->open = false;
+		if (req->writes) {
+			req->stage = STAGE_COMMIT_SENT;
+			upstream_connection_position(conn);
+		}
+	}
+	stream_flush(&conn->stream);
+}
+
 void request_send(struct request *req)
 {
 	struct upstream_connection *conn = req->conn;
@@ -49,13 +82,15 @@
 	if (req->identified)
 		put_identity(req);
 	upstream_connection_step(conn, STEP_RELAY);
-	pg_buffer_append(&conn->stream.out, pg_buffer_head(&req->bytes),
-			 pg_buffer_length(&req->bytes));
+	put_frames(req);
 	if (req->identified)
 		upstream_connection_query(conn, STEP_HIDDEN, "COMMIT");
 	if (is_withheld(req))
 		upstream_connection_position(conn);
-	req->stage = req->writes ? STAGE_COMMIT_SENT : STAGE_SENT;
+	req->stage = is_withheld(req) ? STAGE_COMMIT_SENT : STAGE_SENT;
+	/* What follows a Flush is not kept, so the batch cannot run again. */
+	if (req->flushed)
+		req->answer_started = true;
 	stream_flush(&conn->stream);
 }
 
@@ -126,6 +161,8 @@
 	directory_upstream_at(&proxy_of(req)->directory, upstream)->in_flight++;
 	count_run(req, upstream);
 	request_send(req);
+	if (req->open)
+		caller_input(caller);
 }
 
 /* What is withheld goes on, up to what was appended last. */
@@ -165,6 +202,8 @@
 
 	if (is_hidden(req, frame))
 		return;
+	if (frame->type == '1')
+		req->parse_completes++;
 	if (frame->type == 'C')
 		req->saw_complete = true;
 	if (frame->type == 'E')
@@ -206,7 +245,7 @@
 	}
 	if (!was_open)
 		caller->read_only = req->begins_read_only;
-	if (!req->read)
+	if (req->pending_writes)
 		caller->wrote = true;
 }
 
@@ -271,16 +310,17 @@
 
 void request_steps_done(struct request *req)
 {
-	bool unsure = is_withheld(req) && req->saw_complete &&
-		      !req->hidden_error;
+	bool unsure = req->writes && req->saw_complete && !req->hidden_error;
 
 	req->stage = STAGE_ANSWERED;
 	if (req->admission)
 		admission_note_service(req->admission,
 				       proxy_now() - req->running_us);
+	if (req->saw_error)
+		caller_batch_failed(req->caller);
 	note_transaction(req);
 	give_back(req);
-	if (!unsure || req->caller->transaction != 'I') {
+	if (!unsure) {
 		request_deliver(req);
 		return;
 	}
--- a/comfreywheeld/upstream_connection.c
+++ b/comfreywheeld/upstream_connection.c
@@ -25,6 +25,7 @@
 		return;
 	conn->state = UPSTREAM_CLOSED;
 	stream_close(&conn->stream);
+	parsed_statements_finish(&conn->parsed);
 	proxy_count(proxy_of(conn), COUNT_UPSTREAM_CLOSED);
 	upstream_home_gone(home, conn, refused);
 	proxy_discard(home->proxy, conn);
@@ -155,7 +156,7 @@
 		request_hidden_error(req, code ? code : "");
 		return;
 	case STEP_RELAY:
-		if (req)
+		if (parsed_statements_answer(&conn->parsed, frame->type) && req)
 			request_frame(req, frame);
 		return;
 	}
@@ -168,6 +169,8 @@
 	conn->first_step = (conn->first_step + 1) % UPSTREAM_STEPS;
 	conn->nr_steps--;
 	conn->transaction = status;
+	if (step == STEP_RELAY)
+		parsed_statements_synced(&conn->parsed);
 	if (step == STEP_POSITION)
 		position_done(conn);
 	else if (step == STEP_RELAY && conn->request)
@@ -348,6 +351,7 @@
 	conn->probe = probe;
 	conn->state = UPSTREAM_CONNECTING;
 	conn->transaction = 'I';
+	parsed_statements_init(&conn->parsed);
 	stream_init(&conn->stream, proxy->loop, fd, true, &connection_events,
 		    conn);
 	return conn;
--- a/comfreywheeld/upstream_connection.h
+++ b/comfreywheeld/upstream_connection.h
@@ -2,6 +2,7 @@
 #define UPSTREAM_CONNECTION_H
 
 #include "position_query.h"
+#include "statements.h"
 #include "stream.h"
 
 /**
@@ -41,6 +42,7 @@
  * @passing: bytes of a large frame still to be relayed
  * @transaction: 'I', 'T' or 'E' as of the last ReadyForQuery
  * @asked_us: when the position query was sent
+ * @parsed: statements prepared here
  */
 struct upstream_connection {
 	struct upstream_home *home;
@@ -59,6 +61,7 @@
 	int64_t asked_us;
 	bool has_row;
 	struct position_row row;
+	struct parsed_statements parsed;
 };
 
 /** upstream_connection_open() - NULL if the socket cannot be created */
