--- a/comfreywheeld/caller_auth.c
+++ b/comfreywheeld/caller_auth.c
@@ -90,9 +90,9 @@
 {
 	struct pg_buffer *in = &caller->stream.in;
 	struct pg_frame frame;
-	enum pg_frame_status status =
-		pg_frame_peek(pg_buffer_head(in), pg_buffer_length(in),
-			      AUTH_FRAME_MAX, &frame);
+	enum pg_frame_status status = pg_frame_peek(pg_buffer_head(in),
+						    pg_buffer_length(in),
+						    AUTH_FRAME_MAX, &frame);
 
 	if (status == PG_FRAME_INCOMPLETE)
 		return false;
--- a/comfreywheeld/caller_batch.c
+++ b/comfreywheeld/caller_batch.c
@@ -42,8 +42,8 @@
 	struct request *req = &caller->request;
 	guint i;
 
-	for (i = req->parse_completes; req->new_names && i < req->new_names->len;
-	     i++)
+	for (i = req->parse_completes;
+	     req->new_names && i < req->new_names->len; i++)
 		drop_statement(caller, req->new_names->pdata[i]);
 }
 
@@ -300,7 +300,7 @@
 }
 
 static void end_batch(struct caller *caller, const struct pg_frame *frame,
-		 const uint8_t *data)
+		      const uint8_t *data)
 {
 	struct request *req = &caller->request;
 
@@ -315,7 +315,7 @@
 
 /* The rest of the batch is unknown, so it runs where writes may run. */
 static void flush_batch(struct caller *caller, const struct pg_frame *frame,
-		  const uint8_t *data)
+			const uint8_t *data)
 {
 	struct request *req = &caller->request;
 	bool lost = caller->transaction != 'I' && !caller->held;
--- a/comfreywheeld/caller_local.c
+++ b/comfreywheeld/caller_local.c
@@ -57,10 +57,9 @@
 {
 	GError *error = NULL;
 
-	if (caller_settings_assign(&caller->settings, class->name,
-				   class->value_is_default ? NULL :
-							     class->value,
-				   &error)) {
+	if (caller_settings_assign(
+		    &caller->settings, class->name,
+		    class->value_is_default ? NULL : class->value, &error)) {
 		pg_put_command_complete(caller_out(caller), "SET");
 		return true;
 	}
--- a/comfreywheeld/caller_query.c
+++ b/comfreywheeld/caller_query.c
@@ -2,7 +2,6 @@
 
 #include "caller_batch.h"
 
-
 void caller_start(struct caller *caller, const uint8_t *data, size_t len)
 {
 	struct request *req = &caller->request;
--- a/comfreywheeld/cancel.c
+++ b/comfreywheeld/cancel.c
@@ -64,8 +64,8 @@
 
 static void send_cancel(struct proxy *proxy, struct upstream_connection *conn)
 {
-	const struct upstream *up = directory_upstream_at(
-		&proxy->directory, conn->home->handle);
+	const struct upstream *up =
+		directory_upstream_at(&proxy->directory, conn->home->handle);
 	int fd = net_connect(up->address, up->port);
 	struct cancel *cancel;
 
--- a/comfreywheeld/request.h
+++ b/comfreywheeld/request.h
@@ -139,8 +139,7 @@
  *
  * Called once for each statement of a batch, in order.
  */
-void request_classify(struct request *req, enum sql_kind kind,
-		      bool read_only);
+void request_classify(struct request *req, enum sql_kind kind, bool read_only);
 
 /** request_start() - run what the caller module gathered and classified */
 void request_start(struct request *req);
--- a/comfreywheeld/statements.c
+++ b/comfreywheeld/statements.c
@@ -83,8 +83,8 @@
 
 void parsed_statements_init(struct parsed_statements *parsed)
 {
-	parsed->ids =
-		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	parsed->ids = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    NULL);
 	g_queue_init(&parsed->parses);
 	g_queue_init(&parsed->closes);
 }
