--- a/include/scram.h
+++ b/include/scram.h
@@ -38,9 +38,19 @@
 	char *client_first_bare;
 	char *server_first;
 	char *nonce;
+	char gs2_flag;
 	int step;
 };
 
+/**
+ * scram_set_mock_key() - secret from which salts of unknown users are made
+ *
+ * Call it once before the first exchange, with a secret that all daemons of
+ * a deployment share; otherwise a caller can compute these salts and tell
+ * which users exist. At most 64 bytes are used.
+ */
+void scram_set_mock_key(const void *key, size_t len);
+
 /**
  * scram_server_init() - start an exchange
  * @verifier: NULL for an unknown user: the exchange then runs to its end
