--- a/include/control_state.h
+++ b/include/control_state.h
@@ -33,6 +33,15 @@
 	char *candidate;
 };
 
+/**
+ * struct control_state - what all control VMs agree on
+ * @members: struct control_member, in order of registration
+ * @clusters: struct control_cluster, in order of first sight
+ * @shares: upstream name to GHashTable of daemon name to Wire__ShareChange
+ * @audit: Wire__AuditRecord, oldest first
+ * @verdicts: request identity to Wire__ApplyVerdict
+ * @verdict_order: request identities, oldest first, owned by @verdicts
+ */
 struct control_state {
 	struct tables tables;
 	uint64_t members_version;
@@ -53,7 +62,9 @@
  *           owned by the state
  *
  * A request identity that was seen returns its first verdict and changes
- * nothing. A base version that is not the current one is a conflict. Tables
+ * nothing. An entry that does not decode, or a fail-over step that does not
+ * follow from the recorded one, changes nothing. A recorded fence is never
+ * taken back, since daemons may have confirmed it. A base version that is not the current one is a conflict. Tables
  * that do not pass tables_parse() are refused. All three are audited.
  */
 void control_state_apply(struct control_state *state, const uint8_t *bytes,
