Add comfreywheelctl, the operators' tool

Operators change the system only through the two tables, so the tool checks files locally, shows what differs from the tables in force and applies a change with a request identity that it sends again unchanged after a lost answer. The verdict decides the exit code: 0 ok, 1 refused, 2 usage, 3 conflict, 4 unavailable, 5 outcome unknown; the last names the identity and version to send again. Each exchange has a connection of its own, since an answer to a query carries no identity.

The test runs every command against two control VMs on loopback that accept, delay, lose, refuse, redirect or do not lead.

--- /dev/null
+++ b/comfreywheelctl/client.c
@@ -0,0 +1,97 @@
+#include "bus.h"
+#include "ctl.h"
+
+#include <string.h>
+
+#define S 1e-6
+/* A command makes at least this many attempts within its time. */
+#define ATTEMPTS_MIN 8
+/* Pause before the control VMs are asked again, one round after the other. */
+#define ROUND_PAUSE_US 50000
+
+struct exchange {
+	struct ev_loop *loop;
+	Wire__Envelope *reply;
+};
+
+/* The bus releases the envelope after the callback, so it is copied. */
+static void on_reply(int handle, const Wire__Envelope *envelope, void *data)
+{
+	struct exchange *exchange = data;
+	size_t len = wire__envelope__get_packed_size(envelope);
+	uint8_t *bytes = g_malloc(len);
+
+	if (!exchange->reply) {
+		wire__envelope__pack(envelope, bytes);
+		exchange->reply = wire__envelope__unpack(NULL, len, bytes);
+	}
+	g_free(bytes);
+	ev_break(exchange->loop, EVBREAK_ALL);
+}
+
+static void on_timeout(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	ev_break(loop, EVBREAK_ALL);
+}
+
+Wire__Envelope *ctl_exchange(const struct ctl *ctl, const char *address,
+			     const Wire__Envelope *envelope, int64_t timeout_us,
+			     GError **error)
+{
+	static const struct bus_events events = { .reply = on_reply };
+	struct exchange exchange = { 0 };
+	struct bus *bus;
+	ev_timer timer;
+	int handle;
+
+	exchange.loop = ev_loop_new(EVFLAG_AUTO);
+	bus = bus_new(exchange.loop, NULL, ctl->public_key, ctl->secret_key,
+		      &events, &exchange, error);
+	handle = bus ? bus_peer(bus, address, error) : -1;
+	if (handle >= 0) {
+		bus_send(bus, handle, envelope);
+		ev_timer_init(&timer, on_timeout, timeout_us * S, 0.);
+		ev_timer_start(exchange.loop, &timer);
+		ev_run(exchange.loop, 0);
+		ev_timer_stop(exchange.loop, &timer);
+	}
+	bus_free(bus);
+	ev_loop_destroy(exchange.loop);
+	return exchange.reply;
+}
+
+int64_t ctl_attempt_us(const struct ctl *ctl)
+{
+	return MAX(ctl->timeout_us / ATTEMPTS_MIN, 1);
+}
+
+void ctl_rounds_init(struct ctl_rounds *rounds, const struct ctl *ctl)
+{
+	memset(rounds, 0, sizeof(*rounds));
+	rounds->ctl = ctl;
+	rounds->deadline_us = g_get_monotonic_time() + ctl->timeout_us;
+}
+
+const char *ctl_rounds_next(struct ctl_rounds *rounds)
+{
+	const GArray *peers = rounds->ctl->control;
+	guint at = rounds->next;
+
+	if (rounds->asked && g_get_monotonic_time() >= rounds->deadline_us)
+		return NULL;
+	if (rounds->asked && rounds->asked % peers->len == 0)
+		g_usleep(ROUND_PAUSE_US);
+	rounds->asked++;
+	rounds->next = (at + 1) % peers->len;
+	return g_array_index(peers, struct control_peer, at).address;
+}
+
+void ctl_rounds_redirect(struct ctl_rounds *rounds, uint64_t leader)
+{
+	const GArray *peers = rounds->ctl->control;
+	guint i;
+
+	for (i = 0; leader && i < peers->len; i++)
+		if (g_array_index(peers, struct control_peer, i).id == leader)
+			rounds->next = i;
+}
--- /dev/null
+++ b/comfreywheelctl/options.c
@@ -0,0 +1,275 @@
+#include "ctl.h"
+#include "error.h"
+#include "ini_reader.h"
+
+#include <string.h>
+
+#define DEFAULT_TIMEOUT_US INT64_C(10000000)
+/* Errors of one command line that are printed. */
+#define ERRORS_MAX 10
+
+static void clear_peer(void *data)
+{
+	g_free(((struct control_peer *)data)->address);
+}
+
+void ctl_init(struct ctl *ctl, const char *command,
+	      const struct ctl_streams *streams)
+{
+	memset(ctl, 0, sizeof(*ctl));
+	ctl->command = command;
+	ctl->streams = streams;
+	ctl->control = g_array_new(FALSE, FALSE, sizeof(struct control_peer));
+	g_array_set_clear_func(ctl->control, clear_peer);
+	ctl->timeout_us = DEFAULT_TIMEOUT_US;
+}
+
+void ctl_finish(struct ctl *ctl)
+{
+	g_array_free(ctl->control, TRUE);
+	g_free(ctl->daemon);
+	g_free(ctl->public_key);
+	g_free(ctl->secret_key);
+}
+
+void ctl_table_add(struct ctl_table *table, void *argument)
+{
+	g_assert(table->nr < CTL_TABLE_MAX);
+	table->argv[table->nr++] = argument;
+}
+
+static void add_client_options(struct ctl_table *table, enum ctl_reach reach)
+{
+	struct ctl_options *o = &table->common;
+
+	if (reach != CTL_DAEMON) {
+		o->control = arg_str0(NULL, "control", "IP:PORT[,...]",
+				      "control VMs, each as IP:PORT or "
+				      "ID@IP:PORT");
+		ctl_table_add(table, o->control);
+	}
+	if (reach != CTL_CONTROL) {
+		o->daemon = arg_str0(NULL, "daemon", "IP:PORT",
+				     "bus endpoint of a daemon");
+		ctl_table_add(table, o->daemon);
+	}
+	o->public_key_file = arg_file0(NULL, "public-key-file", "FILE",
+				       "public key of the bus");
+	o->secret_key_file = arg_file0(NULL, "secret-key-file", "FILE",
+				       "secret key of the bus");
+	o->settings = arg_file0(NULL, "settings", "FILE",
+				"settings of a daemon, which hold control VMs "
+				"and keys");
+	o->timeout = arg_str0(NULL, "timeout", "DURATION",
+			      "longest time for the command (10s)");
+	ctl_table_add(table, o->public_key_file);
+	ctl_table_add(table, o->secret_key_file);
+	ctl_table_add(table, o->settings);
+	ctl_table_add(table, o->timeout);
+}
+
+void ctl_table_init(struct ctl_table *table, enum ctl_reach reach)
+{
+	memset(table, 0, sizeof(*table));
+	table->common.help = arg_lit0(NULL, "help", "print this text");
+	table->common.json = arg_lit0(NULL, "json", "print JSON");
+	ctl_table_add(table, table->common.help);
+	ctl_table_add(table, table->common.json);
+	if (reach != CTL_LOCAL)
+		add_client_options(table, reach);
+}
+
+void ctl_table_finish(struct ctl_table *table)
+{
+	arg_freetable(table->argv, table->nr);
+}
+
+static void print_help(const struct ctl *ctl, struct ctl_table *table)
+{
+	fprintf(ctl->streams->out, "usage: comfreywheelctl %s", ctl->command);
+	arg_print_syntax(ctl->streams->out, table->argv, "\n\n");
+	arg_print_glossary(ctl->streams->out, table->argv, "  %-30s %s\n");
+}
+
+static bool add_peer(struct ctl *ctl, const char *text)
+{
+	const char *at = strchr(text, '@');
+	struct control_peer peer = { 0 };
+	guint64 id = 0;
+	char *number;
+	bool ok = true;
+
+	if (at) {
+		number = g_strndup(text, at - text);
+		ok = g_ascii_string_to_unsigned(number, 10, 1, G_MAXUINT64, &id,
+						NULL);
+		g_free(number);
+		text = at + 1;
+	}
+	if (!ok || !ini_is_address(text))
+		return false;
+	peer.id = id;
+	peer.address = g_strdup(text);
+	g_array_append_val(ctl->control, peer);
+	return true;
+}
+
+static bool take_control(struct ctl *ctl, const char *list)
+{
+	char **items = ini_list(list);
+	size_t i;
+	bool ok = items != NULL;
+
+	for (i = 0; ok && items[i]; i++)
+		ok = add_peer(ctl, items[i]);
+	g_strfreev(items);
+	return ok;
+}
+
+static void take_settings(struct ctl *ctl, const struct settings *settings)
+{
+	const struct control_peer *peer;
+	struct control_peer copy;
+	guint i;
+
+	for (i = 0; i < settings->control_peers->len; i++) {
+		peer = &g_array_index(settings->control_peers,
+				      struct control_peer, i);
+		copy.id = peer->id;
+		copy.address = g_strdup(peer->address);
+		g_array_append_val(ctl->control, copy);
+	}
+	ctl->daemon = g_strdup(settings->bus_listen);
+	ctl->public_key = g_strdup(settings->bus_public_key);
+	ctl->secret_key = g_strdup(settings->bus_secret_key);
+}
+
+static bool read_key(const char *file, char **key, GError **error)
+{
+	GError *io = NULL;
+	char *text;
+
+	if (!g_file_get_contents(file, &text, NULL, &io)) {
+		g_set_error(error, CW_ERROR, CW_ERROR_USAGE,
+			    "%s; name a file that comfreywheelctl keygen wrote",
+			    io->message);
+		g_error_free(io);
+		return false;
+	}
+	g_free(*key);
+	*key = g_strstrip(text);
+	return true;
+}
+
+static bool take_keys(struct ctl *ctl, const struct ctl_options *o,
+		      GError **error)
+{
+	if (o->public_key_file->count != o->secret_key_file->count) {
+		g_set_error(error, CW_ERROR, CW_ERROR_USAGE,
+			    "one key file is missing; give both "
+			    "--public-key-file and --secret-key-file");
+		return false;
+	}
+	return !o->public_key_file->count ||
+	       (read_key(o->public_key_file->filename[0], &ctl->public_key,
+			 error) &&
+		read_key(o->secret_key_file->filename[0], &ctl->secret_key,
+			 error));
+}
+
+static bool take_addresses(struct ctl *ctl, const struct ctl_options *o,
+			   GError **error)
+{
+	if (o->control && o->control->count) {
+		g_array_set_size(ctl->control, 0);
+		if (!take_control(ctl, o->control->sval[0])) {
+			g_set_error(error, CW_ERROR, CW_ERROR_USAGE,
+				    "--control is no list of addresses; give "
+				    "IP:PORT or ID@IP:PORT, separated by "
+				    "commas");
+			return false;
+		}
+	}
+	if (o->daemon && o->daemon->count) {
+		g_free(ctl->daemon);
+		ctl->daemon = g_strdup(o->daemon->sval[0]);
+		if (!ini_is_address(ctl->daemon)) {
+			g_set_error(error, CW_ERROR, CW_ERROR_USAGE,
+				    "--daemon is no address; give IP:PORT");
+			return false;
+		}
+	}
+	return true;
+}
+
+static bool take_client_options(struct ctl *ctl, const struct ctl_options *o,
+				GError **error)
+{
+	struct settings settings;
+	bool ok = true;
+
+	if (o->settings->count) {
+		settings_init(&settings);
+		ok = settings_load(&settings, o->settings->filename[0], error);
+		if (ok)
+			take_settings(ctl, &settings);
+		settings_finish(&settings);
+	}
+	if (!ok || !take_keys(ctl, o, error) || !take_addresses(ctl, o, error))
+		return false;
+	if (o->timeout->count &&
+	    (!duration_parse(o->timeout->sval[0], &ctl->timeout_us) ||
+	     !ctl->timeout_us)) {
+		g_set_error(error, CW_ERROR, CW_ERROR_USAGE,
+			    "--timeout is no duration; give one with its unit, "
+			    "such as 250ms or 4s");
+		return false;
+	}
+	/* With --settings alone, the control VMs answer "either" commands. */
+	if (o->control && o->daemon && !o->daemon->count)
+		g_clear_pointer(&ctl->daemon, g_free);
+	return true;
+}
+
+static bool check_reach(const struct ctl *ctl, const struct ctl_options *o,
+			GError **error)
+{
+	if (o->daemon && ctl->daemon)
+		return true;
+	if (o->control && ctl->control->len)
+		return true;
+	g_set_error(error, CW_ERROR, CW_ERROR_USAGE,
+		    "no address to talk to; give %s or --settings",
+		    o->control ? "--control" : "--daemon");
+	return false;
+}
+
+int ctl_table_parse(struct ctl_table *table, struct ctl *ctl, int argc,
+		    char **argv)
+{
+	struct ctl_options *o = &table->common;
+	GError *error = NULL;
+	int nr_errors;
+
+	o->end = arg_end(ERRORS_MAX);
+	ctl_table_add(table, o->end);
+	nr_errors = arg_parse(argc, argv, table->argv);
+	ctl->json = o->json->count;
+	if (o->help->count) {
+		print_help(ctl, table);
+		return CTL_OK;
+	}
+	if (nr_errors) {
+		arg_print_errors(ctl->streams->err, o->end, "comfreywheelctl");
+		return ctl_fail(ctl, CTL_USAGE,
+				"the command line cannot be understood; see "
+				"comfreywheelctl %s --help",
+				ctl->command);
+	}
+	if (!o->settings)
+		return -1;
+	if (!take_client_options(ctl, o, &error) ||
+	    !check_reach(ctl, o, &error))
+		return ctl_fail_with(ctl, CTL_USAGE, error);
+	return -1;
+}
--- /dev/null
+++ b/comfreywheelctl/query.c
@@ -0,0 +1,116 @@
+#include "ctl.h"
+#include "error.h"
+
+#include <string.h>
+
+static Wire__Envelope *ask(const struct ctl *ctl, const char *address,
+			   const char *command, char *const *arguments,
+			   GError **error)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Query query = WIRE__QUERY__INIT;
+
+	query.command = (char *)command;
+	query.arguments = (char **)arguments;
+	while (arguments && arguments[query.n_arguments])
+		query.n_arguments++;
+	envelope.body_case = WIRE__ENVELOPE__BODY_QUERY;
+	envelope.query = &query;
+	return ctl_exchange(ctl, address, &envelope, ctl_attempt_us(ctl),
+			    error);
+}
+
+/* Frees @reply. */
+static json_t *take_reply(const struct ctl *ctl, Wire__Envelope *reply,
+			  int *code)
+{
+	const Wire__QueryReply *answer = reply->query_reply;
+	json_t *json = NULL;
+
+	if (answer->failed) {
+		*code = ctl_fail(ctl, CTL_REFUSED, "%s", answer->error);
+	} else {
+		json = json_loads(answer->json, JSON_DECODE_ANY, NULL);
+		if (!json)
+			*code = ctl_fail(ctl, CTL_UNAVAILABLE,
+					 "the answer is not JSON; use the "
+					 "version of the tool that came with "
+					 "the daemon");
+	}
+	wire__envelope__free_unpacked(reply, NULL);
+	return json;
+}
+
+static bool is_answer(const Wire__Envelope *reply)
+{
+	return reply->body_case == WIRE__ENVELOPE__BODY_QUERY_REPLY;
+}
+
+static json_t *query_daemon(const struct ctl *ctl, const char *address,
+			    const char *command, char *const *arguments,
+			    int *code)
+{
+	Wire__Envelope *reply;
+	GError *error = NULL;
+
+	reply = ask(ctl, address, command, arguments, &error);
+	if (reply && is_answer(reply))
+		return take_reply(ctl, reply, code);
+	if (reply)
+		wire__envelope__free_unpacked(reply, NULL);
+	if (error)
+		*code = ctl_fail_with(ctl, CTL_UNAVAILABLE, error);
+	else
+		*code = ctl_fail(ctl, CTL_UNAVAILABLE,
+				 "the daemon at %s does not answer; check the "
+				 "address, the keys and that it runs",
+				 address);
+	return NULL;
+}
+
+static json_t *query_control(const struct ctl *ctl, const char *command,
+			     char *const *arguments, int *code)
+{
+	struct ctl_rounds rounds;
+	Wire__Envelope *reply;
+	GError *error = NULL;
+	const char *address;
+
+	ctl_rounds_init(&rounds, ctl);
+	while ((address = ctl_rounds_next(&rounds))) {
+		reply = ask(ctl, address, command, arguments, &error);
+		if (error) {
+			*code = ctl_fail_with(ctl, CTL_UNAVAILABLE, error);
+			return NULL;
+		}
+		if (reply && is_answer(reply))
+			return take_reply(ctl, reply, code);
+		if (reply && reply->body_case == WIRE__ENVELOPE__BODY_REDIRECT)
+			ctl_rounds_redirect(&rounds, reply->redirect->leader);
+		if (reply)
+			wire__envelope__free_unpacked(reply, NULL);
+	}
+	*code = ctl_fail(ctl, CTL_UNAVAILABLE,
+			 "no control VM answers; check the addresses and the "
+			 "keys, and that a majority of them runs");
+	return NULL;
+}
+
+json_t *ctl_query(const struct ctl *ctl, const char *daemon,
+		  const char *command, char *const *arguments, int *code)
+{
+	if (daemon)
+		return query_daemon(ctl, daemon, command, arguments, code);
+	return query_control(ctl, command, arguments, code);
+}
+
+int ctl_run_query(const struct ctl *ctl, const char *daemon,
+		  const char *command, char *const *arguments)
+{
+	int code = CTL_OK;
+	json_t *json = ctl_query(ctl, daemon, command, arguments, &code);
+
+	if (json)
+		ctl_print(ctl, json);
+	return code;
+}
--- /dev/null
+++ b/comfreywheelctl/table_files.c
@@ -0,0 +1,99 @@
+#include "ctl.h"
+#include "error.h"
+
+#include <string.h>
+
+static char *read_text(const char *file, GError **error)
+{
+	GError *io = NULL;
+	gsize len;
+	char *text;
+
+	if (!g_file_get_contents(file, &text, &len, &io)) {
+		g_set_error(error, CW_ERROR, CW_ERROR_TABLES,
+			    "%s:0: the file cannot be read (%s); check its "
+			    "path and permissions",
+			    file, io->message);
+		g_error_free(io);
+		return NULL;
+	}
+	if (strlen(text) == len)
+		return text;
+	g_set_error(error, CW_ERROR, CW_ERROR_TABLES,
+		    "%s:0: the file holds zero bytes; save it as text", file);
+	g_free(text);
+	return NULL;
+}
+
+bool ctl_read_tables(struct tables *tables, const char *routes_file,
+		     const char *pools_file, GError **error)
+{
+	char *routes = read_text(routes_file, error), *pools = NULL;
+	bool ok;
+
+	if (routes)
+		pools = read_text(pools_file, error);
+	ok = pools && tables_parse(tables, routes_file, routes, pools_file,
+				   pools, error);
+	/* Empty tables are legal before the first change only. */
+	if (ok && !tables->routes->len) {
+		g_set_error(error, CW_ERROR, CW_ERROR_TABLES,
+			    "%s:1: both files are empty; name files with "
+			    "routes and pools",
+			    routes_file);
+		ok = false;
+	}
+	g_free(routes);
+	g_free(pools);
+	return ok;
+}
+
+static void print_value(GString *out, const char *key, json_t *value)
+{
+	json_t *item;
+	size_t i;
+
+	g_string_append_printf(out, "%s = ", key);
+	if (json_is_integer(value))
+		g_string_append_printf(out, "%" JSON_INTEGER_FORMAT,
+				       json_integer_value(value));
+	else if (json_is_string(value))
+		g_string_append(out, json_string_value(value));
+	json_array_foreach(value, i, item) g_string_append_printf(
+		out, "%s%s", i ? ", " : "", json_string_value(item));
+	g_string_append_c(out, '\n');
+}
+
+static char *rows_text(const json_t *rows, const char *kind)
+{
+	GString *out = g_string_new(NULL);
+	const char *key, *name;
+	json_t *row, *value;
+	size_t i;
+
+	json_array_foreach(rows, i, row)
+	{
+		name = json_string_value(json_object_get(row, "name"));
+		g_string_append_printf(out, "%s[%s %s]\n", i ? "\n" : "", kind,
+				       name ? name : "");
+		json_object_foreach(row, key, value) if (strcmp(key, "name"))
+			print_value(out, key, value);
+	}
+	return g_string_free(out, FALSE);
+}
+
+bool ctl_tables_from_json(struct tables *tables, const json_t *json,
+			  GError **error)
+{
+	char *routes = rows_text(json_object_get(json, "routes"), "route");
+	char *pools = rows_text(json_object_get(json, "pools"), "pool");
+	bool ok = tables_parse(tables, "routes in force", routes,
+			       "pools in force", pools, error);
+
+	if (ok)
+		tables->version =
+			json_integer_value(json_object_get(json, "version"));
+	g_free(routes);
+	g_free(pools);
+	return ok;
+}
--- /dev/null
+++ b/tests/test_ctl.c
@@ -0,0 +1,611 @@
+#include "bus.h"
+#include "ctl.h"
+#include "scram.h"
+#include "test_main.h"
+
+#include <arpa/inet.h>
+#include <glib/gstdio.h>
+#include <pthread.h>
+#include <string.h>
+#include <unistd.h>
+
+#define NR_VMS 2
+
+static const char routes_text[] = "[route all]\n"
+				  "service = s\n"
+				  "callers = *\n"
+				  "tenant = t\n"
+				  "pool = p\n";
+static const char pools_text[] = "[pool p]\n"
+				 "service = s\n"
+				 "clusters = c\n"
+				 "slots = 2\n"
+				 "connections = 4\n"
+				 "max_connections = 16\n";
+
+/* What a control VM does with an ApplyRequest. */
+enum step {
+	STEP_ACCEPT,
+	STEP_ACCEPT_IN_FORCE,
+	STEP_CONFLICT,
+	STEP_REFUSE,
+	STEP_NOT_LEADER,
+	STEP_REDIRECT_TO_2,
+	STEP_SILENT,
+};
+
+/**
+ * struct vm - one control VM of the test
+ * @steps: what it does with each ApplyRequest; the last one repeats
+ * @applies: ApplyRequests received
+ * @queries: text of all queries received
+ */
+struct vm {
+	struct bus *bus;
+	const enum step *steps;
+	size_t nr_steps;
+	unsigned applies;
+	GString *queries;
+};
+
+static struct ev_loop *loop;
+static ev_async stop;
+static pthread_t thread;
+static struct vm vms[NR_VMS];
+static char addresses[NR_VMS][32];
+static GHashTable *identities;
+static uint64_t last_base;
+static char *files[2];
+
+static void answer_verdict(struct vm *vm, const struct bus_return_path *from,
+			   const Wire__ApplyRequest *request, enum step step)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__ApplyVerdict verdict = WIRE__APPLY_VERDICT__INIT;
+	Wire__Redirect redirect = WIRE__REDIRECT__INIT;
+
+	verdict.request_id = request->request_id;
+	verdict.version = 9;
+	verdict.in_force = step == STEP_ACCEPT_IN_FORCE;
+	verdict.verdict =
+		step == STEP_CONFLICT ? WIRE__APPLY_VERDICT__VERDICT__CONFLICT :
+		step == STEP_REFUSE   ? WIRE__APPLY_VERDICT__VERDICT__REFUSED :
+		step == STEP_NOT_LEADER ?
+				      WIRE__APPLY_VERDICT__VERDICT__NOT_LEADER :
+				      WIRE__APPLY_VERDICT__VERDICT__ACCEPTED;
+	verdict.winner = step == STEP_CONFLICT ? "anna" : "";
+	verdict.message = step == STEP_REFUSE ? "routes:1: wrong; mend it" : "";
+	redirect.leader = 2;
+	envelope.body_case = WIRE__ENVELOPE__BODY_APPLY_VERDICT;
+	envelope.apply_verdict = &verdict;
+	if (step == STEP_REDIRECT_TO_2) {
+		envelope.body_case = WIRE__ENVELOPE__BODY_REDIRECT;
+		envelope.redirect = &redirect;
+	}
+	bus_answer(vm->bus, from, &envelope);
+}
+
+static void answer_query(struct vm *vm, const struct bus_return_path *from,
+			 const Wire__Query *query)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__QueryReply reply = WIRE__QUERY_REPLY__INIT;
+	GString *json = g_string_new(NULL);
+	struct tables tables;
+	size_t i;
+
+	g_string_append_printf(vm->queries, "%s", query->command);
+	for (i = 0; i < query->n_arguments; i++)
+		g_string_append_printf(vm->queries, " %s", query->arguments[i]);
+	g_string_append_c(vm->queries, ';');
+	if (!strcmp(query->command, "tables")) {
+		tables_init(&tables);
+		tables_parse(&tables, "r", routes_text, "p", pools_text, NULL);
+		tables.version = 7;
+		tables_print_json(&tables, json);
+		tables_finish(&tables);
+	} else if (!strcmp(query->command, "audit")) {
+		reply.failed = true;
+		reply.error = "no trail; ask later";
+	} else {
+		g_string_append(json,
+				"{\"leader\":1,\"members\":["
+				"{\"daemon\":\"a\"},{\"daemon\":\"b\"}]}");
+	}
+	reply.json = json->str;
+	envelope.body_case = WIRE__ENVELOPE__BODY_QUERY_REPLY;
+	envelope.query_reply = &reply;
+	bus_answer(vm->bus, from, &envelope);
+	g_string_free(json, TRUE);
+}
+
+static void on_request(const struct bus_return_path *from,
+		       const Wire__Envelope *envelope, void *data)
+{
+	struct vm *vm = data;
+	const Wire__ApplyRequest *request = envelope->apply_request;
+	enum step step;
+
+	if (envelope->body_case == WIRE__ENVELOPE__BODY_QUERY) {
+		answer_query(vm, from, envelope->query);
+		return;
+	}
+	ck_assert_int_eq(envelope->body_case,
+			 WIRE__ENVELOPE__BODY_APPLY_REQUEST);
+	g_hash_table_add(identities, g_strdup(request->request_id));
+	last_base = request->base_version;
+	ck_assert_str_eq(request->routes, routes_text);
+	step = vm->steps[MIN(vm->applies, vm->nr_steps - 1)];
+	vm->applies++;
+	if (step != STEP_SILENT)
+		answer_verdict(vm, from, request, step);
+}
+
+static void on_stop(struct ev_loop *at, ev_async *async, int events)
+{
+	ev_break(at, EVBREAK_ALL);
+}
+
+static void *serve(void *data)
+{
+	ev_run(loop, 0);
+	return NULL;
+}
+
+static void free_address(char *text, size_t size)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(addr);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&addr, len), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&addr, &len), 0);
+	close(fd);
+	g_snprintf(text, size, "127.0.0.1:%u", ntohs(addr.sin_port));
+}
+
+static void start_vms(const enum step *first, size_t nr_first,
+		      const enum step *second, size_t nr_second,
+		      const char *public_key, const char *secret_key)
+{
+	static const struct bus_events events = { .request = on_request };
+	GError *error = NULL;
+	size_t i;
+
+	loop = ev_loop_new(EVFLAG_AUTO);
+	identities =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 0; i < NR_VMS; i++) {
+		free_address(addresses[i], sizeof(addresses[i]));
+		vms[i].steps = i ? second : first;
+		vms[i].nr_steps = i ? nr_second : nr_first;
+		vms[i].applies = 0;
+		vms[i].queries = g_string_new(NULL);
+		vms[i].bus = bus_new(loop, addresses[i], public_key, secret_key,
+				     &events, &vms[i], &error);
+		ck_assert_msg(vms[i].bus != NULL, "%s",
+			      error ? error->message : "");
+	}
+	ev_async_init(&stop, on_stop);
+	ev_async_start(loop, &stop);
+	ck_assert_int_eq(pthread_create(&thread, NULL, serve, NULL), 0);
+}
+
+static void stop_vms(void)
+{
+	size_t i;
+
+	ev_async_send(loop, &stop);
+	pthread_join(thread, NULL);
+	for (i = 0; i < NR_VMS; i++) {
+		bus_free(vms[i].bus);
+		g_string_free(vms[i].queries, TRUE);
+	}
+	ev_loop_destroy(loop);
+	g_hash_table_destroy(identities);
+}
+
+static void write_files(void)
+{
+	const char *texts[] = { routes_text, pools_text };
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		if (!files[i])
+			files[i] = g_strdup_printf("%s/cw-ctl-%d-%zu",
+						   g_get_tmp_dir(),
+						   (int)getpid(), i);
+		ck_assert(g_file_set_contents(files[i], texts[i], -1, NULL));
+	}
+}
+
+/* "ROUTES", "POOLS", "VMS" and "DAEMON" in @line stand for test values. */
+static int run_with(const char *line, const char *input, char **out, char **err)
+{
+	struct ctl_streams streams;
+	char **words = g_strsplit(line, " ", -1);
+	char *vm_list =
+		g_strdup_printf("1@%s,2@%s", addresses[0], addresses[1]);
+	const char *values[] = { files[0], files[1], vm_list, addresses[1] };
+	const char *const names[] = { "ROUTES", "POOLS", "VMS", "DAEMON" };
+	size_t i, k, sizes[2];
+	int code;
+
+	for (i = 0; words[i]; i++)
+		for (k = 0; k < G_N_ELEMENTS(names); k++)
+			if (!strcmp(words[i], names[k])) {
+				g_free(words[i]);
+				words[i] = g_strdup(values[k]);
+			}
+	streams.in = fmemopen((char *)input, strlen(input), "r");
+	streams.out = open_memstream(out, &sizes[0]);
+	streams.err = open_memstream(err, &sizes[1]);
+	code = ctl_main(i, words, &streams);
+	fclose(streams.in);
+	fclose(streams.out);
+	fclose(streams.err);
+	g_strfreev(words);
+	g_free(vm_list);
+	return code;
+}
+
+static const enum step accept_in_force[] = { STEP_ACCEPT_IN_FORCE };
+static const enum step accept_late[] = { STEP_ACCEPT, STEP_ACCEPT,
+					 STEP_ACCEPT_IN_FORCE };
+static const enum step accept_only[] = { STEP_ACCEPT };
+static const enum step lose_first[] = { STEP_SILENT, STEP_ACCEPT_IN_FORCE };
+static const enum step conflict[] = { STEP_CONFLICT };
+static const enum step refuse[] = { STEP_REFUSE };
+static const enum step not_leader[] = { STEP_NOT_LEADER };
+static const enum step redirect[] = { STEP_REDIRECT_TO_2 };
+static const enum step silent[] = { STEP_SILENT };
+
+#define STEPS(name) name, G_N_ELEMENTS(name)
+
+/* @applies: ApplyRequests that each VM gets at least */
+static const struct scenario {
+	const enum step *first;
+	size_t nr_first;
+	const enum step *second;
+	size_t nr_second;
+	const char *line;
+	enum ctl_exit code;
+	const char *says;
+	const char *remedy;
+	unsigned applies[NR_VMS];
+	uint64_t base;
+} scenarios[] = {
+	{ STEPS(accept_in_force),
+	  STEPS(silent),
+	  "ctl apply --control VMS ROUTES POOLS",
+	  CTL_OK,
+	  "version 9 is accepted and in force everywhere",
+	  "",
+	  { 1, 0 },
+	  7 },
+	{ STEPS(accept_late),
+	  STEPS(accept_late),
+	  "ctl apply --control VMS --base-version 5 ROUTES POOLS",
+	  CTL_OK,
+	  "version 9 is accepted and in force everywhere",
+	  "",
+	  { 2, 1 },
+	  5 },
+	{ STEPS(accept_only),
+	  STEPS(accept_only),
+	  "ctl apply --control VMS --timeout 1s ROUTES POOLS",
+	  CTL_OK,
+	  "not yet in force",
+	  "status",
+	  { 1, 1 },
+	  7 },
+	{ STEPS(lose_first),
+	  STEPS(lose_first),
+	  "ctl apply --control VMS --timeout 4s ROUTES POOLS",
+	  CTL_OK,
+	  "accepted and in force everywhere",
+	  "",
+	  { 2, 1 },
+	  7 },
+	{ STEPS(conflict),
+	  STEPS(conflict),
+	  "ctl apply --control VMS --base-version 5 ROUTES POOLS",
+	  CTL_CONFLICT,
+	  "version 9 by anna won over this change of version 5",
+	  "apply again with --base-version 9",
+	  { 1, 0 },
+	  5 },
+	{ STEPS(conflict),
+	  STEPS(conflict),
+	  "ctl apply --json --control VMS ROUTES POOLS",
+	  CTL_CONFLICT,
+	  "\"winner\": \"anna\"",
+	  "\"version\": 9",
+	  { 1, 0 },
+	  7 },
+	{ STEPS(refuse),
+	  STEPS(refuse),
+	  "ctl apply --control VMS ROUTES POOLS",
+	  CTL_REFUSED,
+	  "routes:1: wrong",
+	  "mend it",
+	  { 1, 0 },
+	  7 },
+	{ STEPS(not_leader),
+	  STEPS(accept_in_force),
+	  "ctl apply --control VMS ROUTES POOLS",
+	  CTL_OK,
+	  "accepted",
+	  "",
+	  { 1, 1 },
+	  7 },
+	{ STEPS(redirect),
+	  STEPS(accept_in_force),
+	  "ctl apply --control VMS --request-id again-1 ROUTES POOLS",
+	  CTL_OK,
+	  "accepted",
+	  "",
+	  { 1, 1 },
+	  7 },
+	{ STEPS(not_leader),
+	  STEPS(not_leader),
+	  "ctl apply --control VMS --timeout 1s ROUTES POOLS",
+	  CTL_UNAVAILABLE,
+	  "nothing was changed",
+	  "apply again",
+	  { 2, 2 },
+	  7 },
+	{ STEPS(silent),
+	  STEPS(silent),
+	  "ctl apply --control VMS --timeout 1s --request-id again-1 ROUTES "
+	  "POOLS",
+	  CTL_UNKNOWN,
+	  "may or may not be accepted",
+	  "--request-id again-1 --base-version 7",
+	  { 1, 1 },
+	  7 },
+};
+
+/* Guards against a change that is made twice, lost without a word, or
+ * reported with the wrong verdict. */
+START_TEST(test_apply)
+{
+	const struct scenario *s;
+	char *out, *err, *both;
+	size_t i;
+	int code;
+
+	write_files();
+	for (i = 0; i < G_N_ELEMENTS(scenarios); i++) {
+		s = &scenarios[i];
+		start_vms(s->first, s->nr_first, s->second, s->nr_second, NULL,
+			  NULL);
+		code = run_with(s->line, "", &out, &err);
+		both = g_strconcat(out, err, NULL);
+		ck_assert_msg(code == (int)s->code, "%zu: exit %d: %s", i, code,
+			      both);
+		ck_assert_msg(strstr(both, s->says) && strstr(both, s->remedy),
+			      "%zu: %s", i, both);
+		ck_assert_uint_ge(vms[0].applies, s->applies[0]);
+		ck_assert_uint_ge(vms[1].applies, s->applies[1]);
+		ck_assert_uint_eq(g_hash_table_size(identities), 1);
+		ck_assert_uint_eq(last_base, s->base);
+		if (strstr(s->line, "again-1"))
+			ck_assert(g_hash_table_contains(identities, "again-1"));
+		stop_vms();
+		g_free(both);
+		free(out);
+		free(err);
+	}
+}
+END_TEST
+
+/* Guards against wrong files that leave the operator's VM, and against an
+ * unreachable control role reported as anything else. */
+START_TEST(test_local_refusals)
+{
+	char *out, *err, *wrong;
+
+	write_files();
+	start_vms(STEPS(accept_in_force), STEPS(accept_in_force), NULL, NULL);
+	wrong = g_strconcat(routes_text, "weight = 0\n", NULL);
+	ck_assert(g_file_set_contents(files[0], wrong, -1, NULL));
+	ck_assert_int_eq(run_with("ctl apply --control VMS ROUTES POOLS", "",
+				  &out, &err),
+			 CTL_REFUSED);
+	ck_assert_ptr_nonnull(strstr(err, ":6: \"0\" cannot be the value"));
+	ck_assert_uint_eq(vms[0].applies, 0);
+	ck_assert_uint_eq(vms[0].queries->len, 0);
+	free(out);
+	free(err);
+	ck_assert_int_eq(run_with("ctl check --json ROUTES POOLS", "", &out,
+				  &err),
+			 CTL_REFUSED);
+	ck_assert_ptr_nonnull(strstr(out, "\"exit_code\": 1"));
+	free(out);
+	free(err);
+	g_free(wrong);
+	write_files();
+	ck_assert_int_eq(run_with("ctl check ROUTES POOLS", "", &out, &err),
+			 CTL_OK);
+	ck_assert_str_eq(out, "1 routes and 1 pools are right\n");
+	free(out);
+	free(err);
+	stop_vms();
+	ck_assert_int_eq(run_with("ctl apply --control VMS --timeout 400ms "
+				  "ROUTES POOLS",
+				  "", &out, &err),
+			 CTL_UNAVAILABLE);
+	ck_assert_ptr_nonnull(strstr(err, "no control VM answers; check"));
+	free(out);
+	free(err);
+}
+END_TEST
+
+static const struct use {
+	const char *line;
+	enum ctl_exit code;
+	const char *says;
+} uses[] = {
+	{ "ctl", CTL_USAGE, "usage: comfreywheelctl COMMAND" },
+	{ "ctl nonsense", CTL_USAGE, "usage: comfreywheelctl COMMAND" },
+	{ "ctl --help", CTL_OK, "apply" },
+	{ "ctl --version", CTL_OK, "comfreywheelctl 0." },
+	{ "ctl apply --help", CTL_OK, "--base-version" },
+	{ "ctl apply", CTL_USAGE, "see comfreywheelctl apply --help" },
+	{ "ctl apply --nonsense", CTL_USAGE, "see comfreywheelctl apply" },
+	{ "ctl apply ROUTES POOLS", CTL_USAGE, "give --control or --settings" },
+	{ "ctl apply --control localhost ROUTES POOLS", CTL_USAGE,
+	  "give IP:PORT or ID@IP:PORT" },
+	{ "ctl apply --control VMS --base-version x ROUTES POOLS", CTL_USAGE,
+	  "give a whole number" },
+	{ "ctl status --control VMS --timeout 4", CTL_USAGE,
+	  "give one with its unit" },
+	{ "ctl status --control VMS --public-key-file x", CTL_USAGE,
+	  "give both" },
+	{ "ctl drain", CTL_USAGE, "give --daemon" },
+	{ "ctl member --control VMS evict x", CTL_USAGE, "use list, add" },
+	{ "ctl member --control VMS add 3", CTL_USAGE, "ID IP:PORT" },
+	{ "ctl member --control VMS add x 127.0.0.1:1", CTL_USAGE,
+	  "\"x\" cannot be used" },
+	{ "ctl user", CTL_USAGE, "see comfreywheelctl user --help" },
+	{ "ctl status --control VMS", CTL_OK,
+	  "leader: 1\nmembers:\n  daemon: "
+	  "a\n\n  daemon: b\n" },
+	{ "ctl status --json --control VMS", CTL_OK, "\"leader\": 1" },
+	{ "ctl audit --control VMS", CTL_REFUSED, "no trail; ask later" },
+	{ "ctl counters --daemon DAEMON", CTL_OK, "leader" },
+	{ "ctl drain --daemon DAEMON", CTL_OK, "leader" },
+	{ "ctl member --control VMS list", CTL_OK, "daemon: b" },
+	{ "ctl member --control VMS add 3 127.0.0.1:7003", CTL_OK, "leader" },
+	{ "ctl member --control VMS remove gl-west-1", CTL_OK, "leader" },
+	{ "ctl show --control VMS", CTL_OK,
+	  "# version 7\n# routes\n[route all]\nservice = s\n" },
+	{ "ctl show --json --daemon DAEMON", CTL_OK, "\"version\": 7" },
+	{ "ctl diff --control VMS ROUTES POOLS", CTL_OK, "no difference\n" },
+	{ "ctl keygen --public-key-file x", CTL_USAGE, "give both" },
+};
+
+/* Guards against a command that is not reachable or answers in the wrong
+ * form. */
+START_TEST(test_commands)
+{
+	char *out, *err, *both;
+	size_t i;
+	int code;
+
+	write_files();
+	start_vms(STEPS(silent), STEPS(silent), NULL, NULL);
+	for (i = 0; i < G_N_ELEMENTS(uses); i++) {
+		code = run_with(uses[i].line, "", &out, &err);
+		both = g_strconcat(out, err, NULL);
+		ck_assert_msg(code == (int)uses[i].code, "%s: exit %d: %s",
+			      uses[i].line, code, both);
+		ck_assert_msg(strstr(both, uses[i].says) != NULL, "%s: %s",
+			      uses[i].line, both);
+		g_free(both);
+		free(out);
+		free(err);
+	}
+	ck_assert_str_eq(vms[1].queries->str, "counters;drain;tables;");
+	ck_assert_ptr_nonnull(strstr(vms[0].queries->str,
+				     "members;member-add 3 127.0.0.1:7003;"
+				     "member-remove gl-west-1;"));
+	stop_vms();
+}
+END_TEST
+
+/* Guards against a diff that misses what the operator is about to change. */
+START_TEST(test_diff)
+{
+	char *edited = g_strconcat(routes_text, "weight = 3\n", NULL);
+	char *out, *err;
+
+	write_files();
+	ck_assert(g_file_set_contents(files[0], edited, -1, NULL));
+	start_vms(STEPS(silent), STEPS(silent), NULL, NULL);
+	ck_assert_int_eq(run_with("ctl diff --control VMS ROUTES POOLS", "",
+				  &out, &err),
+			 CTL_OK);
+	ck_assert_str_eq(out, "route all: weight = 1 -> 3\n");
+	free(out);
+	free(err);
+	ck_assert_int_eq(run_with("ctl diff --json --control VMS ROUTES POOLS",
+				  "", &out, &err),
+			 CTL_OK);
+	ck_assert_ptr_nonnull(strstr(out, "\"route all: weight = 1 -> 3\""));
+	free(out);
+	free(err);
+	stop_vms();
+	g_free(edited);
+}
+END_TEST
+
+/* Guards against verifier lines and keys that the daemon cannot use. */
+START_TEST(test_user_and_keygen)
+{
+	char *out, *err, *again, *text, *line;
+	char *key_files[2];
+	struct scram_verifier v;
+
+	ck_assert_int_eq(run_with("ctl user anna", "pencil\n", &out, &err),
+			 CTL_OK);
+	ck_assert(g_str_has_prefix(out, "anna:SCRAM-SHA-256$4096:"));
+	ck_assert(scram_verifier_parse(g_strchomp(out) + 5, &v));
+	again = scram_verifier_make("pencil", v.salt, v.salt_len, v.iterations);
+	ck_assert_str_eq(again, out + 5);
+	g_free(again);
+	free(out);
+	free(err);
+	ck_assert_int_eq(run_with("ctl user anna", "\n", &out, &err),
+			 CTL_REFUSED);
+	free(out);
+	free(err);
+	ck_assert_int_eq(run_with("ctl user a:b", "x\n", &out, &err),
+			 CTL_REFUSED);
+	free(out);
+	free(err);
+	key_files[0] = g_strconcat(files[0], ".public", NULL);
+	key_files[1] = g_strconcat(files[0], ".secret", NULL);
+	line = g_strdup_printf("ctl keygen --public-key-file %s "
+			       "--secret-key-file %s",
+			       key_files[0], key_files[1]);
+	ck_assert_int_eq(run_with(line, "", &out, &err), CTL_OK);
+	free(out);
+	free(err);
+	ck_assert_int_eq(run_with(line, "", &out, &err), CTL_REFUSED);
+	ck_assert_ptr_nonnull(strstr(err, "name a new file"));
+	free(out);
+	free(err);
+	g_free(line);
+	ck_assert(g_file_get_contents(key_files[0], &out, NULL, NULL));
+	ck_assert(g_file_get_contents(key_files[1], &text, NULL, NULL));
+	start_vms(STEPS(silent), STEPS(silent), g_strchomp(out),
+		  g_strchomp(text));
+	g_free(out);
+	g_free(text);
+	line = g_strdup_printf("ctl status --control VMS --public-key-file %s "
+			       "--secret-key-file %s",
+			       key_files[0], key_files[1]);
+	ck_assert_int_eq(run_with(line, "", &out, &err), CTL_OK);
+	free(out);
+	free(err);
+	ck_assert_int_eq(run_with("ctl status --control VMS --timeout 400ms",
+				  "", &out, &err),
+			 CTL_UNAVAILABLE);
+	free(out);
+	free(err);
+	stop_vms();
+	g_free(line);
+	g_unlink(key_files[0]);
+	g_unlink(key_files[1]);
+	g_free(key_files[0]);
+	g_free(key_files[1]);
+	g_unlink(files[0]);
+	g_unlink(files[1]);
+}
+END_TEST
+
+TEST_MAIN("ctl", test_apply, test_local_refusals, test_commands, test_diff,
+	  test_user_and_keygen)
