--- a/include/control_client.h
+++ b/include/control_client.h
@@ -13,8 +13,9 @@
  *
  * Belongs to the proxy task. Sends a heartbeat to the leader, follows
  * redirects, tries the other control VMs when nobody answers, and reports
- * what the leader says. Versions never step back: an older tables version or
- * an older term of a cluster is ignored and counted.
+ * what the leader says. Versions never step back: an older tables version, an
+ * older term of a cluster, the end of a fence without a new term, and a grant
+ * older than the last one are ignored and counted.
  */
 
 /**
@@ -22,7 +23,9 @@
  * @tables: a newer version came into force
  * @cluster: primary and term of a cluster; no writes while @fenced
  * @fence: the term ends now: stop writes, turn commits in flight into
- *         unknown outcomes, return the largest position acknowledged
+ *         unknown outcomes, return the largest position acknowledged; term 0
+ *         if this process cannot tell what its daemon acknowledged in the
+ *         term, as after a restart. Called once a term and cluster.
  * @share: connections this daemon may hold at an upstream
  * @members: a newer member list
  * @lease_lost: the lease ran out
@@ -41,6 +44,22 @@
 	void (*fill)(Wire__Heartbeat *heartbeat, void *data);
 };
 
+/**
+ * struct control_client_counts - what was sent, taken in and ignored
+ * @stale: grants, terms, fences and tables that would have stepped back
+ * @searches: heartbeats sent to every control VM since none answered
+ * @refused_tables: updates that do not pass tables_parse()
+ */
+struct control_client_counts {
+	uint64_t heartbeats;
+	uint64_t grants;
+	uint64_t redirects;
+	uint64_t fences;
+	uint64_t stale;
+	uint64_t searches;
+	uint64_t refused_tables;
+};
+
 struct control_client;
 
 /**
@@ -68,5 +87,7 @@
 bool control_client_may_serve(const struct control_client *client,
 			      int64_t now_us);
 const struct tables *control_client_tables(const struct control_client *client);
+const struct control_client_counts *
+control_client_counts(const struct control_client *client);
 
 #endif
