Move requests away from upstreams that fail or leave

Requests queued at an upstream that stopped answering probes waited until their deadline, and reads running there did too. Both are now routed anew when the upstream becomes suspect or leaves, reads within the retry budget. A caller keeps a copy of its route, since a request may outlive the tables it was started under. A request whose identity was seen before is answered once the first run is as safe as a commit.

--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -152,30 +152,46 @@
 	pg_put_ready(caller_out(caller), caller->transaction);
 }
 
+static void copy_route(struct caller_route *copy, const struct tables *tables,
+		       const struct route *route)
+{
+	const struct pool *pool = tables_pool(tables, route);
+
+	copy->version = tables->version;
+	copy->pool = g_intern_string(pool->name);
+	copy->tenant = g_intern_string(route->tenant);
+	copy->weight = route->weight;
+	copy->slots = pool->slots;
+	copy->max_queue = pool->max_queue;
+	copy->ack_replicas = pool->ack_replicas;
+	copy->max_replica_lag_us = pool->max_replica_lag_us;
+	copy->request_timeout_us = pool->request_timeout_us;
+}
+
 bool caller_resolve(struct caller *caller, GError **error)
 {
 	struct proxy *proxy = caller->proxy;
 	const struct tables *tables = control_client_tables(proxy->control);
+	const struct route *route;
 	const char *cluster;
 
-	if (!tables) {
+	if (!tables || !tables->version) {
 		g_set_error(error, CW_ERROR, CW_ERROR_UNAVAILABLE,
 			    "this daemon has no tables yet; connect again "
 			    "once a control leader is reachable");
 		return false;
 	}
-	if (caller->route && caller->tables_version == tables->version)
+	if (caller->route.version == tables->version)
 		return true;
-	caller->route = tables_route(tables, caller->user, caller->database,
-				     &cluster, error);
-	if (!caller->route)
+	route = tables_route(tables, caller->user, caller->database, &cluster,
+			     error);
+	if (!route)
 		return false;
-	caller->pool = tables_pool(tables, caller->route);
-	caller->tables_version = tables->version;
+	copy_route(&caller->route, tables, route);
 	/* An open transaction stays where it began. */
 	if (caller->transaction == 'I')
-		caller->cluster = directory_cluster(
-			&proxy->directory, caller->route->service, cluster);
+		caller->cluster = directory_cluster(&proxy->directory,
+						    route->service, cluster);
 	return true;
 }
 
--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -21,6 +21,25 @@
 	CALLER_CLOSED,
 };
 
+/**
+ * struct caller_route - what the tables in force say of a caller
+ * @version: version of the tables, 0 before the first
+ * @pool: interned, as is @tenant
+ *
+ * A copy, since a request outlives the tables it was started under.
+ */
+struct caller_route {
+	uint64_t version;
+	const char *pool;
+	const char *tenant;
+	unsigned weight;
+	unsigned slots;
+	unsigned max_queue;
+	unsigned ack_replicas;
+	int64_t max_replica_lag_us;
+	int64_t request_timeout_us;
+};
+
 /**
  * struct caller - one connection
  * @index: handle; @generation distinguishes reuse of the handle
@@ -46,9 +65,7 @@
 	char *database;
 	struct scram_server scram;
 	struct caller_settings settings;
-	uint64_t tables_version;
-	const struct route *route;
-	const struct pool *pool;
+	struct caller_route route;
 	int cluster;
 	char transaction;
 	struct upstream_connection *held;
--- a/comfreywheeld/cluster_links.c
+++ b/comfreywheeld/cluster_links.c
@@ -83,6 +83,10 @@
 		g_array_set_size(terms, upstream + 1);
 	g_array_index(terms, uint32_t, upstream) = term;
 	use_upstream(proxy, upstream);
+	if (directory_upstream_at(&proxy->directory, upstream)->leaving &&
+	    (guint)upstream < proxy->homes->len &&
+	    proxy->homes->pdata[upstream])
+		upstream_home_avoid(proxy->homes->pdata[upstream]);
 }
 
 void cluster_links_refresh(struct proxy *proxy)
--- a/comfreywheeld/commit_wait.c
+++ b/comfreywheeld/commit_wait.c
@@ -99,9 +99,7 @@
 
 static bool settled(struct commit_wait *cw, struct request *req)
 {
-	const struct pool *pool = req->caller->pool;
-
-	return holders(cw->proxy, req) >= pool->ack_replicas;
+	return holders(cw->proxy, req) >= req->caller->route.ack_replicas;
 }
 
 void commit_wait_add(struct commit_wait *cw, struct request *req)
--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -172,7 +172,7 @@
 	if (req->read)
 		proxy_count(proxy, COUNT_READS);
 	if (!timeout)
-		timeout = caller->pool->request_timeout_us;
+		timeout = caller->route.request_timeout_us;
 	req->started_us = proxy_now();
 	req->deadline_us = req->started_us + timeout;
 	req->stage = STAGE_QUEUED;
@@ -221,13 +221,13 @@
 		       "comfreywheel.request_id.");
 }
 
-bool request_retry(struct request *req, enum outcome outcome)
+static bool may_retry(struct request *req, enum outcome outcome)
 {
 	struct caller *caller = req->caller;
 	struct proxy *proxy = caller->proxy;
 	struct retry_request retry = {
-		.idempotent = !req->writes || caller->settings.repeatable ||
-			      outcome == OUTCOME_REFUSED,
+		.idempotent = !req->writes || req->identified ||
+			      caller->settings.repeatable,
 		.answer_started = req->answer_started,
 		.in_transaction = caller->transaction != 'I',
 		.outcome = outcome,
@@ -236,17 +236,24 @@
 		.expected_us = 0,
 	};
 
-	if (!retry_allowed(&proxy->retries, &retry, proxy_now())) {
-		proxy_count(proxy, COUNT_RETRIES_DENIED);
-		return false;
-	}
-	proxy_count(proxy, COUNT_RETRIES);
+	if (retry_allowed(&proxy->retries, &retry, proxy_now()))
+		return true;
+	proxy_count(proxy, COUNT_RETRIES_DENIED);
+	return false;
+}
+
+static void run_again(struct request *req)
+{
+	proxy_count(proxy_of(req), COUNT_RETRIES);
 	pg_buffer_consume(&req->hold, pg_buffer_length(&req->hold));
-	req->saw_complete = req->saw_error = req->hidden_error = false;
+	req->saw_complete = req->saw_error = false;
+	req->hidden_error = req->identity_seen = req->commit_failed = false;
 	req->has_commit = req->stored = req->acknowledged = false;
+	req->parse_completes = 0;
+	req->final_status = 0;
+	req->state = REQUEST_NONE;
 	req->stage = STAGE_QUEUED;
 	request_decide(req);
-	return true;
 }
 
 void request_lost(struct request *req)
@@ -261,8 +268,10 @@
 	outcome = outcome_of_loss(req->stage,
 				  !req->writes && !req->pending_writes,
 				  in_transaction);
-	if (!in_transaction && request_retry(req, outcome))
+	if (!in_transaction && may_retry(req, outcome)) {
+		run_again(req);
 		return;
+	}
 	if (outcome == OUTCOME_UNKNOWN) {
 		request_outcome_unknown(req,
 					"the upstream's connection was lost");
@@ -278,6 +287,21 @@
 			       "Repeat the request.");
 }
 
+void request_move(struct request *req)
+{
+	struct upstream_connection *conn = req->conn;
+	struct caller *caller = req->caller;
+
+	if (!conn || !req->read || req->answer_started ||
+	    caller->transaction != 'I' || caller->held)
+		return;
+	if (!may_retry(req, OUTCOME_FAILED))
+		return;
+	req->exclude = conn->home->handle;
+	abandon_connection(req);
+	run_again(req);
+}
+
 void request_cancel(struct request *req)
 {
 	if (req->state == REQUEST_COMMIT_WAIT) {
--- a/comfreywheeld/request.h
+++ b/comfreywheeld/request.h
@@ -169,6 +169,8 @@
 void request_requeue(struct request *req);
 /** request_position() - answer of the position query, NULL if it failed */
 void request_position(struct request *req, const struct position *pos);
+/** request_move() - run a read elsewhere, its upstream does not answer */
+void request_move(struct request *req);
 /** request_lost() - the connection closed under the request */
 void request_lost(struct request *req);
 
@@ -188,8 +190,6 @@
 void request_detach(struct request *req);
 /** request_leave() - leave whatever queue or wait the request is in */
 void request_leave(struct request *req);
-/** request_retry() - run it on another upstream, if that is allowed */
-bool request_retry(struct request *req, enum outcome outcome);
 /** request_send() - write it to its connection */
 void request_send(struct request *req);
 /** request_wait_commit() - withhold the answer until the write is safe */
--- a/comfreywheeld/request_route.c
+++ b/comfreywheeld/request_route.c
@@ -55,13 +55,11 @@
 
 static void enqueue(struct request *req, int upstream)
 {
-	struct caller *caller = req->caller;
 	struct upstream_home *home = upstream_home_at(proxy_of(req), upstream);
 	enum admission_verdict verdict;
 
 	req->state = REQUEST_QUEUED;
-	if (!upstream_home_enqueue(home, req, caller->route, caller->pool,
-				   &verdict)) {
+	if (!upstream_home_enqueue(home, req, &verdict)) {
 		req->state = REQUEST_NONE;
 		refuse_queue(req, verdict);
 		return;
@@ -69,6 +67,17 @@
 	upstream_home_dispatch(home);
 }
 
+static int64_t primary_cost(const struct caller *caller)
+{
+	struct proxy *proxy = caller->proxy;
+	const struct cluster *cluster =
+		directory_cluster_at(&proxy->directory, caller->cluster);
+
+	if (cluster->primary == UPSTREAM_NONE)
+		return 0;
+	return upstream_home_cost(upstream_home_at(proxy, cluster->primary));
+}
+
 static void decide(struct request *req, bool with_position,
 		   struct route_decision *out)
 {
@@ -82,10 +91,11 @@
 		.needed = req->needed,
 		.fresh_within_us = with_position ? req->fresh_within_us :
 						   INT64_MAX,
-		.max_lag_us = caller->pool->max_replica_lag_us,
+		.max_lag_us = caller->route.max_replica_lag_us,
 		.lease_valid = control_client_may_write(proxy->control, now),
 		.exclude = req->exclude,
 		.deadline_us = req->deadline_us,
+		.primary_cost_us = primary_cost(caller),
 	};
 
 	router_decide(&proxy->router, &proxy->directory, &rr, now, out);
--- a/comfreywheeld/request_run.c
+++ b/comfreywheeld/request_run.c
@@ -105,7 +105,8 @@
 {
 	struct proxy *proxy = proxy_of(req);
 
-	if (!req->read || !req->has_lookup || req->must_primary)
+	if (!req->read || !req->has_lookup || req->must_primary ||
+	    cluster_of(req)->primary == upstream)
 		return primary_allowed(req, upstream);
 	return control_client_may_serve(proxy->control, proxy_now());
 }
@@ -296,6 +297,9 @@
 
 	if (req->hidden_error)
 		report_identity(req);
+	if (req->identified)
+		caller_settings_assign(&caller->settings,
+				       "comfreywheel.request_id", NULL, NULL);
 	release_hold(req);
 	pg_put_ready(caller_out(caller), caller->transaction);
 	request_finish(req);
@@ -310,7 +314,9 @@
 
 void request_steps_done(struct request *req)
 {
-	bool unsure = req->writes && req->saw_complete && !req->hidden_error;
+	/* That it ran already is told once the first run is safe, too. */
+	bool unsure = req->writes && (req->hidden_error ? req->identity_seen :
+							  req->saw_complete);
 
 	req->stage = STAGE_ANSWERED;
 	if (req->admission)
--- a/comfreywheeld/upstream_pool.c
+++ b/comfreywheeld/upstream_pool.c
@@ -43,7 +43,6 @@
 static void free_queue(struct pool_queue *queue)
 {
 	admission_finish(&queue->admission);
-	g_free(queue->pool);
 	g_free(queue);
 }
 
@@ -66,22 +65,22 @@
 }
 
 static struct pool_queue *queue_of(struct upstream_home *home,
-				   const struct pool *pool)
+				   const struct caller_route *route)
 {
 	struct pool_queue *queue;
 	guint i;
 
 	for (i = 0; i < home->queues->len; i++) {
 		queue = home->queues->pdata[i];
-		if (!strcmp(queue->pool, pool->name)) {
-			queue->admission.max_queue = pool->max_queue;
+		if (queue->pool == route->pool) {
+			queue->admission.max_queue = route->max_queue;
 			return queue;
 		}
 	}
 	queue = g_new0(struct pool_queue, 1);
-	queue->pool = g_strdup(pool->name);
-	admission_init(&queue->admission, ADMISSION_FAIR, pool->max_queue,
-		       pool->slots);
+	queue->pool = route->pool;
+	admission_init(&queue->admission, ADMISSION_FAIR, route->max_queue,
+		       route->slots);
 	g_ptr_array_add(home->queues, queue);
 	return queue;
 }
@@ -144,11 +143,25 @@
 	upstream_home_dispatch(home);
 }
 
+int64_t upstream_home_cost(const struct upstream_home *home)
+{
+	const struct pool_queue *queue;
+	int64_t cost = 0;
+	guint i;
+
+	for (i = 0; i < home->queues->len; i++) {
+		queue = home->queues->pdata[i];
+		cost += admission_waiting(&queue->admission) *
+			queue->admission.service_us;
+	}
+	return cost / MAX(home->open, 1);
+}
+
 bool upstream_home_enqueue(struct upstream_home *home, struct request *req,
-			   const struct route *route, const struct pool *pool,
 			   enum admission_verdict *verdict)
 {
-	struct pool_queue *queue = queue_of(home, pool);
+	const struct caller_route *route = &req->caller->route;
+	struct pool_queue *queue = queue_of(home, route);
 
 	req->tenant = admission_tenant(&queue->admission, route->tenant,
 				       route->weight);
@@ -282,3 +295,17 @@
 		requeue_one(g_array_index(handles, uint64_t, i), home);
 	g_array_free(handles, TRUE);
 }
+
+void upstream_home_avoid(struct upstream_home *home)
+{
+	GList *at, *next;
+	struct upstream_connection *conn;
+
+	for (at = home->busy.head; home->suspect && at; at = next) {
+		next = at->next;
+		conn = at->data;
+		if (conn->request)
+			request_move(conn->request);
+	}
+	upstream_home_requeue(home);
+}
--- a/comfreywheeld/upstream_pool.h
+++ b/comfreywheeld/upstream_pool.h
@@ -15,7 +15,7 @@
 
 /** struct pool_queue - waiting requests of one pool at one upstream */
 struct pool_queue {
-	char *pool;
+	const char *pool;
 	struct admission admission;
 };
 
@@ -27,6 +27,8 @@
  * @opening: connections not ready yet, the probe connection aside
  * @open: all connections, from connect() to close()
  * @share: connections granted
+ * @suspect: misses probes or refuses connections
+ * @position_wanted: ask for the position again once it has answered
  * @refused: consecutive refused connections of the probe
  * @retry_us: no new connection before this time, after a failed one
  */
@@ -57,8 +59,9 @@
 
 /** upstream_home_enqueue() - false if refused; @verdict tells why */
 bool upstream_home_enqueue(struct upstream_home *home, struct request *req,
-			   const struct route *route, const struct pool *pool,
 			   enum admission_verdict *verdict);
+/** upstream_home_cost() - expected wait of a new request, microseconds */
+int64_t upstream_home_cost(const struct upstream_home *home);
 void upstream_home_remove(struct upstream_home *home, struct request *req);
 
 /** upstream_home_dispatch() - run what can run, open what is needed */
@@ -89,6 +92,9 @@
 /** upstream_probe_ask() - ask for the position now, for waiting commits */
 void upstream_probe_ask(struct upstream_home *home);
 
+/** upstream_home_avoid() - it fails or leaves: move what can be moved */
+void upstream_home_avoid(struct upstream_home *home);
+
 /** upstream_home_requeue() - route every waiting request anew */
 void upstream_home_requeue(struct upstream_home *home);
 
--- a/comfreywheeld/upstream_probe.c
+++ b/comfreywheeld/upstream_probe.c
@@ -36,6 +36,8 @@
 		log_notice("upstream %s answers probes again", home->name);
 	if (suspect && is_primary(home))
 		control_client_urgent(home->proxy->control, proxy_now());
+	if (suspect)
+		upstream_home_avoid(home);
 }
 
 static void missed(struct upstream_home *home)
@@ -68,6 +70,7 @@
 	struct upstream_connection *probe = home->probe;
 	const struct upstream *up;
 
+	upstream_home_dispatch(home);
 	if (!probe) {
 		open_probe(home);
 		return;
