--- a/comfreywheelctl/commands/drain.c
+++ b/comfreywheelctl/commands/drain.c
@@ -8,7 +8,7 @@
 	ctl_table_init(&table, CTL_DAEMON);
 	code = ctl_table_parse(&table, ctl, argc, argv);
 	if (code < 0)
-		code = ctl_run_query(ctl, ctl->daemon, "drain", NULL);
+		code = ctl_run_change(ctl, ctl->daemon, "drain", NULL);
 	ctl_table_finish(&table);
 	return code;
 }
--- a/comfreywheelctl/commands/member.c
+++ b/comfreywheelctl/commands/member.c
@@ -55,7 +55,9 @@
 					"\"%s\" cannot be used; give %s",
 					arguments[i], action->usage);
 	}
-	return ctl_run_query(ctl, NULL, action->query, arguments);
+	if (!wanted)
+		return ctl_run_query(ctl, NULL, action->query, arguments);
+	return ctl_run_change(ctl, NULL, action->query, arguments);
 }
 
 int command_member(struct ctl *ctl, int argc, char **argv)
--- a/comfreywheelctl/ctl.h
+++ b/comfreywheelctl/ctl.h
@@ -158,6 +158,15 @@
 int ctl_run_query(const struct ctl *ctl, const char *daemon,
 		  const char *command, char *const *arguments);
 
+/**
+ * ctl_run_change() - ctl_run_query() for a command that changes something
+ *
+ * Asks for the status first, so that a lost answer afterwards is an unknown
+ * outcome, whereas no answer before it means that nothing was changed.
+ */
+int ctl_run_change(const struct ctl *ctl, const char *daemon,
+		   const char *command, char *const *arguments);
+
 /**
  * ctl_read_tables() - read and check two files
  * @tables: initialised; the texts are in it afterwards
--- a/comfreywheelctl/query.c
+++ b/comfreywheelctl/query.c
@@ -114,3 +114,24 @@
 		ctl_print(ctl, json);
 	return code;
 }
+
+int ctl_run_change(const struct ctl *ctl, const char *daemon,
+		   const char *command, char *const *arguments)
+{
+	int code = CTL_OK;
+	json_t *json;
+
+	json = ctl_query(ctl, daemon, "status", NULL, &code);
+	json_decref(json);
+	if (!json)
+		return code;
+	code = CTL_OK;
+	json = ctl_query(ctl, daemon, command, arguments, &code);
+	if (json)
+		ctl_print(ctl, json);
+	if (code != CTL_UNAVAILABLE)
+		return code;
+	return ctl_fail(ctl, CTL_UNKNOWN,
+			"the change may or may not have been made; look with "
+			"status or member list before it is sent again");
+}
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -55,6 +55,7 @@
 static char addresses[NR_VMS][32];
 static GHashTable *identities;
 static uint64_t last_base;
+static bool lose_changes;
 static char *files[2];
 
 static void answer_verdict(struct vm *vm, const struct bus_return_path *from,
@@ -127,6 +128,8 @@
 	enum step step;
 
 	if (envelope->body_case == WIRE__ENVELOPE__BODY_QUERY) {
+		if (lose_changes && strcmp(envelope->query->command, "status"))
+			return;
 		answer_query(vm, from, envelope->query);
 		return;
 	}
@@ -508,14 +511,45 @@
 		free(out);
 		free(err);
 	}
-	ck_assert_str_eq(vms[1].queries->str, "counters;drain;tables;");
+	ck_assert_str_eq(vms[1].queries->str, "counters;status;drain;tables;");
 	ck_assert_ptr_nonnull(strstr(vms[0].queries->str,
-				     "members;member-add 3 127.0.0.1:7003;"
-				     "member-remove gl-west-1;"));
+				     "members;"
+				     "status;member-add 3 127.0.0.1:7003;"
+				     "status;member-remove gl-west-1;"));
 	stop_vms();
 }
 END_TEST
 
+/* Guards against a change reported as not made though its answer was lost. */
+START_TEST(test_lost_answers)
+{
+	static const char *const lines[] = {
+		"ctl drain --daemon DAEMON --timeout 800ms",
+		"ctl member --control VMS --timeout 800ms promote 2",
+	};
+	char *out, *err;
+	size_t i;
+
+	start_vms(STEPS(silent), STEPS(silent), NULL, NULL);
+	lose_changes = true;
+	for (i = 0; i < G_N_ELEMENTS(lines); i++) {
+		ck_assert_int_eq(run_with(lines[i], "", &out, &err),
+				 CTL_UNKNOWN);
+		ck_assert_ptr_nonnull(strstr(err, "may or may not"));
+		free(out);
+		free(err);
+	}
+	lose_changes = false;
+	stop_vms();
+	for (i = 0; i < G_N_ELEMENTS(lines); i++) {
+		ck_assert_int_eq(run_with(lines[i], "", &out, &err),
+				 CTL_UNAVAILABLE);
+		free(out);
+		free(err);
+	}
+}
+END_TEST
+
 /* Guards against a diff that misses what the operator is about to change. */
 START_TEST(test_diff)
 {
@@ -607,5 +641,5 @@
 }
 END_TEST
 
-TEST_MAIN("ctl", test_apply, test_local_refusals, test_commands, test_diff,
-	  test_user_and_keygen)
+TEST_MAIN("ctl", test_apply, test_local_refusals, test_commands,
+	  test_lost_answers, test_diff, test_user_and_keygen)
