Report the share a daemon has taken in

The leader must not count a shrunk share as free while the daemon may still open connections under an earlier one, so UpstreamReport says which share is in use.

--- a/comfreywheeld/cluster_links.c
+++ b/comfreywheeld/cluster_links.c
@@ -266,6 +266,7 @@
 	report->name = g_strdup(up->name);
 	report->open_connections = home->open;
 	report->wanted_connections = upstream_home_wanted(home);
+	report->share = home->share;
 	report->received = g_new(Wire__Position, 1);
 	wire__position__init(report->received);
 	report->received->term = up->received.term;
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -1904,7 +1904,7 @@
   (ProtobufCMessageInit) wire__cluster_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__upstream_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wire__upstream_report__field_descriptors[13] =
 {
   {
     "name",
@@ -2050,6 +2050,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamReport, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__upstream_report__field_indices_by_name[] = {
   5,   /* field[5] = address */
@@ -2062,13 +2074,14 @@
   4,   /* field[4] = reachable */
   3,   /* field[3] = received */
   7,   /* field[7] = service */
+  12,   /* field[12] = share */
   11,   /* field[11] = term */
   2,   /* field[2] = wanted_connections */
 };
 static const ProtobufCIntRange wire__upstream_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wire__upstream_report__descriptor =
 {
@@ -2078,7 +2091,7 @@
   "Wire__UpstreamReport",
   "wire",
   sizeof(Wire__UpstreamReport),
-  12,
+  13,
   wire__upstream_report__field_descriptors,
   wire__upstream_report__field_indices_by_name,
   1,  wire__upstream_report__number_ranges,
@@ -3405,7 +3418,7 @@
   (ProtobufCMessageInit) wire__query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__query_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__query_reply__field_descriptors[3] =
 {
   {
     "json",
@@ -3443,42 +3456,16 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "not_leader",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__QueryReply, not_leader),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leader",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__QueryReply, leader),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wire__query_reply__field_indices_by_name[] = {
   2,   /* field[2] = error */
   1,   /* field[1] = failed */
   0,   /* field[0] = json */
-  4,   /* field[4] = leader */
-  3,   /* field[3] = not_leader */
 };
 static const ProtobufCIntRange wire__query_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__query_reply__descriptor =
 {
@@ -3488,7 +3475,7 @@
   "Wire__QueryReply",
   "wire",
   sizeof(Wire__QueryReply),
-  5,
+  3,
   wire__query_reply__field_descriptors,
   wire__query_reply__field_indices_by_name,
   1,  wire__query_reply__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -150,10 +150,15 @@
    * Term the upstream announced.
    */
   uint32_t term;
+  /*
+   * Share that the daemon has taken in, so that the leader knows whether
+   * open_connections can still rise to an earlier one.
+   */
+  uint32_t share;
 };
 #define WIRE__UPSTREAM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__upstream_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Wire__Heartbeat
@@ -398,15 +403,10 @@
   char *json;
   protobuf_c_boolean failed;
   char *error;
-  /*
-   * Set when the query needs the leader: its id, 0 when unknown.
-   */
-  protobuf_c_boolean not_leader;
-  uint64_t leader;
 };
 #define WIRE__QUERY_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__query_reply__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Wire__SessionStore
