Tell the control leader what this process acknowledged in a term

After a restart a daemon cannot tell what it acknowledged earlier in the term, and reported position 0 as if nothing was. It now answers a fence with its own largest position, which covers earlier ones, with the start of the term if it saw that, and with nothing otherwise. A read that blocks an upstream is moved once at most, so that it does not block one replica after another.

--- a/comfreywheeld/cluster_links.c
+++ b/comfreywheeld/cluster_links.c
@@ -13,12 +13,23 @@
 	return directory_cluster_at(&proxy->directory, handle);
 }
 
-/* What this daemon did in a cluster's current term. */
+/*
+ * struct acknowledged - what this process did in a cluster's current term
+ * @pos: largest position acknowledged; it covers what an earlier process of
+ *       this daemon acknowledged, since positions only grow within a term
+ * @from_start: the term began while this process was running
+ */
 struct acknowledged {
 	struct position pos;
-	bool fence_confirmed;
+	bool from_start;
 };
 
+static void begin_term(struct acknowledged *ack, uint32_t old_term)
+{
+	memset(ack, 0, sizeof(*ack));
+	ack->from_start = old_term > 0;
+}
+
 GArray *cluster_links_new(void)
 {
 	return g_array_new(FALSE, TRUE, sizeof(struct acknowledged));
@@ -138,7 +149,6 @@
 	int handle = directory_cluster(&proxy->directory, state->service,
 				       state->cluster);
 	struct cluster *c = cluster_at(proxy, handle);
-	struct acknowledged *ack = acknowledged_at(proxy, handle);
 	uint32_t old_term = c->term;
 	bool was_fenced = c->fenced, known = c->primary_name != NULL;
 	size_t i;
@@ -155,8 +165,7 @@
 	directory_set_primary(&proxy->directory, handle, state->primary,
 			      state->term, state->fenced);
 	if (old_term != state->term)
-		memset(ack, 0, sizeof(*ack));
-	ack->fence_confirmed = state->fenced;
+		begin_term(acknowledged_at(proxy, handle), old_term);
 	log_cluster(c, state->primary);
 	reroute(proxy, handle);
 }
@@ -172,16 +181,19 @@
 
 	if (term < c->term)
 		return (struct position){ 0 };
+	if (term > c->term)
+		begin_term(ack, c->term);
 	primary = g_strdup(c->primary_name);
 	directory_set_primary(&proxy->directory, handle, primary ? primary : "",
 			      term, true);
 	g_free(primary);
-	ack->fence_confirmed = true;
 	requests_fence(proxy, handle,
 		       "the primary is being replaced; the write was not "
 		       "confirmed before");
 	log_cluster(c, "");
 	reroute(proxy, handle);
+	if (!ack->pos.term && ack->from_start)
+		return (struct position){ term, 0 };
 	return ack->pos;
 }
 
@@ -236,7 +248,6 @@
 	report->cluster = g_strdup(c->name);
 	report->term = c->term;
 	report->suspect = home && home->suspect;
-	report->fence_confirmed = ack->fence_confirmed;
 	if (ack->pos.term) {
 		report->acknowledged = g_new(Wire__Position, 1);
 		wire__position__init(report->acknowledged);
--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -292,7 +292,11 @@
 	struct upstream_connection *conn = req->conn;
 	struct caller *caller = req->caller;
 
-	if (!conn || !req->read || req->answer_started ||
+	/*
+	 * Once only: a read that itself blocks an upstream would otherwise
+	 * block one after another.
+	 */
+	if (!conn || !req->read || req->answer_started || req->attempts > 1 ||
 	    caller->transaction != 'I' || caller->held)
 		return;
 	if (!may_retry(req, OUTCOME_FAILED))
