--- a/include/budget.h
+++ b/include/budget.h
@@ -33,7 +33,8 @@
  * @wanted: connections it could use now, the probe connection included
  * @alive: whether its lease is live
  * @gone: whether it lost its lease long enough ago for its connections to
- *        have been closed by the upstream
+ *        have been closed: the time a daemon keeps connections without a
+ *        lease, plus the keepalive time of the upstream
  */
 struct budget_demand {
 	unsigned open;
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -47,6 +47,7 @@
 
 	setup(8);
 	demands[0].wanted = 100;
+	demands[7].wanted = 0;
 	step(16, 8);
 	for (i = 1; i < 8; i++)
 		ck_assert_uint_eq(shares[i].connections, 1);
@@ -193,9 +194,30 @@
 }
 END_TEST
 
+/* Guards against asking for the same connection once more in each plan, and
+ * against a daemon with none that waits behind one with some. */
+START_TEST(test_asks_once_and_grows_the_smallest)
+{
+	setup(3);
+	demands[0].wanted = 9;
+	demands[1].wanted = 4;
+	step(16, 2);
+	demands[0].open = 9;
+	demands[1].open = 4;
+	demands[0].wanted = 1;
+	demands[1].wanted = 5;
+	demands[2].wanted = 3;
+	step(16, 3);
+	ck_assert_uint_eq(shares[1].connections, 4);
+	ck_assert_uint_eq(shares[2].connections, 3);
+	ck_assert_uint_eq(shares[0].target, 7);
+	ck_assert_uint_eq(step(16, 3), 0);
+}
+END_TEST
+
 TEST_MAIN("budget", test_floor, test_first_request_is_served_from_the_free_one,
 	  test_shrinks_in_two_steps,
 	  test_dead_daemon_keeps_its_share_until_gone,
 	  test_gone_counts_only_when_not_alive, test_idle_share_is_kept,
 	  test_shrinking_is_cancelled, test_budget_below_the_floor,
-	  test_lowered_budget)
+	  test_lowered_budget, test_asks_once_and_grows_the_smallest)
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -106,15 +106,17 @@
 	int i;
 
 	retry_budget_init(&budget);
-	while (retry_allowed(&budget, &req, 0))
-		;
+	for (i = 0; i < 100; i++)
+		retry_allowed(&budget, &req, 0);
 	burst = budget.granted;
+	ck_assert_uint_lt(burst, 100);
+	budget.denied = 0;
 	for (i = 0; i < 10000; i++) {
 		retry_budget_note_request(&budget);
 		retry_allowed(&budget, &req, 0);
 	}
 	ck_assert_uint_eq(budget.granted - burst, 1000);
-	ck_assert_uint_eq(budget.denied, 9001);
+	ck_assert_uint_eq(budget.denied, 9000);
 	for (i = 0; i < 10000; i++)
 		retry_budget_note_request(&budget);
 	ck_assert_int_eq(budget.tokens, budget.max_tokens);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -119,6 +119,10 @@
 	decide(&req, 100 * MS);
 	ck_assert_int_eq(out.upstream, 0);
 	directory_upstream_at(&dir, 2)->says_primary = false;
+	req.max_lag_us = INT64_MAX;
+	directory_note_probe(&dir, 0, true, 16 * SECOND);
+	decide(&req, 16 * SECOND);
+	ck_assert_int_eq(out.upstream, 0);
 	term_history_add(&directory_cluster_at(&dir, 0)->history, 1, 90);
 	decide(&req, 100 * MS);
 	ck_assert_int_eq(out.upstream, 0);
@@ -169,6 +173,9 @@
 	directory_set_primary(&dir, 0, "a", 2, false);
 	decide(&req, 200 * MS);
 	ck_assert_int_eq(out.upstream, 1);
+	directory_upstream_at(&dir, 1)->reachable = false;
+	decide(&req, 200 * MS);
+	ck_assert_int_eq(out.action, ROUTE_WAIT);
 	directory_finish(&dir);
 }
 END_TEST
@@ -193,6 +200,10 @@
 	req.primary_cost_us = 3 * MS;
 	decide(&req, 101 * MS);
 	ck_assert_int_eq(out.upstream, 0);
+	req.primary_cost_us = SECOND;
+	router.replay_wait_us = 3 * MS;
+	decide(&req, 101 * MS);
+	ck_assert_int_eq(out.upstream, 0);
 	directory_finish(&dir);
 }
 END_TEST
@@ -216,6 +227,11 @@
 		decide(&req, 100 * MS);
 		ck_assert_int_eq(out.upstream, 1);
 	}
+	directory_upstream_at(&dir, 1)->in_flight = 2;
+	for (i = 0; i < 50; i++) {
+		decide(&req, 100 * MS);
+		ck_assert_int_eq(out.upstream, 2);
+	}
 	directory_finish(&dir);
 }
 END_TEST
--- a/tests/test_session_positions.c
+++ b/tests/test_session_positions.c
@@ -31,6 +31,9 @@
 	ck_assert(session_positions_lookup(&sp, 1, 3, 1, 30, &answer));
 	ck_assert(!answer.found);
 	ck_assert_int_eq(answer.complete_for_us, 30);
+	/* A cluster of the same hash in the table. */
+	session_positions_lookup(&sp, 1, 2 + (1ull << 32), 1, 30, &answer);
+	ck_assert(!answer.found);
 	session_positions_finish(&sp);
 }
 END_TEST
--- a/tests/test_upstream_directory.c
+++ b/tests/test_upstream_directory.c
@@ -85,6 +85,10 @@
 	note(&dir, 0, 300, 90 * MS, 91 * MS);
 	ck_assert_int_eq(at(1)->fresh_us, 90 * MS);
 	ck_assert_int_eq(at(2)->fresh_us, INT64_MIN);
+	/* An older question answered late proves nothing of a later time. */
+	note(&dir, 0, 300, 60 * MS, 95 * MS);
+	note(&dir, 2, 300, 96 * MS, 97 * MS);
+	ck_assert_int_eq(at(2)->fresh_us, 90 * MS);
 	directory_finish(&dir);
 }
 END_TEST
@@ -116,9 +120,15 @@
  * against a rebuilt database keeping the freshness it had. */
 START_TEST(test_crossed_answers_and_rebuild)
 {
+	struct position received = { 1, 160 }, older = { 1, 155 };
+	struct position replayed = { 1, 150 };
+
 	fixture_cluster(&dir, 0);
 	note(&dir, 0, 100, 0, 1);
-	note(&dir, 1, 150, 10, 20);
+	directory_note_position(&dir, 1, true, received, replayed, 10, 20,
+				true);
+	directory_note_position(&dir, 1, true, older, replayed, 8, 25, true);
+	ck_assert_uint_eq(at(1)->received.lsn, 160);
 	note(&dir, 1, 120, 5, 30);
 	ck_assert_uint_eq(at(1)->replayed.lsn, 150);
 	ck_assert_int_eq(at(1)->fresh_us, 0);
