--- /dev/null
+++ b/comfreywheeld/caller_query.c
@@ -0,0 +1,135 @@
+#include "caller_query.h"
+
+#include "caller_batch.h"
+
+void caller_start(struct caller *caller, const uint8_t *data, size_t len)
+{
+	struct request *req = &caller->request;
+	GError *error = NULL;
+
+	if (!caller_resolve(caller, &error)) {
+		caller_error(caller, "28000", error->message, NULL);
+		g_error_free(error);
+		request_clear(req);
+		return;
+	}
+	pg_buffer_append(&req->bytes, data, len);
+	caller->busy = true;
+	request_start(req);
+}
+
+static void complete(struct caller *caller, const char *tag)
+{
+	pg_put_command_complete(caller_out(caller), tag);
+	pg_put_ready(caller_out(caller), caller->transaction);
+	proxy_count(caller->proxy, COUNT_LOCAL_ANSWERS);
+}
+
+static void answer_empty(struct caller *caller)
+{
+	struct pg_buffer *out = caller_out(caller);
+
+	pg_end(out, pg_begin(out, 'I'));
+	pg_put_ready(out, caller->transaction);
+	proxy_count(caller->proxy, COUNT_LOCAL_ANSWERS);
+}
+
+static void refuse(struct caller *caller, const struct sql_class *class)
+{
+	proxy_count(caller->proxy, COUNT_REFUSED_STATEMENTS);
+	caller_error(caller, class->sqlstate,
+		     "this statement does not work on pooled connections",
+		     class->remedy);
+}
+
+/* The connection of the open transaction is gone, and the work rolled back. */
+static void after_loss(struct caller *caller, const struct sql_class *class)
+{
+	if (class->kind == SQL_COMMIT || class->kind == SQL_ROLLBACK) {
+		caller->transaction = 'I';
+		caller->wrote = false;
+		caller->read_only = false;
+		complete(caller, "ROLLBACK");
+		return;
+	}
+	caller_error(caller, "25P02",
+		     "the transaction was rolled back because its upstream "
+		     "connection was lost",
+		     "Send ROLLBACK and run the transaction again.");
+}
+
+static void simple_query(struct caller *caller, const struct pg_frame *frame,
+			 const uint8_t *data)
+{
+	const struct sql_class *class;
+	struct pg_reader r;
+	const char *sql;
+
+	if (caller->request.open) {
+		caller_fatal(caller, "08P01",
+			     "a simple query inside a flushed batch",
+			     "Send Sync first.");
+		return;
+	}
+	/* A simple query ends a batch that has no Sync. */
+	request_clear(&caller->request);
+	caller->skip_to_sync = false;
+	pg_reader_init(&r, frame->payload, frame->payload_len);
+	sql = pg_read_string(&r);
+	if (r.failed) {
+		caller_fatal(caller, "08P01", "malformed query frame", NULL);
+		return;
+	}
+	class = sql_classify(&caller->proxy->classifier, sql);
+	if (class->kind == SQL_PRODUCT_SET || class->kind == SQL_PRODUCT_SHOW) {
+		caller_local(caller, class);
+		return;
+	}
+	if (class->kind == SQL_EMPTY) {
+		answer_empty(caller);
+		return;
+	}
+	if (class->kind == SQL_REFUSED) {
+		refuse(caller, class);
+		return;
+	}
+	if (caller->transaction != 'I' && !caller->held) {
+		after_loss(caller, class);
+		return;
+	}
+	if (caller->transaction == 'I' &&
+	    (class->kind == SQL_COMMIT || class->kind == SQL_ROLLBACK)) {
+		complete(caller,
+			 class->kind == SQL_COMMIT ? "COMMIT" : "ROLLBACK");
+		return;
+	}
+	request_classify(&caller->request, class->kind, class->read_only);
+	caller_start(caller, data, frame->frame_len);
+}
+
+void caller_frame(struct caller *caller, const struct pg_frame *frame,
+		  const uint8_t *data)
+{
+	switch (frame->type) {
+	case 'Q':
+		simple_query(caller, frame, data);
+		return;
+	case 'P':
+	case 'B':
+	case 'D':
+	case 'E':
+	case 'C':
+	case 'H':
+	case 'S':
+		caller_batch_frame(caller, frame, data);
+		return;
+	case 'X':
+		caller_close(caller);
+		return;
+	default:
+		caller_fatal(caller, "08P01", "unexpected frame type",
+			     "Use simple queries or the extended query "
+			     "protocol.");
+		return;
+	}
+}
