Keep fences, lost transactions and budgets safe

A fence compared connections with the primary after it had been cleared, so nothing was fenced. A caller kept a pointer to the connection of its open transaction after the upstream closed it. Connections stayed open after the lease was lost for longer than the linger time, when the control leader may give them to others; they are closed at nine tenths of it. A fatal error of an upstream counts as the loss of its connection. Callers that send without reading are paused, the listener closes when a drain starts, and statement texts kept per caller are bounded.

--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -82,6 +82,8 @@
 
 	if (caller->request.conn)
 		upstream_connection_resume(caller->request.conn);
+	else if (caller->state == CALLER_READY)
+		caller_input(caller);
 }
 
 static void on_closed(int err, void *data)
@@ -228,18 +230,20 @@
 
 void caller_input(struct caller *caller)
 {
+	bool ahead;
+
 	if (caller->in_input)
 		return;
 	caller->in_input = true;
 	while (caller->state == CALLER_READY && may_take(caller) &&
-	       take_frame(caller))
+	       !stream_is_high(&caller->stream) && take_frame(caller))
 		;
 	caller->in_input = false;
 	if (caller->state != CALLER_READY)
 		return;
+	ahead = pg_buffer_length(&caller->stream.in) > AHEAD_MAX;
 	stream_pause(&caller->stream,
-		     caller->busy &&
-			     pg_buffer_length(&caller->stream.in) > AHEAD_MAX);
+		     ahead && (caller->busy || caller->stream.was_high));
 }
 
 void caller_answered(struct caller *caller)
--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -48,6 +48,7 @@
  * @held: connection of the open transaction; NULL with 'E' if it was lost
  * @wrote: the open transaction may have written
  * @read_only: the open transaction was begun READ ONLY
+ * @at_primary: the open transaction began at the primary
  * @skip_to_sync: an extended batch failed; its rest is dropped
  * @statements: struct statement by the caller's name for it
  * @busy: a request is under way
@@ -71,10 +72,12 @@
 	struct upstream_connection *held;
 	bool wrote;
 	bool read_only;
+	bool at_primary;
 	bool skip_to_sync;
 	bool busy;
 	bool in_input;
 	GHashTable *statements;
+	size_t statement_bytes;
 	struct request request;
 	int login_timer;
 };
--- a/comfreywheeld/caller_batch.c
+++ b/comfreywheeld/caller_batch.c
@@ -23,6 +23,7 @@
 	if (!st)
 		return;
 	g_hash_table_remove(caller->statements, name);
+	caller->statement_bytes -= g_bytes_get_size(st->body);
 	statement_unref(table_of(caller), st);
 }
 
@@ -37,6 +38,12 @@
 	g_hash_table_destroy(caller->statements);
 }
 
+void caller_batch_ended(struct caller *caller)
+{
+	if (caller->statement_bytes > STATEMENTS_BYTES_MAX)
+		drop_statement(caller, "");
+}
+
 void caller_batch_failed(struct caller *caller)
 {
 	struct request *req = &caller->request;
@@ -115,12 +122,15 @@
 			    "Close it first, or use another name.");
 	}
 	drop_statement(caller, name);
-	if (g_hash_table_size(caller->statements) >= STATEMENTS_MAX) {
+	if (g_hash_table_size(caller->statements) >= STATEMENTS_MAX ||
+	    (*name && caller->statement_bytes + g_bytes_get_size(st->body) >
+			      STATEMENTS_BYTES_MAX)) {
 		statement_unref(table_of(caller), st);
 		return fail(caller, "53400", "too many prepared statements",
 			    "Close statements that are no longer used.");
 	}
 	g_hash_table_insert(caller->statements, g_strdup(name), st);
+	caller->statement_bytes += g_bytes_get_size(st->body);
 	if (!req->new_names)
 		req->new_names = g_ptr_array_new_with_free_func(g_free);
 	g_ptr_array_add(req->new_names, g_strdup(name));
--- a/comfreywheeld/caller_batch.h
+++ b/comfreywheeld/caller_batch.h
@@ -18,6 +18,9 @@
 /** caller_batch_failed() - forget statements that were not parsed after all */
 void caller_batch_failed(struct caller *caller);
 
+/** caller_batch_ended() - a large unnamed statement is not kept */
+void caller_batch_ended(struct caller *caller);
+
 /** caller_batch_local() - answer a batch that concerns the daemon alone */
 void caller_batch_local(struct caller *caller);
 
--- a/comfreywheeld/cluster_links.c
+++ b/comfreywheeld/cluster_links.c
@@ -150,6 +150,7 @@
 				       state->cluster);
 	struct cluster *c = cluster_at(proxy, handle);
 	uint32_t old_term = c->term;
+	int old_primary = c->primary;
 	bool was_fenced = c->fenced, known = c->primary_name != NULL;
 	size_t i;
 
@@ -158,12 +159,12 @@
 				 state->switches[i]->lsn);
 	if (known && old_term == state->term && was_fenced == !!state->fenced)
 		return;
+	directory_set_primary(&proxy->directory, handle, state->primary,
+			      state->term, state->fenced);
 	if (known && (old_term != state->term || state->fenced))
-		requests_fence(proxy, handle,
+		requests_fence(proxy, handle, old_primary,
 			       "the primary was replaced before the write was "
 			       "confirmed");
-	directory_set_primary(&proxy->directory, handle, state->primary,
-			      state->term, state->fenced);
 	if (old_term != state->term)
 		begin_term(acknowledged_at(proxy, handle), old_term);
 	log_cluster(c, state->primary);
@@ -177,6 +178,7 @@
 	int handle = directory_cluster(&proxy->directory, service, cluster);
 	struct cluster *c = cluster_at(proxy, handle);
 	struct acknowledged *ack = acknowledged_at(proxy, handle);
+	int old_primary = c->primary;
 	char *primary;
 
 	if (term < c->term)
@@ -187,7 +189,7 @@
 	directory_set_primary(&proxy->directory, handle, primary ? primary : "",
 			      term, true);
 	g_free(primary);
-	requests_fence(proxy, handle,
+	requests_fence(proxy, handle, old_primary,
 		       "the primary is being replaced; the write was not "
 		       "confirmed before");
 	log_cluster(c, "");
@@ -221,13 +223,41 @@
 		   nr);
 }
 
+/*
+ * Part of the linger time after which the connections are closed, tenths. The
+ * control leader counts from a later moment and gives them away at its end.
+ */
+#define SURRENDER_TENTHS 9
+
+static void on_surrender(int64_t now_us, void *data)
+{
+	struct proxy *proxy = data;
+	guint i;
+
+	proxy->surrender_timer = TIMER_NONE;
+	if (control_client_may_write(proxy->control, now_us))
+		return;
+	log_warning("no lease for long: upstream connections are closed until "
+		    "a control leader answers");
+	proxy->surrendered = true;
+	for (i = 0; i < proxy->homes->len; i++)
+		if (proxy->homes->pdata[i])
+			upstream_home_surrender(proxy->homes->pdata[i]);
+}
+
 static void on_lease_lost(void *data)
 {
 	struct proxy *proxy = data;
+	int64_t linger = proxy->settings->connection_linger_us;
+
+	timer_cancel(&proxy->timers, &proxy->surrender_timer);
+	proxy->surrender_timer = timer_subscribe(
+		&proxy->timers, proxy_now() + linger * SURRENDER_TENTHS / 10, 0,
+		on_surrender, proxy);
 
 	log_warning("the lease ran out: writes stop until a control leader "
 		    "answers; check comfreywheelctl status");
-	requests_fence(proxy, CLUSTER_NONE,
+	requests_fence(proxy, CLUSTER_NONE, UPSTREAM_NONE,
 		       "this daemon lost its lease before the write was "
 		       "confirmed");
 }
--- a/comfreywheeld/drain.c
+++ b/comfreywheeld/drain.c
@@ -46,8 +46,10 @@
 		return;
 	for (i = 0; i < proxy->callers->len; i++) {
 		caller = proxy->callers->pdata[i];
-		if (caller && is_idle(caller) &&
-		    !pg_buffer_length(&caller->stream.in))
+		if (caller && caller->state < CALLER_READY)
+			caller_close(caller);
+		else if (caller && is_idle(caller) &&
+			 !pg_buffer_length(&caller->stream.in))
 			dismiss(caller);
 	}
 	if (!proxy->nr_callers)
@@ -70,7 +72,7 @@
 		return;
 	proxy->draining = true;
 	log_notice("draining: %u callers connected", proxy->nr_callers);
-	ev_io_stop(proxy->loop, &proxy->listener);
+	proxy_stop_listening(proxy);
 	proxy->drain_timer = timer_subscribe(
 		&proxy->timers, now + proxy->settings->drain_timeout_us, 0,
 		on_timeout, proxy);
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -73,6 +73,11 @@
 
 	for (i = 0; i < proxy->callers->len; i++) {
 		caller = proxy->callers->pdata[i];
+		if (caller && caller->state == CALLER_CLOSING &&
+		    !pg_buffer_length(caller_out(caller))) {
+			caller_close(caller);
+			continue;
+		}
 		if (!caller || !caller->stream.stalled_since_us ||
 		    caller->stream.stalled_since_us > limit)
 			continue;
@@ -106,6 +111,7 @@
 	proxy->sweep_timer = timer_subscribe(
 		&proxy->timers, proxy_now() + SWEEP_US, SWEEP_US, sweep, proxy);
 	proxy->drain_timer = TIMER_NONE;
+	proxy->surrender_timer = TIMER_NONE;
 }
 
 static void finish_callers(struct proxy *proxy)
@@ -153,6 +159,14 @@
 	counter_set_finish(&proxy->counters);
 }
 
+void proxy_stop_listening(struct proxy *proxy)
+{
+	if (!ev_is_active(&proxy->listener))
+		return;
+	ev_io_stop(proxy->loop, &proxy->listener);
+	close(proxy->listener.fd);
+}
+
 static void start_loop(struct proxy *proxy, int listener)
 {
 	ev_timer_init(&proxy->tick, on_tick, 0., 0.);
@@ -169,8 +183,7 @@
 {
 	ev_prepare_stop(proxy->loop, &proxy->prepare);
 	ev_timer_stop(proxy->loop, &proxy->tick);
-	ev_io_stop(proxy->loop, &proxy->listener);
-	close(proxy->listener.fd);
+	proxy_stop_listening(proxy);
 }
 
 int proxy_run(struct settings *settings, const char *settings_path,
--- a/comfreywheeld/proxy.h
+++ b/comfreywheeld/proxy.h
@@ -75,6 +75,8 @@
  * @shares: connections granted, by upstream name
  * @announced_terms: uint32_t, by directory handle of the upstream
  * @acknowledged: what was acknowledged, by directory handle of the cluster
+ * @surrendered: the lease was lost for so long that the control leader may
+ *               give the connections of this daemon to others
  * @parameters: ParameterStatus values learned from upstreams, by name
  * @cancels: struct cancel under way
  * @users: SCRAM verifiers by user name, NULL trusts every caller
@@ -113,6 +115,8 @@
 	struct commit_wait *commits;
 	int sweep_timer;
 	int drain_timer;
+	int surrender_timer;
+	bool surrendered;
 	bool draining;
 };
 
@@ -136,6 +140,9 @@
 	counter_assign(&proxy->counters, proxy->counter[which], value);
 }
 
+/** proxy_stop_listening() - no new caller; the load balancer notices */
+void proxy_stop_listening(struct proxy *proxy);
+
 /** proxy_discard() - g_free() @memory once no callback uses it */
 void proxy_discard(struct proxy *proxy, void *memory);
 
--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -85,6 +85,7 @@
 	struct caller *caller = req->caller;
 
 	request_clear(req);
+	caller_batch_ended(caller);
 	caller_answered(caller);
 }
 
@@ -111,6 +112,7 @@
 	if (!conn)
 		return;
 	conn->request = NULL;
+	conn->holder = NULL;
 	conn->doomed = true;
 	upstream_connection_close(conn, false);
 }
--- a/comfreywheeld/request.h
+++ b/comfreywheeld/request.h
@@ -202,7 +202,14 @@
 
 /** requests_wake() - decide parked requests of a cluster again */
 void requests_wake(struct proxy *proxy, int cluster);
-/** requests_fence() - end all commits in flight of a cluster and its writes */
-void requests_fence(struct proxy *proxy, int cluster, const char *why);
+/**
+ * requests_fence() - end commits in flight of a cluster and its transactions
+ * @cluster: CLUSTER_NONE for all clusters, each with its own primary
+ * @primary: upstream that was the primary until now
+ *
+ * New requests start while this runs, so the fence is in force before.
+ */
+void requests_fence(struct proxy *proxy, int cluster, int primary,
+		    const char *why);
 
 #endif
--- a/comfreywheeld/request_commit.c
+++ b/comfreywheeld/request_commit.c
@@ -71,7 +71,7 @@
 		directory_cluster_at(&proxy->directory, req->caller->cluster);
 
 	return proxy_may_write(proxy, req->caller->cluster) &&
-	       cluster->term == req->term;
+	       cluster->term == req->term && req->commit.term >= req->term;
 }
 
 static void note_acknowledged(struct request *req)
@@ -104,32 +104,29 @@
 	request_deliver(req);
 }
 
-static bool on_primary(const struct cluster *cluster,
-		       const struct upstream_connection *conn)
+static void fence_caller(struct caller *caller, int primary, const char *why)
 {
-	return conn && conn->home->handle == cluster->primary;
-}
-
-static void fence_caller(struct caller *caller, const char *why)
-{
-	const struct cluster *cluster = directory_cluster_at(
-		&caller->proxy->directory, caller->cluster);
 	struct request *req = &caller->request;
 
 	if (req->state == REQUEST_RUNNING && !req->read &&
-	    on_primary(cluster, req->conn)) {
+	    req->home->handle == primary) {
 		request_outcome_unknown(req, why);
 		return;
 	}
-	if (req->state != REQUEST_NONE || !on_primary(cluster, caller->held))
-		return;
-	caller->held->doomed = true;
-	upstream_connection_close(caller->held, false);
-	caller->held = NULL;
-	caller->transaction = 'E';
+	if (req->state == REQUEST_NONE && caller->held &&
+	    caller->held->home->handle == primary)
+		upstream_connection_close(caller->held, false);
+}
+
+/* Without a cluster, the primary of each caller's own. */
+static int primary_of(const struct caller *caller)
+{
+	return directory_cluster_at(&caller->proxy->directory, caller->cluster)
+		->primary;
 }
 
-void requests_fence(struct proxy *proxy, int cluster, const char *why)
+void requests_fence(struct proxy *proxy, int cluster, int primary,
+		    const char *why)
 {
 	struct caller *caller;
 	guint i;
@@ -140,7 +137,9 @@
 		if (!caller || caller->state != CALLER_READY ||
 		    caller->cluster == CLUSTER_NONE)
 			continue;
-		if (cluster == CLUSTER_NONE || caller->cluster == cluster)
-			fence_caller(caller, why);
+		if (cluster == CLUSTER_NONE)
+			fence_caller(caller, primary_of(caller), why);
+		else if (caller->cluster == cluster)
+			fence_caller(caller, primary, why);
 	}
 }
--- a/comfreywheeld/request_run.c
+++ b/comfreywheeld/request_run.c
@@ -115,7 +115,7 @@
 {
 	struct caller *caller = req->caller;
 
-	if (caller->read_only)
+	if (!caller->at_primary)
 		return control_client_may_serve(caller->proxy->control,
 						proxy_now());
 	return primary_allowed(req, conn->home->handle);
@@ -244,8 +244,11 @@
 		caller->read_only = false;
 		return;
 	}
-	if (!was_open)
+	if (!was_open) {
 		caller->read_only = req->begins_read_only;
+		caller->at_primary = req->home->handle ==
+				     cluster_of(req)->primary;
+	}
 	if (req->pending_writes)
 		caller->wrote = true;
 }
@@ -261,9 +264,11 @@
 	conn->request = NULL;
 	if (caller->transaction != 'I') {
 		caller->held = conn;
+		conn->holder = caller;
 		return;
 	}
 	caller->held = NULL;
+	conn->holder = NULL;
 	upstream_home_release(home, conn);
 }
 
--- a/comfreywheeld/statements.h
+++ b/comfreywheeld/statements.h
@@ -16,6 +16,8 @@
 
 /** Statements kept per caller, and prepared per upstream connection. */
 #define STATEMENTS_MAX 256
+/** Bytes of statement text kept per caller. */
+#define STATEMENTS_BYTES_MAX (1024u * 1024)
 #define STATEMENT_NAME_MAX 24
 /** Closing a name that is never prepared is answered like any other. */
 #define STATEMENT_NAME_ABSENT "cw_absent"
--- a/comfreywheeld/upstream_connection.c
+++ b/comfreywheeld/upstream_connection.c
@@ -17,6 +17,18 @@
 	return conn->home->proxy;
 }
 
+/* The holder learns of it with its next statement. */
+static void caller_lost_transaction(struct upstream_connection *conn)
+{
+	struct caller *holder = conn->holder;
+
+	conn->holder = NULL;
+	if (!holder || holder->held != conn)
+		return;
+	holder->held = NULL;
+	holder->transaction = 'E';
+}
+
 void upstream_connection_close(struct upstream_connection *conn, bool refused)
 {
 	struct upstream_home *home = conn->home;
@@ -24,6 +36,7 @@
 	if (conn->state == UPSTREAM_CLOSED)
 		return;
 	conn->state = UPSTREAM_CLOSED;
+	caller_lost_transaction(conn);
 	stream_close(&conn->stream);
 	parsed_statements_finish(&conn->parsed);
 	proxy_count(proxy_of(conn), COUNT_UPSTREAM_CLOSED);
@@ -41,6 +54,11 @@
 		request_lost(req);
 }
 
+void upstream_connection_lose(struct upstream_connection *conn)
+{
+	lose(conn, false);
+}
+
 static void start_up_failed(struct upstream_connection *conn, const char *why)
 {
 	struct upstream_home *home = conn->home;
@@ -179,7 +197,19 @@
 		request_steps_done(conn->request);
 }
 
-/* Return: false if the frame does not belong here. */
+/* The upstream closes the connection; the request may run elsewhere. */
+static bool is_fatal(const struct pg_frame *frame)
+{
+	const char *severity;
+
+	if (frame->type != 'E')
+		return false;
+	severity = pg_error_field(frame->payload, frame->payload_len, 'V');
+	return severity &&
+	       (!strcmp(severity, "FATAL") || !strcmp(severity, "PANIC"));
+}
+
+/* Return: false if the connection cannot go on. */
 static bool take_frame(struct upstream_connection *conn,
 		       const struct pg_frame *frame)
 {
@@ -189,6 +219,8 @@
 	}
 	if (!conn->nr_steps)
 		return frame->type == 'S' || frame->type == 'N';
+	if (is_fatal(frame))
+		return false;
 	step_frame(conn, frame);
 	return true;
 }
--- a/comfreywheeld/upstream_connection.h
+++ b/comfreywheeld/upstream_connection.h
@@ -13,6 +13,7 @@
  * no byte is unread and no transaction is open.
  */
 
+struct caller;
 struct request;
 struct upstream_home;
 
@@ -37,6 +38,7 @@
 /**
  * struct upstream_connection - one connection
  * @request: what runs on it, NULL if idle
+ * @holder: caller whose open transaction it holds, NULL if none
  * @doomed: close it instead of reusing it
  * @probe: whether it is the probe connection
  * @passing: bytes of a large frame still to be relayed
@@ -49,6 +51,7 @@
 	struct stream stream;
 	enum upstream_state state;
 	struct request *request;
+	struct caller *holder;
 	bool doomed;
 	bool probe;
 	size_t passing;
@@ -71,6 +74,9 @@
 /** upstream_connection_close() - close; its request, if any, is not told */
 void upstream_connection_close(struct upstream_connection *conn, bool refused);
 
+/** upstream_connection_lose() - close; its request is told */
+void upstream_connection_lose(struct upstream_connection *conn);
+
 void upstream_connection_step(struct upstream_connection *conn,
 			      enum upstream_step step);
 /** upstream_connection_query() - send a simple query as a step */
--- a/comfreywheeld/upstream_pool.c
+++ b/comfreywheeld/upstream_pool.c
@@ -104,10 +104,15 @@
 	return 2 + home->busy.length + waiting(home);
 }
 
+unsigned upstream_home_limit(const struct upstream_home *home)
+{
+	return home->proxy->surrendered ? 0 : home->share;
+}
+
 /* A place is kept for the probe connection while that is closed. */
 static bool may_open(const struct upstream_home *home)
 {
-	return home->open + (home->probe ? 0 : 1) < home->share &&
+	return home->open + (home->probe ? 0 : 1) < upstream_home_limit(home) &&
 	       proxy_now() >= home->retry_us;
 }
 
@@ -128,14 +133,21 @@
 
 static void trim(struct upstream_home *home)
 {
-	while (home->open > home->share && home->idle.head)
+	while (home->open > upstream_home_limit(home) && home->idle.head)
 		upstream_connection_close(home->idle.head->data, false);
-	while (home->open > home->share && home->opening.head)
+	while (home->open > upstream_home_limit(home) && home->opening.head)
 		upstream_connection_close(home->opening.head->data, false);
-	if (!home->share && home->probe)
+	if (!upstream_home_limit(home) && home->probe)
 		upstream_connection_close(home->probe, false);
 }
 
+void upstream_home_surrender(struct upstream_home *home)
+{
+	while (home->busy.head)
+		upstream_connection_lose(home->busy.head->data);
+	trim(home);
+}
+
 void upstream_home_share(struct upstream_home *home, unsigned connections)
 {
 	home->share = connections;
@@ -242,7 +254,8 @@
 			   struct upstream_connection *conn)
 {
 	conn->request = NULL;
-	if (!upstream_connection_is_clean(conn) || home->open > home->share) {
+	if (!upstream_connection_is_clean(conn) ||
+	    home->open > upstream_home_limit(home)) {
 		upstream_connection_close(conn, false);
 		return;
 	}
--- a/comfreywheeld/upstream_pool.h
+++ b/comfreywheeld/upstream_pool.h
@@ -55,6 +55,10 @@
 struct upstream_home *upstream_home_at(struct proxy *proxy, int handle);
 void upstream_home_free(struct upstream_home *home);
 
+/** upstream_home_limit() - connections that may be open now */
+unsigned upstream_home_limit(const struct upstream_home *home);
+/** upstream_home_surrender() - close every connection */
+void upstream_home_surrender(struct upstream_home *home);
 void upstream_home_share(struct upstream_home *home, unsigned connections);
 
 /** upstream_home_enqueue() - false if refused; @verdict tells why */
--- a/comfreywheeld/upstream_probe.c
+++ b/comfreywheeld/upstream_probe.c
@@ -50,7 +50,7 @@
 
 static void open_probe(struct upstream_home *home)
 {
-	if (!home->share || home->open >= home->share)
+	if (home->open >= upstream_home_limit(home))
 		return;
 	home->probe = upstream_connection_open(home, true);
 	if (home->probe)
@@ -70,6 +70,9 @@
 	struct upstream_connection *probe = home->probe;
 	const struct upstream *up;
 
+	if (home->proxy->surrendered &&
+	    control_client_may_write(home->proxy->control, now_us))
+		home->proxy->surrendered = false;
 	upstream_home_dispatch(home);
 	if (!probe) {
 		open_probe(home);
@@ -105,7 +108,7 @@
 
 void upstream_probe_lost(struct upstream_home *home, bool refused)
 {
-	if (!home->share)
+	if (!upstream_home_limit(home))
 		return;
 	home->refused = refused ? home->refused + 1 : 0;
 	missed(home);
