Send each log record of the test upstream at once

Cause: the replication socket of the test upstream kept Nagle's algorithm on, so every record after the first waited for a delayed acknowledgement. A write through the daemon waits for a replica to receive it and took the same time. Ruled out: the session owners (a read with their lookup took 0.3 ms) and the commit itself (0.6 ms direct).

Conclusion: TCP_NODELAY on accepted connections.

--- a/comfreywheel-standin/client.c
+++ b/comfreywheel-standin/client.c
@@ -1,8 +1,11 @@
 #include "standin.h"
 
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /* Delay between two bytes of a slow answer. */
@@ -217,7 +220,7 @@
 	}
 }
 
-static void bind(struct client *c, struct pg_reader *r)
+static void bind_portal(struct client *c, struct pg_reader *r)
 {
 	const char *name = pg_read_string(r);
 	const char *sql = g_hash_table_lookup(c->statements, pg_read_string(r));
@@ -333,7 +336,7 @@
 	else if (f->type == 'P')
 		parse(c, &r);
 	else if (f->type == 'B')
-		bind(c, &r);
+		bind_portal(c, &r);
 	else if (f->type == 'D')
 		describe(c, &r);
 	else if (f->type == 'E')
@@ -408,7 +411,10 @@
 void client_accept(struct standin *s, int fd)
 {
 	struct client *c = g_new0(struct client, 1);
+	int on = 1;
 
+	/* Nagle's algorithm would hold back each log record for 40 ms. */
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	c->server = s;
 	c->fd = fd;
 	c->timer = c->slow_timer = TIMER_NONE;
