Refuse four more ways to leave state in a shared connection

A review of what could pass as an ordinary write found that an UPDATE of pg_settings sets a setting for the session, that a search path with pg_temp makes later tables temporary, and that currval and lastval return another caller's value on a shared connection. They are refused with 0A000 and a remedy.

--- a/include/sql_walk.h
+++ b/include/sql_walk.h
@@ -51,6 +51,9 @@
 
 void sql_walk(struct sql_walk *walk, const PgQuery__Node *node);
 
+/** sql_constant_contains() - whether a text constant contains @text */
+bool sql_constant_contains(const PgQuery__Node *node, const char *text);
+
 void sql_refuse(struct sql_class *out, const char *sqlstate,
 		const char *remedy);
 /** sql_refuse_kind() - refuse with the SQLSTATE of "feature not supported" */
--- a/protocol/sql_statement.c
+++ b/protocol/sql_statement.c
@@ -187,6 +187,16 @@
 	out->kind = SQL_PRODUCT_SET;
 }
 
+static bool names_temporary_schema(const PgQuery__VariableSetStmt *stmt)
+{
+	size_t i;
+
+	for (i = 0; i < stmt->n_args; i++)
+		if (sql_constant_contains(stmt->args[i], "pg_temp"))
+			return true;
+	return false;
+}
+
 static void classify_set(const PgQuery__VariableSetStmt *stmt,
 			 struct sql_class *out)
 {
@@ -197,6 +207,8 @@
 	else if (multi && !strcmp(stmt->name, "TRANSACTION SNAPSHOT"))
 		sql_refuse_kind(out, "a snapshot belongs to one database; read "
 				     "inside one transaction instead");
+	else if (names_temporary_schema(stmt))
+		sql_refuse_kind(out, sql_remedy_temporary);
 	else if (stmt->is_local ||
 		 (multi && !strcmp(stmt->name, "TRANSACTION")))
 		out->kind = SQL_SET_LOCAL;
--- a/protocol/sql_walk.c
+++ b/protocol/sql_walk.c
@@ -16,6 +16,9 @@
 static const char remedy_notify[] =
 	"notifications do not reach callers through shared connections; poll "
 	"a table instead";
+static const char remedy_last_value[] =
+	"the last value belongs to another caller when the connection is "
+	"shared; use INSERT ... RETURNING";
 
 /**
  * struct node_rule - a kind of node that may be part of a plain read
@@ -91,6 +94,13 @@
 		walk->plain_read = false;
 }
 
+bool sql_constant_contains(const PgQuery__Node *node, const char *text)
+{
+	return node->node_case == PG_QUERY__NODE__NODE_A_CONST &&
+	       node->a_const->val_case == PG_QUERY__A__CONST__VAL_SVAL &&
+	       strstr(node->a_const->sval->sval, text);
+}
+
 /* set_config(name, value, true) lasts as long as SET LOCAL. */
 static bool is_local_set_config(const PgQuery__FuncCall *call)
 {
@@ -104,6 +114,24 @@
 	       last->a_const->boolval->boolval;
 }
 
+/* As the first existing schema of a search path it takes new tables. */
+static bool names_temporary_schema(const PgQuery__FuncCall *call)
+{
+	size_t i;
+
+	for (i = 0; i < call->n_args; i++)
+		if (sql_constant_contains(call->args[i], "pg_temp"))
+			return true;
+	return false;
+}
+
+static const char *refused_set_config(const PgQuery__FuncCall *call)
+{
+	if (!is_local_set_config(call))
+		return sql_remedy_set;
+	return names_temporary_schema(call) ? sql_remedy_temporary : NULL;
+}
+
 static const char *refused_call(const PgQuery__FuncCall *call)
 {
 	const char *name;
@@ -117,7 +145,9 @@
 	if (!strcmp(name, "pg_notify"))
 		return remedy_notify;
 	if (!strcmp(name, "set_config"))
-		return is_local_set_config(call) ? NULL : sql_remedy_set;
+		return refused_set_config(call);
+	if (!strcmp(name, "currval") || !strcmp(name, "lastval"))
+		return remedy_last_value;
 	return NULL;
 }
 
@@ -143,6 +173,17 @@
 		walk->remedy = sql_remedy_temporary;
 }
 
+/* An UPDATE of this view sets the setting for the session. */
+static void check_update(struct sql_walk *walk, const ProtobufCMessage *message)
+{
+	const PgQuery__UpdateStmt *stmt = (const PgQuery__UpdateStmt *)message;
+
+	walk->plain_read = false;
+	if (!walk->remedy && stmt->relation &&
+	    !strcmp(stmt->relation->relname, "pg_settings"))
+		walk->remedy = sql_remedy_set;
+}
+
 static void check_string(struct sql_walk *walk, const ProtobufCMessage *message)
 {
 	const PgQuery__String *string = (const PgQuery__String *)message;
@@ -151,7 +192,10 @@
 		walk->remedy = sql_remedy_temporary;
 }
 
-/* Sorted by the name that protobuf-c gives the message. A kind that is not listed makes the statement a write. */
+/*
+ * Sorted by the name that protobuf-c gives the message. A kind that is not
+ * listed makes the statement a write.
+ */
 static const struct node_rule rules[] = {
 	{ "AArrayExpr" },
 	{ "AConst" },
@@ -192,6 +236,7 @@
 	{ "SubLink", check_sub_link },
 	{ "TypeCast" },
 	{ "TypeName", check_type_name },
+	{ "UpdateStmt", check_update },
 	{ "WindowDef" },
 	{ "WithClause" },
 };
