--- a/common/settings.c
+++ b/common/settings.c
@@ -1,172 +1,10 @@
-#include "settings.h"
-#include "ini_reader.h"
-#include "log.h"
+#include "settings_internal.h"
 
 #include <string.h>
 
 #define MS INT64_C(1000)
 #define HOUR INT64_C(3600000000)
 
-/* A daemon must be able to miss this many heartbeats and keep its lease. */
-#define HEARTBEATS_PER_LEASE 3
-/* Length of a CURVE key in ZeroMQ's Z85 text form. */
-#define Z85_KEY_LEN 40
-
-static const struct {
-	const char *name;
-	int level;
-} levels[] = {
-	{ "error", LOG_LEVEL_ERROR },	{ "warning", LOG_LEVEL_WARNING },
-	{ "notice", LOG_LEVEL_NOTICE }, { "info", LOG_LEVEL_INFO },
-	{ "debug", LOG_LEVEL_DEBUG },
-};
-
-static bool parse_level(const char *text, const struct ini_field *field,
-			void *target)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(levels); i++) {
-		if (strcmp(text, levels[i].name))
-			continue;
-		*(int *)target = levels[i].level;
-		return true;
-	}
-	return false;
-}
-
-static void print_level(const void *target, GString *out)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(levels); i++)
-		if (levels[i].level == *(const int *)target)
-			g_string_append(out, levels[i].name);
-}
-
-static bool parse_key(const char *text, const struct ini_field *field,
-		      void *target)
-{
-	static const char z85[] = "0123456789abcdefghijklmnopqrstuvwxyz"
-				  "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-				  ".-:+=^!/*?&<>()[]{}@%$#";
-
-	if (strlen(text) != Z85_KEY_LEN || strspn(text, z85) != Z85_KEY_LEN)
-		return false;
-	return ini_text.parse(text, field, target);
-}
-
-static bool parse_peer(char *text, struct control_peer *peer)
-{
-	char *at = strchr(text, '@');
-	guint64 id;
-
-	if (!at || !ini_is_address(at + 1))
-		return false;
-	*at = '\0';
-	if (!g_ascii_string_to_unsigned(text, 10, 1, G_MAXUINT64, &id, NULL))
-		return false;
-	peer->id = id;
-	peer->address = g_strdup(at + 1);
-	return true;
-}
-
-static bool peer_repeats(const GArray *peers, const struct control_peer *peer)
-{
-	const struct control_peer *other;
-	guint i;
-
-	for (i = 0; i < peers->len; i++) {
-		other = &g_array_index(peers, struct control_peer, i);
-		if (other->id == peer->id ||
-		    !strcmp(other->address, peer->address))
-			return true;
-	}
-	return false;
-}
-
-static void clear_peer(void *data)
-{
-	g_free(((struct control_peer *)data)->address);
-}
-
-static GArray *new_peers(void)
-{
-	GArray *peers = g_array_new(FALSE, FALSE, sizeof(struct control_peer));
-
-	g_array_set_clear_func(peers, clear_peer);
-	return peers;
-}
-
-static bool parse_peers(const char *text, const struct ini_field *field,
-			void *target)
-{
-	char **items = ini_list(text);
-	GArray *peers = new_peers(), **slot = target;
-	struct control_peer peer;
-	bool ok = items != NULL;
-	size_t i;
-
-	for (i = 0; ok && items[i]; i++) {
-		ok = parse_peer(items[i], &peer);
-		if (!ok)
-			break;
-		ok = !peer_repeats(peers, &peer);
-		g_array_append_val(peers, peer);
-	}
-	g_strfreev(items);
-	if (!ok) {
-		g_array_free(peers, TRUE);
-		return false;
-	}
-	g_array_free(*slot, TRUE);
-	*slot = peers;
-	return true;
-}
-
-static void print_peers(const void *target, GString *out)
-{
-	const GArray *peers = *(GArray *const *)target;
-	const struct control_peer *peer;
-	guint i;
-
-	for (i = 0; i < peers->len; i++) {
-		peer = &g_array_index(peers, struct control_peer, i);
-		g_string_append_printf(out, "%s%" G_GUINT64_FORMAT "@%s",
-				       i ? ", " : "", peer->id, peer->address);
-	}
-}
-
-static void release_peers(void *target)
-{
-	GArray **peers = target;
-
-	g_array_free(*peers, TRUE);
-	*peers = NULL;
-}
-
-static const struct ini_type type_level = {
-	.expected = "one of: error, warning, notice, info, debug",
-	.parse = parse_level,
-	.print = print_level,
-};
-
-static const struct ini_type type_key = {
-	.expected = "a Z85 key of 40 characters, as comfreywheelctl keygen "
-		    "makes them",
-	.parse = parse_key,
-	.print = ini_print_text,
-	.release = ini_release_text,
-	.secret = true,
-};
-
-static const struct ini_type type_peers = {
-	.expected = "each control VM once, as ID@IP:PORT separated by commas",
-	.parse = parse_peers,
-	.print = print_peers,
-	.release = release_peers,
-};
-
 #define FIELD(section, key, member, type) \
 	section, key, &type, offsetof(struct settings, member)
 
@@ -179,8 +17,8 @@
 	{ FIELD("daemon", "admin_listen", admin_listen, ini_address) },
 	{ FIELD("daemon", "bus_listen", bus_listen, ini_address) },
 	{ FIELD("daemon", "data_folder", data_folder, ini_text), INI_OPTIONAL },
-	{ FIELD("daemon", "log_level", log_level, type_level), INI_OPTIONAL,
-	  "info" },
+	{ FIELD("daemon", "log_level", log_level, settings_type_level),
+	  INI_OPTIONAL, "info" },
 	{ FIELD("daemon", "max_callers", max_callers, ini_unsigned),
 	  INI_OPTIONAL, "2500", 1, 100000 },
 	{ FIELD("daemon", "drain_timeout", drain_timeout_us, ini_duration),
@@ -195,7 +33,7 @@
 	  G_MAXUINT64 },
 	{ FIELD("control", "listen", control_listen, ini_address),
 	  INI_OPTIONAL },
-	{ FIELD("control", "peers", control_peers, type_peers) },
+	{ FIELD("control", "peers", control_peers, settings_type_peers) },
 	{ FIELD("control", "lease", lease_us, ini_duration), INI_OPTIONAL,
 	  "1200ms", 100 * MS, HOUR },
 	{ FIELD("control", "heartbeat", heartbeat_us, ini_duration),
@@ -214,8 +52,10 @@
 };
 
 static const struct ini_field bus_fields[] = {
-	{ FIELD("bus", "public_key", bus_public_key, type_key), INI_OPTIONAL },
-	{ FIELD("bus", "secret_key", bus_secret_key, type_key), INI_OPTIONAL },
+	{ FIELD("bus", "public_key", bus_public_key, settings_type_key),
+	  INI_OPTIONAL },
+	{ FIELD("bus", "secret_key", bus_secret_key, settings_type_key),
+	  INI_OPTIONAL },
 };
 
 static const struct ini_field caller_fields[] = {
@@ -250,7 +90,7 @@
 	size_t g, i;
 
 	memset(settings, 0, sizeof(*settings));
-	settings->control_peers = new_peers();
+	settings->control_peers = settings_new_peers();
 	for (g = 0; g < G_N_ELEMENTS(groups); g++)
 		for (i = 0; i < groups[g].nr; i++) {
 			field = &groups[g].fields[i];
@@ -269,90 +109,6 @@
 		ini_release(groups[g].fields, groups[g].nr, settings);
 }
 
-static int line_of(const struct ini_document *doc, const char *name,
-		   const char *key)
-{
-	const struct ini_section *section = ini_document_section(doc, name);
-	const struct ini_entry *entry;
-	guint i;
-
-	if (!section)
-		return 1;
-	for (i = 0; i < section->entries->len; i++) {
-		entry = &g_array_index(section->entries, struct ini_entry, i);
-		if (!strcmp(entry->key, key))
-			return entry->line;
-	}
-	return section->line;
-}
-
-static bool check_pairs(const struct ini_document *doc,
-			const struct settings *s, GError **error)
-{
-	if (!s->bus_public_key != !s->bus_secret_key)
-		return ini_refuse(doc, line_of(doc, "bus", "public_key"), error,
-				  "one of public_key and secret_key is "
-				  "missing; give both, or none for a bus "
-				  "without encryption");
-	if (!s->tls_certificate != !s->tls_key)
-		return ini_refuse(doc,
-				  line_of(doc, "callers", "tls_certificate"),
-				  error,
-				  "one of tls_certificate and tls_key is "
-				  "missing; give both, or none for callers "
-				  "without TLS");
-	return true;
-}
-
-static bool check_control(const struct ini_document *doc,
-			  const struct settings *s, GError **error)
-{
-	int line = line_of(doc, "control", "id");
-	guint i;
-
-	if (!s->control_id && s->control_listen)
-		return ini_refuse(doc, line_of(doc, "control", "listen"), error,
-				  "\"listen\" is given without \"id\"; give "
-				  "the control identity of this VM or remove "
-				  "\"listen\"");
-	if (!s->control_id)
-		return true;
-	if (!s->control_listen)
-		return ini_refuse(doc, line, error,
-				  "a control VM needs an address of its own; "
-				  "add listen = IP:PORT to [control]");
-	if (!s->data_folder)
-		return ini_refuse(doc, line, error,
-				  "a control VM needs a disk; add "
-				  "data_folder = FOLDER to [daemon]");
-	for (i = 0; i < s->control_peers->len; i++)
-		if (g_array_index(s->control_peers, struct control_peer, i).id ==
-		    s->control_id)
-			return true;
-	return ini_refuse(doc, line, error,
-			  "control id %" G_GUINT64_FORMAT " is not among the "
-			  "peers; add it to \"peers\" as ID@IP:PORT",
-			  s->control_id);
-}
-
-static bool check_times(const struct ini_document *doc,
-			const struct settings *s, GError **error)
-{
-	if (s->heartbeat_us * HEARTBEATS_PER_LEASE >= s->lease_us)
-		return ini_refuse(doc, line_of(doc, "control", "heartbeat"),
-				  error,
-				  "the heartbeat is not shorter than a third "
-				  "of the lease; shorten \"heartbeat\" or "
-				  "lengthen \"lease\"");
-	if (s->stale_tables_us < s->lease_us)
-		return ini_refuse(doc,
-				  line_of(doc, "control", "stale_tables_limit"),
-				  error,
-				  "stale_tables_limit is shorter than the "
-				  "lease; lengthen it or shorten \"lease\"");
-	return true;
-}
-
 static bool check_sections(const struct ini_document *doc, GError **error)
 {
 	const struct ini_section *section;
@@ -385,9 +141,7 @@
 		if (!ini_fill(doc, ini_document_section(doc, groups[g].section),
 			      groups[g].fields, groups[g].nr, settings, error))
 			return false;
-	return check_pairs(doc, settings, error) &&
-	       check_control(doc, settings, error) &&
-	       check_times(doc, settings, error);
+	return settings_check(doc, settings, error);
 }
 
 /* On success the caller finishes @doc. */
@@ -459,7 +213,8 @@
 	g_free(b);
 	if (same || may_change(field))
 		return true;
-	return ini_refuse(doc, line_of(doc, field->section, field->key), error,
+	return ini_refuse(doc, settings_line(doc, field->section, field->key),
+			  error,
 			  "\"%s\" cannot change while the daemon runs; "
 			  "restore its value or restart the daemon",
 			  field->key);
--- /dev/null
+++ b/common/settings_check.c
@@ -0,0 +1,102 @@
+#include "settings_internal.h"
+
+#include <string.h>
+
+/* A daemon must be able to miss this many heartbeats and keep its lease. */
+#define HEARTBEATS_PER_LEASE 3
+
+int settings_line(const struct ini_document *doc, const char *name,
+		  const char *key)
+{
+	const struct ini_section *section = ini_document_section(doc, name);
+	const struct ini_entry *entry;
+	guint i;
+
+	if (!section)
+		return 1;
+	for (i = 0; i < section->entries->len; i++) {
+		entry = &g_array_index(section->entries, struct ini_entry, i);
+		if (!strcmp(entry->key, key))
+			return entry->line;
+	}
+	return section->line;
+}
+
+static bool check_pairs(const struct ini_document *doc,
+			const struct settings *s, GError **error)
+{
+	if (!s->bus_public_key != !s->bus_secret_key)
+		return ini_refuse(doc, settings_line(doc, "bus", "public_key"),
+				  error,
+				  "one of public_key and secret_key is "
+				  "missing; give both, or none for a bus "
+				  "without encryption");
+	if (!s->tls_certificate != !s->tls_key)
+		return ini_refuse(
+			doc, settings_line(doc, "callers", "tls_certificate"),
+			error,
+			"one of tls_certificate and tls_key is "
+			"missing; give both, or none for callers "
+			"without TLS");
+	return true;
+}
+
+static bool check_control(const struct ini_document *doc,
+			  const struct settings *s, GError **error)
+{
+	int line = settings_line(doc, "control", "id");
+	guint i;
+
+	if (!s->control_id && s->control_listen)
+		return ini_refuse(doc, settings_line(doc, "control", "listen"),
+				  error,
+				  "\"listen\" is given without \"id\"; give "
+				  "the control identity of this VM or remove "
+				  "\"listen\"");
+	if (!s->control_id)
+		return true;
+	if (!s->control_listen)
+		return ini_refuse(doc, line, error,
+				  "a control VM needs an address of its own; "
+				  "add listen = IP:PORT to [control]");
+	if (!s->data_folder)
+		return ini_refuse(doc, line, error,
+				  "a control VM needs a disk; add "
+				  "data_folder = FOLDER to [daemon]");
+	for (i = 0; i < s->control_peers->len; i++)
+		if (g_array_index(s->control_peers, struct control_peer, i).id ==
+		    s->control_id)
+			return true;
+	return ini_refuse(doc, line, error,
+			  "control id %" G_GUINT64_FORMAT " is not among the "
+			  "peers; add it to \"peers\" as ID@IP:PORT",
+			  s->control_id);
+}
+
+static bool check_times(const struct ini_document *doc,
+			const struct settings *s, GError **error)
+{
+	if (s->heartbeat_us * HEARTBEATS_PER_LEASE >= s->lease_us)
+		return ini_refuse(doc,
+				  settings_line(doc, "control", "heartbeat"),
+				  error,
+				  "the heartbeat is not shorter than a third "
+				  "of the lease; shorten \"heartbeat\" or "
+				  "lengthen \"lease\"");
+	if (s->stale_tables_us < s->lease_us)
+		return ini_refuse(doc,
+				  settings_line(doc, "control",
+						"stale_tables_limit"),
+				  error,
+				  "stale_tables_limit is shorter than the "
+				  "lease; lengthen it or shorten \"lease\"");
+	return true;
+}
+
+bool settings_check(const struct ini_document *doc,
+		    const struct settings *settings, GError **error)
+{
+	return check_pairs(doc, settings, error) &&
+	       check_control(doc, settings, error) &&
+	       check_times(doc, settings, error);
+}
