--- a/comfreywheeld/cluster_links.c
+++ b/comfreywheeld/cluster_links.c
@@ -13,12 +13,23 @@
 	return directory_cluster_at(&proxy->directory, handle);
 }
 
-/* What this daemon did in a cluster's current term. */
+/*
+ * struct acknowledged - what this process did in a cluster's current term
+ * @pos: largest position acknowledged; it covers what an earlier process of
+ *       this daemon acknowledged, since positions only grow within a term
+ * @from_start: the term began while this process was running
+ */
 struct acknowledged {
 	struct position pos;
-	bool fence_confirmed;
+	bool from_start;
 };
 
+static void begin_term(struct acknowledged *ack, uint32_t old_term)
+{
+	memset(ack, 0, sizeof(*ack));
+	ack->from_start = old_term > 0;
+}
+
 GArray *cluster_links_new(void)
 {
 	return g_array_new(FALSE, TRUE, sizeof(struct acknowledged));
@@ -138,8 +149,8 @@
 	int handle = directory_cluster(&proxy->directory, state->service,
 				       state->cluster);
 	struct cluster *c = cluster_at(proxy, handle);
-	struct acknowledged *ack = acknowledged_at(proxy, handle);
 	uint32_t old_term = c->term;
+	int old_primary = c->primary;
 	bool was_fenced = c->fenced, known = c->primary_name != NULL;
 	size_t i;
 
@@ -148,15 +159,14 @@
 				 state->switches[i]->lsn);
 	if (known && old_term == state->term && was_fenced == !!state->fenced)
 		return;
+	directory_set_primary(&proxy->directory, handle, state->primary,
+			      state->term, state->fenced);
 	if (known && (old_term != state->term || state->fenced))
-		requests_fence(proxy, handle,
+		requests_fence(proxy, handle, old_primary,
 			       "the primary was replaced before the write was "
 			       "confirmed");
-	directory_set_primary(&proxy->directory, handle, state->primary,
-			      state->term, state->fenced);
 	if (old_term != state->term)
-		memset(ack, 0, sizeof(*ack));
-	ack->fence_confirmed = state->fenced;
+		begin_term(acknowledged_at(proxy, handle), old_term);
 	log_cluster(c, state->primary);
 	reroute(proxy, handle);
 }
@@ -168,20 +178,24 @@
 	int handle = directory_cluster(&proxy->directory, service, cluster);
 	struct cluster *c = cluster_at(proxy, handle);
 	struct acknowledged *ack = acknowledged_at(proxy, handle);
+	int old_primary = c->primary;
 	char *primary;
 
 	if (term < c->term)
 		return (struct position){ 0 };
+	if (term > c->term)
+		begin_term(ack, c->term);
 	primary = g_strdup(c->primary_name);
 	directory_set_primary(&proxy->directory, handle, primary ? primary : "",
 			      term, true);
 	g_free(primary);
-	ack->fence_confirmed = true;
-	requests_fence(proxy, handle,
+	requests_fence(proxy, handle, old_primary,
 		       "the primary is being replaced; the write was not "
 		       "confirmed before");
 	log_cluster(c, "");
 	reroute(proxy, handle);
+	if (!ack->pos.term && ack->from_start)
+		return (struct position){ term, 0 };
 	return ack->pos;
 }
 
@@ -209,13 +223,41 @@
 		   nr);
 }
 
+/*
+ * Part of the linger time after which the connections are closed, tenths. The
+ * control leader counts from a later moment and gives them away at its end.
+ */
+#define SURRENDER_TENTHS 9
+
+static void on_surrender(int64_t now_us, void *data)
+{
+	struct proxy *proxy = data;
+	guint i;
+
+	proxy->surrender_timer = TIMER_NONE;
+	if (control_client_may_write(proxy->control, now_us))
+		return;
+	log_warning("no lease for long: upstream connections are closed until "
+		    "a control leader answers");
+	proxy->surrendered = true;
+	for (i = 0; i < proxy->homes->len; i++)
+		if (proxy->homes->pdata[i])
+			upstream_home_surrender(proxy->homes->pdata[i]);
+}
+
 static void on_lease_lost(void *data)
 {
 	struct proxy *proxy = data;
+	int64_t linger = proxy->settings->connection_linger_us;
+
+	timer_cancel(&proxy->timers, &proxy->surrender_timer);
+	proxy->surrender_timer = timer_subscribe(
+		&proxy->timers, proxy_now() + linger * SURRENDER_TENTHS / 10, 0,
+		on_surrender, proxy);
 
 	log_warning("the lease ran out: writes stop until a control leader "
 		    "answers; check comfreywheelctl status");
-	requests_fence(proxy, CLUSTER_NONE,
+	requests_fence(proxy, CLUSTER_NONE, UPSTREAM_NONE,
 		       "this daemon lost its lease before the write was "
 		       "confirmed");
 }
@@ -236,7 +278,6 @@
 	report->cluster = g_strdup(c->name);
 	report->term = c->term;
 	report->suspect = home && home->suspect;
-	report->fence_confirmed = ack->fence_confirmed;
 	if (ack->pos.term) {
 		report->acknowledged = g_new(Wire__Position, 1);
 		wire__position__init(report->acknowledged);
