Count only answers from after the fence in a fail-over

When a run began, the driver reset its replicas while the step was still the one before, and took the positions that daemons had reported earlier for answers of this run. A write acknowledged between such a report and the fence could then be missing on the chosen replica. The reset now happens once the step is FENCING, in which reports do not count.

A new leader also did not know the address of the primary of a finished fail-over and so could not point the remaining replicas to it; the address is taken from the heartbeats now. Status shows how long a control VM has been silent (raft_heard_us), since a wiped one still shows its old match.

--- a/comfreywheeld/control_core.h
+++ b/comfreywheeld/control_core.h
@@ -66,12 +66,17 @@
 	struct pg_errand *errand;
 };
 
-/** struct control_run - the fail-over of one cluster */
+/**
+ * struct control_run - the fail-over of one cluster
+ * @primary_address: of the primary of the agreed state, NULL if unknown
+ */
 struct control_run {
 	struct control *control;
 	char *service;
 	char *cluster;
 	struct failover fo;
+	char *primary_address;
+	uint16_t primary_port;
 	GPtrArray *replicas;
 	int64_t wake_us;
 	const char *logged_block;
@@ -204,8 +209,6 @@
 void control_failover_found(struct control *control,
 			    const Wire__ClusterFound *found);
 void control_failover_discover(struct control *control);
-/** control_failover_reset() - forget the answers, for a new run */
-void control_failover_reset(struct control_run *run);
 void control_run_wake(struct control_run *run);
 
 /* control_replicas.c */
--- a/comfreywheeld/control_failover.c
+++ b/comfreywheeld/control_failover.c
@@ -20,6 +20,7 @@
 	g_ptr_array_free(run->replicas, TRUE);
 	g_free(run->service);
 	g_free(run->cluster);
+	g_free(run->primary_address);
 	g_free(run);
 }
 
@@ -97,7 +98,12 @@
 		control_run_wake(run);
 }
 
-void control_failover_reset(struct control_run *run)
+/*
+ * Forgets what replicas answered before. Called once the step is FENCING, in
+ * which reports of daemons no longer count as answers: they were read before
+ * the fence, and later writes may have been acknowledged since.
+ */
+static void begin(struct control_run *run)
 {
 	g_ptr_array_set_size(run->replicas, 0);
 	control_replicas_update(run);
@@ -116,8 +122,6 @@
 	    cl->old_term != step->old_term ||
 	    strcmp(cl->candidate ? cl->candidate : "", step->candidate))
 		return;
-	if (now == FAILOVER_FENCING)
-		control_failover_reset(run);
 	candidate = candidate_of(run, step->candidate);
 	log_notice("fail-over of %s.%s: step %s, term %u, candidate %s",
 		   run->service, run->cluster,
@@ -127,8 +131,12 @@
 					       "abandoned",
 		   step->old_term, *step->candidate ? step->candidate : "none");
 	failover_recorded(&run->fo, now, candidate, control_now());
-	if (now == FAILOVER_DONE)
+	if (now == FAILOVER_FENCING)
+		begin(run);
+	if (now == FAILOVER_DONE) {
 		run->fo.term = cl->term;
+		g_clear_pointer(&run->primary_address, g_free);
+	}
 	control_run_wake(run);
 	control_regrant(c);
 }
--- a/comfreywheeld/control_query.c
+++ b/comfreywheeld/control_query.c
@@ -34,28 +34,34 @@
 	return link ? link->address : "";
 }
 
+static json_t *control_vm_json(struct control *c, const struct raft_member *m)
+{
+	uint64_t commit = raft_commit_index(c->raft);
+	uint64_t match = raft_match_index(c->raft, m->id);
+	int64_t heard_us = raft_heard_us(c->raft, m->id);
+	json_t *json = json_pack(
+		"{s:I, s:s, s:s, s:I, s:I}", "id", (json_int_t)m->id, "address",
+		address_of(c, m->id), "role", m->voter ? "voter" : "learner",
+		"match", (json_int_t)match, "behind",
+		(json_int_t)(commit > match ? commit - match : 0));
+
+	/* What a silent VM was known to hold may be lost by now. */
+	if (heard_us >= 0)
+		json_object_set_new(
+			json, "silent_ms",
+			json_integer((control_now() - heard_us) / 1000));
+	return json;
+}
+
 static json_t *control_json(struct control *c)
 {
 	const struct raft_members *members = raft_current_members(c->raft);
-	uint64_t commit = raft_commit_index(c->raft);
 	json_t *array = json_array();
 	unsigned i;
 
-	for (i = 0; i < members->nr; i++) {
-		uint64_t id = members->member[i].id;
-		uint64_t match = raft_match_index(c->raft, id);
-
-		json_array_append_new(
-			array,
-			json_pack("{s:I, s:s, s:s, s:I, s:I}", "id",
-				  (json_int_t)id, "address", address_of(c, id),
-				  "role",
-				  members->member[i].voter ? "voter" :
-							     "learner",
-				  "match", (json_int_t)match, "behind",
-				  (json_int_t)(commit > match ? commit - match :
-								0)));
-	}
+	for (i = 0; i < members->nr; i++)
+		json_array_append_new(array,
+				      control_vm_json(c, &members->member[i]));
 	return array;
 }
 
--- a/comfreywheeld/control_replicas.c
+++ b/comfreywheeld/control_replicas.c
@@ -43,17 +43,23 @@
 	return (int)i;
 }
 
+static void take_address(char **address, uint16_t *port,
+			 const Wire__UpstreamReport *report)
+{
+	if (!*report->address)
+		return;
+	g_free(*address);
+	*address = g_strdup(report->address);
+	*port = (uint16_t)report->port;
+}
+
 /* What daemons read in normal times is enough to see who must be repointed. */
 static void take_report(struct control_replica *r,
 			const Wire__UpstreamReport *report)
 {
 	int step = r->run->fo.step;
 
-	if (*report->address) {
-		g_free(r->address);
-		r->address = g_strdup(report->address);
-		r->port = (uint16_t)report->port;
-	}
+	take_address(&r->address, &r->port, report);
 	if (!report->primary && report->received)
 		r->known_term = MAX(r->known_term, report->received->term);
 	if (step == FAILOVER_FENCING || step == FAILOVER_PROMOTING)
@@ -82,6 +88,9 @@
 		const Wire__UpstreamReport *report =
 			((const struct control_upstream *)p)->report;
 
+		if (!strcmp(report->name, cl->primary))
+			take_address(&run->primary_address, &run->primary_port,
+				     report);
 		if (!control_view_replicates(cl, report))
 			continue;
 		at = control_replica_index(run, report->name);
@@ -166,25 +175,16 @@
 
 void control_replicas_repoint(struct control_run *run)
 {
-	const struct control_cluster *cl = control_state_cluster(
-		&run->control->state, run->service, run->cluster);
-	const struct control_replica *primary = NULL;
 	guint i;
 
-	for (i = 0; cl && i < run->replicas->len; i++) {
-		const struct control_replica *r = run->replicas->pdata[i];
-
-		if (!strcmp(r->name, cl->primary))
-			primary = r;
-	}
-	if (!primary || !primary->address ||
-	    !is_plain_address(primary->address))
+	control_replicas_update(run);
+	if (!run->primary_address || !is_plain_address(run->primary_address))
 		return;
 	for (i = 0; i < run->replicas->len; i++) {
 		struct control_replica *r = run->replicas->pdata[i];
 
-		if (r != primary && r->answered && !r->promoted &&
+		if (r->answered && !r->promoted &&
 		    r->received.term < run->fo.term)
-			repoint(r, primary->address, primary->port);
+			repoint(r, run->primary_address, run->primary_port);
 	}
 }
--- a/coordination/raft_replication.c
+++ b/coordination/raft_replication.c
@@ -220,6 +220,16 @@
 	return 0;
 }
 
+int64_t raft_heard_us(const struct raft *raft, uint64_t id)
+{
+	unsigned i;
+
+	for (i = 0; raft->role == RAFT_LEADER && i < raft->nr_progress; i++)
+		if (raft->progress[i].id == id)
+			return raft->progress[i].heard_us;
+	return -1;
+}
+
 static int descending(const void *a, const void *b)
 {
 	uint64_t x = *(const uint64_t *)a;
--- a/include/raft.h
+++ b/include/raft.h
@@ -221,6 +221,8 @@
  * clock rates differ by less than that margin.
  */
 int64_t raft_lease_until_us(const struct raft *raft);
+/** raft_heard_us() - when member @id last answered the leader, or -1 */
+int64_t raft_heard_us(const struct raft *raft, uint64_t id);
 /** raft_match_index() - highest entry known to be on member @id (leader) */
 uint64_t raft_match_index(const struct raft *raft, uint64_t id);
 
