Let a dismissed caller read its fatal error

Cause: a draining daemon sent FATAL 57P01 and closed at once. A request that was already on the wire made the kernel reset the connection, which discards the message on the caller's side, so the caller could not tell that its request did not run. Ruled out: libpq dropping the message, since a lingering close alone changes the result.

The daemon now shuts down its sending side and reads until the caller closes, for 1 s at most.

--- a/comfreywheel-standin/functions.c
+++ b/comfreywheel-standin/functions.c
@@ -144,6 +144,12 @@
 	sqlite3_result_int64(ctx, s->statements);
 }
 
+/* The delay itself is part of the statement's service time. */
+static void pg_sleep(sqlite3_context *ctx, int nr, sqlite3_value **args)
+{
+	sqlite3_result_text(ctx, "", -1, SQLITE_STATIC);
+}
+
 static void server_name(sqlite3_context *ctx, int nr, sqlite3_value **args)
 {
 	const struct standin *s = sqlite3_user_data(ctx);
@@ -168,6 +174,7 @@
 	{ "standin_fault", 2, set_fault },
 	{ "standin_peak_connections", 0, peak_connections },
 	{ "standin_statements", 0, statements },
+	{ "pg_sleep", 1, pg_sleep },
 	{ "standin_name", 0, server_name },
 };
 
--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -12,6 +12,8 @@
 #define AHEAD_MAX (64u * 1024)
 /* Time a caller has for start-up and login. */
 #define LOGIN_TIMEOUT_US (10 * 1000000ll)
+/* Time a caller has to read a fatal error and close its side. */
+#define LINGER_US 1000000ll
 
 struct pg_buffer *caller_out(struct caller *caller)
 {
@@ -71,9 +73,6 @@
 	if (caller->state == CALLER_CLOSED)
 		return;
 	stream_flush(&caller->stream);
-	if (caller->state == CALLER_CLOSING &&
-	    !pg_buffer_length(&caller->stream.out))
-		caller_close(caller);
 }
 
 static void on_drained(void *data)
@@ -137,14 +136,23 @@
 		     "max_callers.");
 }
 
-/* What runs for the caller is given up with it. */
+/*
+ * What runs for the caller is given up with it. A socket that is closed with
+ * unread bytes is reset, which may discard the message on the caller's side,
+ * so input is read and dropped until the caller closes.
+ */
 void caller_fatal(struct caller *caller, const char *sqlstate,
 		  const char *message, const char *hint)
 {
 	request_drop(&caller->request);
 	pg_put_error(caller_out(caller), "FATAL", sqlstate, message, hint);
 	caller->state = CALLER_CLOSING;
-	stream_flush(&caller->stream);
+	timer_cancel(&caller->proxy->timers, &caller->login_timer);
+	caller->login_timer = timer_subscribe(&caller->proxy->timers,
+					      proxy_now() + LINGER_US, 0,
+					      caller_login_timeout, caller);
+	stream_end_output(&caller->stream);
+	stream_pause(&caller->stream, false);
 }
 
 void caller_error(struct caller *caller, const char *sqlstate,
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -73,11 +73,6 @@
 
 	for (i = 0; i < proxy->callers->len; i++) {
 		caller = proxy->callers->pdata[i];
-		if (caller && caller->state == CALLER_CLOSING &&
-		    !pg_buffer_length(caller_out(caller))) {
-			caller_close(caller);
-			continue;
-		}
 		if (!caller || !caller->stream.stalled_since_us ||
 		    caller->stream.stalled_since_us > limit)
 			continue;
--- a/comfreywheeld/stream.c
+++ b/comfreywheeld/stream.c
@@ -41,6 +41,10 @@
 		pg_buffer_consume(&s->out, n);
 		s->stalled_since_us = 0;
 	}
+	if (!pg_buffer_length(&s->out) && s->ends_output) {
+		shutdown(s->fd, SHUT_WR);
+		s->ends_output = false;
+	}
 	if (!pg_buffer_length(&s->out))
 		s->stalled_since_us = 0;
 	else if (!s->stalled_since_us)
@@ -100,6 +104,7 @@
 	s->connecting = connecting;
 	s->paused = false;
 	s->was_high = false;
+	s->ends_output = false;
 	s->stalled_since_us = 0;
 	pg_buffer_init(&s->in);
 	pg_buffer_init(&s->out);
@@ -154,3 +159,9 @@
 	pg_buffer_finish(&s->in);
 	pg_buffer_finish(&s->out);
 }
+
+void stream_end_output(struct stream *s)
+{
+	s->ends_output = true;
+	stream_flush(s);
+}
--- a/comfreywheeld/stream.h
+++ b/comfreywheeld/stream.h
@@ -33,6 +33,7 @@
 
 /**
  * struct stream - one socket
+ * @ends_output: shut the sending side down once all output is written
  * @stalled_since_us: when output last made progress while some is waiting,
  *                    0 if none waits
  */
@@ -48,6 +49,7 @@
 	bool connecting;
 	bool paused;
 	bool was_high;
+	bool ends_output;
 	int64_t stalled_since_us;
 };
 
@@ -58,6 +60,9 @@
 /** stream_flush() - write what the socket takes now, the rest later */
 void stream_flush(struct stream *s);
 
+/** stream_end_output() - write what is left, then shut the sending side down */
+void stream_end_output(struct stream *s);
+
 void stream_pause(struct stream *s, bool paused);
 
 /** stream_is_high() - whether the source of the output should pause */
