Let a caller read its last error before its connection closes

A drained daemon closed an idle caller right after the error. The daemon now ends its output only and reads on until the caller closes, for one second at most.

--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -68,12 +68,8 @@
 	if (caller->state == CALLER_CLOSING)
 		pg_buffer_consume(&caller->stream.in,
 				  pg_buffer_length(&caller->stream.in));
-	if (caller->state == CALLER_CLOSED)
-		return;
-	stream_flush(&caller->stream);
-	if (caller->state == CALLER_CLOSING &&
-	    !pg_buffer_length(&caller->stream.out))
-		caller_close(caller);
+	if (caller->state != CALLER_CLOSED)
+		stream_flush(&caller->stream);
 }
 
 static void on_drained(void *data)
@@ -141,10 +137,13 @@
 void caller_fatal(struct caller *caller, const char *sqlstate,
 		  const char *message, const char *hint)
 {
+	if (caller->state >= CALLER_CLOSING)
+		return;
 	request_drop(&caller->request);
 	pg_put_error(caller_out(caller), "FATAL", sqlstate, message, hint);
 	caller->state = CALLER_CLOSING;
-	stream_flush(&caller->stream);
+	caller->closing_us = proxy_now();
+	stream_finish(&caller->stream);
 }
 
 void caller_error(struct caller *caller, const char *sqlstate,
--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -16,7 +16,7 @@
 	CALLER_AUTH_FIRST,
 	CALLER_AUTH_FINAL,
 	CALLER_READY,
-	/** the output is written, then the connection closes */
+	/** the output is written, then the peer is expected to close */
 	CALLER_CLOSING,
 	CALLER_CLOSED,
 };
@@ -53,6 +53,7 @@
  * @statements: struct statement by the caller's name for it
  * @busy: a request is under way
  * @in_input: caller_input() runs further up the stack
+ * @closing_us: when the state became CALLER_CLOSING
  * @cluster: directory handle
  */
 struct caller {
@@ -80,6 +81,7 @@
 	size_t statement_bytes;
 	struct request request;
 	int login_timer;
+	int64_t closing_us;
 };
 
 void caller_accept(struct proxy *proxy, int fd);
--- a/comfreywheeld/drain.c
+++ b/comfreywheeld/drain.c
@@ -33,8 +33,6 @@
 {
 	caller_fatal(caller, "57P01", "this daemon is shutting down",
 		     "Connect again to reach another daemon.");
-	if (!pg_buffer_length(caller_out(caller)))
-		caller_close(caller);
 }
 
 void drain_check(struct proxy *proxy)
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -20,6 +20,8 @@
 #define CLASSIFIER_BYTES (8u * 1024 * 1024)
 /* Time between looks at callers that do not read. */
 #define SWEEP_US (250 * 1000ll)
+/* Time for a caller to close after its last answer. */
+#define CLOSE_WAIT_US (1000 * 1000ll)
 /* Connections taken from the listener at once. */
 #define ACCEPT_BATCH 64
 
@@ -74,7 +76,8 @@
 	for (i = 0; i < proxy->callers->len; i++) {
 		caller = proxy->callers->pdata[i];
 		if (caller && caller->state == CALLER_CLOSING &&
-		    !pg_buffer_length(caller_out(caller))) {
+		    !pg_buffer_length(caller_out(caller)) &&
+		    now_us - caller->closing_us > CLOSE_WAIT_US) {
 			caller_close(caller);
 			continue;
 		}
--- a/comfreywheeld/stream.c
+++ b/comfreywheeld/stream.c
@@ -41,6 +41,8 @@
 		pg_buffer_consume(&s->out, n);
 		s->stalled_since_us = 0;
 	}
+	if (!pg_buffer_length(&s->out) && s->finishing)
+		shutdown(s->fd, SHUT_WR);
 	if (!pg_buffer_length(&s->out))
 		s->stalled_since_us = 0;
 	else if (!s->stalled_since_us)
@@ -100,6 +102,7 @@
 	s->connecting = connecting;
 	s->paused = false;
 	s->was_high = false;
+	s->finishing = false;
 	s->stalled_since_us = 0;
 	pg_buffer_init(&s->in);
 	pg_buffer_init(&s->out);
@@ -143,6 +146,18 @@
 	return true;
 }
 
+void stream_finish(struct stream *s)
+{
+	if (!stream_is_open(s) || s->finishing)
+		return;
+	s->finishing = true;
+	stream_pause(s, false);
+	if (pg_buffer_length(&s->out))
+		stream_flush(s);
+	else
+		shutdown(s->fd, SHUT_WR);
+}
+
 void stream_close(struct stream *s)
 {
 	if (!stream_is_open(s))
--- a/comfreywheeld/stream.h
+++ b/comfreywheeld/stream.h
@@ -48,6 +48,7 @@
 	bool connecting;
 	bool paused;
 	bool was_high;
+	bool finishing;
 	int64_t stalled_since_us;
 };
 
@@ -63,6 +64,14 @@
 /** stream_is_high() - whether the source of the output should pause */
 bool stream_is_high(struct stream *s);
 
+/**
+ * stream_finish() - end the output once it is written
+ *
+ * The input is still read. A socket that is closed with input unread makes
+ * the peer's system drop what it has received, the last error included.
+ */
+void stream_finish(struct stream *s);
+
 /** stream_close() - close the socket and free the buffers; idempotent */
 void stream_close(struct stream *s);
 
