--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -12,8 +12,6 @@
 #define AHEAD_MAX (64u * 1024)
 /* Time a caller has for start-up and login. */
 #define LOGIN_TIMEOUT_US (10 * 1000000ll)
-/* Time a caller has to read a fatal error and close its side. */
-#define LINGER_US 1000000ll
 
 struct pg_buffer *caller_out(struct caller *caller)
 {
@@ -70,9 +68,8 @@
 	if (caller->state == CALLER_CLOSING)
 		pg_buffer_consume(&caller->stream.in,
 				  pg_buffer_length(&caller->stream.in));
-	if (caller->state == CALLER_CLOSED)
-		return;
-	stream_flush(&caller->stream);
+	if (caller->state != CALLER_CLOSED)
+		stream_flush(&caller->stream);
 }
 
 static void on_drained(void *data)
@@ -136,23 +133,17 @@
 		     "max_callers.");
 }
 
-/*
- * What runs for the caller is given up with it. A socket that is closed with
- * unread bytes is reset, which may discard the message on the caller's side,
- * so input is read and dropped until the caller closes.
- */
+/* What runs for the caller is given up with it. */
 void caller_fatal(struct caller *caller, const char *sqlstate,
 		  const char *message, const char *hint)
 {
+	if (caller->state >= CALLER_CLOSING)
+		return;
 	request_drop(&caller->request);
 	pg_put_error(caller_out(caller), "FATAL", sqlstate, message, hint);
 	caller->state = CALLER_CLOSING;
-	timer_cancel(&caller->proxy->timers, &caller->login_timer);
-	caller->login_timer = timer_subscribe(&caller->proxy->timers,
-					      proxy_now() + LINGER_US, 0,
-					      caller_login_timeout, caller);
-	stream_end_output(&caller->stream);
-	stream_pause(&caller->stream, false);
+	caller->closing_us = proxy_now();
+	stream_finish(&caller->stream);
 }
 
 void caller_error(struct caller *caller, const char *sqlstate,
--- a/comfreywheeld/stream.c
+++ b/comfreywheeld/stream.c
@@ -41,10 +41,8 @@
 		pg_buffer_consume(&s->out, n);
 		s->stalled_since_us = 0;
 	}
-	if (!pg_buffer_length(&s->out) && s->ends_output) {
+	if (!pg_buffer_length(&s->out) && s->finishing)
 		shutdown(s->fd, SHUT_WR);
-		s->ends_output = false;
-	}
 	if (!pg_buffer_length(&s->out))
 		s->stalled_since_us = 0;
 	else if (!s->stalled_since_us)
@@ -104,7 +102,7 @@
 	s->connecting = connecting;
 	s->paused = false;
 	s->was_high = false;
-	s->ends_output = false;
+	s->finishing = false;
 	s->stalled_since_us = 0;
 	pg_buffer_init(&s->in);
 	pg_buffer_init(&s->out);
@@ -148,6 +146,18 @@
 	return true;
 }
 
+void stream_finish(struct stream *s)
+{
+	if (!stream_is_open(s) || s->finishing)
+		return;
+	s->finishing = true;
+	stream_pause(s, false);
+	if (pg_buffer_length(&s->out))
+		stream_flush(s);
+	else
+		shutdown(s->fd, SHUT_WR);
+}
+
 void stream_close(struct stream *s)
 {
 	if (!stream_is_open(s))
@@ -159,9 +169,3 @@
 	pg_buffer_finish(&s->in);
 	pg_buffer_finish(&s->out);
 }
-
-void stream_end_output(struct stream *s)
-{
-	s->ends_output = true;
-	stream_flush(s);
-}
--- a/comfreywheeld/stream.h
+++ b/comfreywheeld/stream.h
@@ -33,7 +33,6 @@
 
 /**
  * struct stream - one socket
- * @ends_output: shut the sending side down once all output is written
  * @stalled_since_us: when output last made progress while some is waiting,
  *                    0 if none waits
  */
@@ -49,7 +48,7 @@
 	bool connecting;
 	bool paused;
 	bool was_high;
-	bool ends_output;
+	bool finishing;
 	int64_t stalled_since_us;
 };
 
@@ -60,14 +59,19 @@
 /** stream_flush() - write what the socket takes now, the rest later */
 void stream_flush(struct stream *s);
 
-/** stream_end_output() - write what is left, then shut the sending side down */
-void stream_end_output(struct stream *s);
-
 void stream_pause(struct stream *s, bool paused);
 
 /** stream_is_high() - whether the source of the output should pause */
 bool stream_is_high(struct stream *s);
 
+/**
+ * stream_finish() - end the output once it is written
+ *
+ * The input is still read. A socket that is closed with input unread makes
+ * the peer's system drop what it has received, the last error included.
+ */
+void stream_finish(struct stream *s);
+
 /** stream_close() - close the socket and free the buffers; idempotent */
 void stream_close(struct stream *s);
 
