--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -85,6 +85,7 @@
 	struct caller *caller = req->caller;
 
 	request_clear(req);
+	caller_batch_ended(caller);
 	caller_answered(caller);
 }
 
@@ -111,6 +112,7 @@
 	if (!conn)
 		return;
 	conn->request = NULL;
+	conn->holder = NULL;
 	conn->doomed = true;
 	upstream_connection_close(conn, false);
 }
@@ -292,7 +294,11 @@
 	struct upstream_connection *conn = req->conn;
 	struct caller *caller = req->caller;
 
-	if (!conn || !req->read || req->answer_started ||
+	/*
+	 * Once only: a read that itself blocks an upstream would otherwise
+	 * block one after another.
+	 */
+	if (!conn || !req->read || req->answer_started || req->attempts > 1 ||
 	    caller->transaction != 'I' || caller->held)
 		return;
 	if (!may_retry(req, OUTCOME_FAILED))
