--- a/coordination/failover.c
+++ b/coordination/failover.c
@@ -115,15 +115,13 @@
 	    now_us);
 }
 
-/* Replicas that answer but still follow the ended term. */
+/* Whether a replica answers but still follows the ended term. */
 static bool needs_repoint(const struct failover *fo,
 			  const struct failover_view *view)
 {
 	const struct failover_replica *r;
 	unsigned i;
 
-	if (fo->step != FAILOVER_DONE)
-		return false;
 	for (i = 0; i < view->nr_replicas; i++) {
 		r = &view->replicas[i];
 		if (r->answered && !r->promoted && r->received.term < fo->term)
@@ -144,9 +142,15 @@
 	/* The primary turned out healthy before the fence was recorded. */
 	if (fo->recording == FAILOVER_FENCING)
 		failover_recorded(fo, FAILOVER_ABANDONED, -1, now_us);
+	if (fo->step != FAILOVER_DONE)
+		return;
+	/* A leader that resumes here does not know whom the replicas follow. */
 	if (needs_repoint(fo, view))
 		act(order, FAILOVER_REPOINT, &fo->last_repoint_us,
 		    REPOINT_RETRY_US, now_us);
+	else if (!failover_all_answered(view))
+		act(order, FAILOVER_ASK_POSITIONS, &fo->last_ask_us,
+		    REPOINT_RETRY_US, now_us);
 }
 
 static void next_fencing(struct failover *fo, const struct failover_view *view,
--- a/include/failover.h
+++ b/include/failover.h
@@ -42,7 +42,7 @@
 	FAILOVER_ASK_POSITIONS,
 	/** run pg_promote on the candidate */
 	FAILOVER_PROMOTE,
-	/** point the other replicas to the new primary */
+	/** point the other replicas to the new primary and ask them again */
 	FAILOVER_REPOINT,
 };
 
