--- a/include/session_positions.h
+++ b/include/session_positions.h
@@ -18,6 +18,24 @@
 #define SESSION_OWNERS 3
 #define SESSION_CAPACITY 65536
 #define SESSION_RETENTION_US (30 * 1000000ll)
+/**
+ * SESSION_MEMBERS_GRACE_US - for how long an older member list may be in use
+ *
+ * A daemon that has not heard of a new list uses the old one until its lease
+ * ends: 1.2 s after the list was agreed, plus 2% for clocks of different
+ * rates and as much again for the clock that measures this time.
+ *
+ * For this long after taking in a list,
+ * - an owner's record does not count as complete, since another daemon may
+ *   still store by the old list;
+ * - a daemon acknowledges a write only after a majority of the owners by the
+ *   new list and a majority of the owners by each list replaced in that time
+ *   have stored it, all under the new version. Otherwise a daemon with the
+ *   old list could read from a majority of owners that has not heard of the
+ *   new one. A daemon that knows no earlier list, having just started, waits
+ *   until the time is over.
+ */
+#define SESSION_MEMBERS_GRACE_US 1250000ll
 
 struct session_answer {
 	bool found;
--- a/state/session_positions.c
+++ b/state/session_positions.c
@@ -1,13 +1,5 @@
 #include "session_positions.h"
 
-/*
- * A daemon that has not heard of a new member list yet may acknowledge writes
- * at the owners of the old list until its lease ends: 1.2 s after the list
- * was agreed, plus 2% for clocks of different rates and as much again for the
- * owner's own clock.
- */
-#define MEMBERS_GRACE_US 1250000
-
 struct key {
 	uint64_t session;
 	uint64_t cluster;
@@ -58,7 +50,7 @@
 	if (version == sp->members_version)
 		return;
 	sp->members_version = version;
-	sp->complete_since_us = now_us + MEMBERS_GRACE_US;
+	sp->complete_since_us = now_us + SESSION_MEMBERS_GRACE_US;
 }
 
 static void remove_oldest(struct session_positions *sp)
