Refuse requests during a drain instead of closing under them

libpq takes an error that arrives before its request for a notice and then reports an unexpected end. A request that arrives during the drain is now answered with 57P01 and did not run; callers that stay idle for a second are closed.

--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -248,6 +248,7 @@
 void caller_answered(struct caller *caller)
 {
 	caller->busy = false;
+	caller->idle_since_us = proxy_now();
 	if (caller->state != CALLER_READY)
 		return;
 	caller_input(caller);
--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -53,6 +53,7 @@
  * @statements: struct statement by the caller's name for it
  * @busy: a request is under way
  * @in_input: caller_input() runs further up the stack
+ * @idle_since_us: when the last request ended, or the drain began
  * @closing_us: when the state became CALLER_CLOSING
  * @cluster: directory handle
  */
@@ -82,6 +83,7 @@
 	struct request request;
 	int login_timer;
 	int64_t closing_us;
+	int64_t idle_since_us;
 };
 
 void caller_accept(struct proxy *proxy, int fd);
--- a/comfreywheeld/caller_query.c
+++ b/comfreywheeld/caller_query.c
@@ -1,6 +1,7 @@
 #include "caller_query.h"
 
 #include "caller_batch.h"
+#include "drain.h"
 
 void caller_start(struct caller *caller, const uint8_t *data, size_t len)
 {
@@ -107,9 +108,20 @@
 	caller_start(caller, data, frame->frame_len);
 }
 
+/* A request that comes while the daemon drains; what runs goes on. */
+static bool is_too_late(const struct caller *caller, char type)
+{
+	return caller->proxy->draining && caller->transaction == 'I' &&
+	       !caller->request.open && type != 'X';
+}
+
 void caller_frame(struct caller *caller, const struct pg_frame *frame,
 		  const uint8_t *data)
 {
+	if (is_too_late(caller, frame->type)) {
+		drain_dismiss(caller);
+		return;
+	}
 	switch (frame->type) {
 	case 'Q':
 		simple_query(caller, frame, data);
--- a/comfreywheeld/drain.c
+++ b/comfreywheeld/drain.c
@@ -22,14 +22,21 @@
 	stop(proxy);
 }
 
-/* Return: whether the caller waits for nothing more. */
-static bool is_idle(const struct caller *caller)
+/*
+ * Time an idle caller has to send a request and read its refusal. libpq takes
+ * an error that comes before a request for a notice, and then reports an
+ * unexpected end instead.
+ */
+#define IDLE_GRACE_US (1000 * 1000ll)
+
+static bool is_idle(const struct caller *caller, int64_t now_us)
 {
 	return caller->state == CALLER_READY && !caller->busy &&
-	       caller->transaction == 'I';
+	       caller->transaction == 'I' &&
+	       now_us - caller->idle_since_us > IDLE_GRACE_US;
 }
 
-static void dismiss(struct caller *caller)
+void drain_dismiss(struct caller *caller)
 {
 	caller_fatal(caller, "57P01", "this daemon is shutting down",
 		     "Connect again to reach another daemon.");
@@ -37,6 +44,7 @@
 
 void drain_check(struct proxy *proxy)
 {
+	int64_t now = proxy_now();
 	struct caller *caller;
 	guint i;
 
@@ -46,9 +54,8 @@
 		caller = proxy->callers->pdata[i];
 		if (caller && caller->state < CALLER_READY)
 			caller_close(caller);
-		else if (caller && is_idle(caller) &&
-			 !pg_buffer_length(&caller->stream.in))
-			dismiss(caller);
+		else if (caller && is_idle(caller, now))
+			drain_dismiss(caller);
 	}
 	if (!proxy->nr_callers)
 		stop(proxy);
@@ -62,6 +69,18 @@
 /* Time between looks for callers that have become idle. */
 #define DRAIN_TICK_US (20 * 1000ll)
 
+static void note_idle(struct proxy *proxy, int64_t now_us)
+{
+	struct caller *caller;
+	guint i;
+
+	for (i = 0; i < proxy->callers->len; i++) {
+		caller = proxy->callers->pdata[i];
+		if (caller)
+			caller->idle_since_us = now_us;
+	}
+}
+
 void drain_start(struct proxy *proxy)
 {
 	int64_t now = proxy_now();
@@ -69,6 +88,7 @@
 	if (proxy->draining)
 		return;
 	proxy->draining = true;
+	note_idle(proxy, now);
 	log_notice("draining: %u callers connected", proxy->nr_callers);
 	proxy_stop_listening(proxy);
 	proxy->drain_timer = timer_subscribe(
