Ask replicas for their position when reads need a later one

What is known of a replica was up to a probe interval old, so reads behind a write went to the primary for 100 ms although a replica had caught up. A read that finds no replica at its position now asks the replicas, at most every 5 ms each, and parked reads are decided again with the answers. Parked requests are kept in a queue, so that waking them does not visit every caller.

--- a/comfreywheeld/commit_wait.c
+++ b/comfreywheeld/commit_wait.c
@@ -9,6 +9,11 @@
  * zones.
  */
 #define ASK_AGAIN_US 1000
+/*
+ * Age at which what is known of a replica is renewed for reads that need a
+ * later position: far less than a probe interval, and at most 200 queries/s.
+ */
+#define READ_ASK_US 5000
 
 struct commit_wait {
 	struct proxy *proxy;
@@ -56,6 +61,22 @@
 	}
 }
 
+void commit_wait_ask(struct commit_wait *cw, int cluster)
+{
+	const struct upstream_directory *dir = &cw->proxy->directory;
+	const struct cluster *c = directory_cluster_at(dir, cluster);
+	int64_t limit = proxy_now() - READ_ASK_US;
+	guint i;
+	int up;
+
+	for (i = 0; i < c->upstreams->len; i++) {
+		up = g_array_index(c->upstreams, int, i);
+		if (up != c->primary &&
+		    directory_upstream_at(dir, up)->learned_us < limit)
+			upstream_probe_ask(upstream_home_at(cw->proxy, up));
+	}
+}
+
 static void ask_again(int64_t now_us, void *data)
 {
 	struct commit_wait *cw = data;
@@ -140,6 +161,7 @@
 	while ((req = g_queue_pop_head(&done)))
 		request_committed(req);
 	schedule(cw);
+	requests_wake_reads(cw->proxy, cluster);
 }
 
 void commit_wait_fence(struct commit_wait *cw, int cluster, const char *why)
--- a/comfreywheeld/commit_wait.h
+++ b/comfreywheeld/commit_wait.h
@@ -19,6 +19,9 @@
 void commit_wait_add(struct commit_wait *cw, struct request *req);
 void commit_wait_remove(struct commit_wait *cw, struct request *req);
 
+/** commit_wait_ask() - reads lack a replica: learn what replicas replayed */
+void commit_wait_ask(struct commit_wait *cw, int cluster);
+
 /** commit_wait_news() - an upstream reported its position */
 void commit_wait_news(struct commit_wait *cw, int upstream);
 
--- a/comfreywheeld/proxy.h
+++ b/comfreywheeld/proxy.h
@@ -71,6 +71,7 @@
 /**
  * struct proxy - state of the task
  * @callers: struct caller by handle, NULL where free
+ * @parked: struct request that no upstream fits now
  * @homes: struct upstream_home by directory handle
  * @shares: connections granted, by upstream name
  * @announced_terms: uint32_t, by directory handle of the upstream
@@ -103,6 +104,7 @@
 	GPtrArray *callers;
 	GArray *free_callers;
 	unsigned nr_callers;
+	GQueue parked;
 	GPtrArray *homes;
 	GHashTable *shares;
 	GArray *announced_terms;
--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -44,7 +44,7 @@
 {
 	struct proxy *proxy = proxy_of(req);
 
-	timer_cancel(&proxy->timers, &req->wake_timer);
+	request_unpark(req);
 	if (req->state == REQUEST_QUEUED)
 		upstream_home_remove(req->home, req);
 	if (req->state == REQUEST_COMMIT_WAIT)
--- a/comfreywheeld/request.h
+++ b/comfreywheeld/request.h
@@ -52,6 +52,7 @@
  * @writes: commits effects, so that the answer is withheld
  * @identified: runs together with an insert of the request identity
  * @must_primary: the session's position is unknown, use the primary
+ * @waits_replay: parked until a replica has replayed more
  * @stage: how far it got, for the outcome when its upstream is lost
  * @answer_started: bytes of the answer went to the caller
  * @hold: the end of an answer that is withheld
@@ -89,6 +90,7 @@
 	bool writes;
 	bool identified;
 	bool must_primary;
+	bool waits_replay;
 	bool has_lookup;
 	bool has_position;
 	struct position needed;
@@ -121,6 +123,7 @@
 	bool acknowledged;
 	uint64_t lookup;
 	uint64_t store;
+	GList parked_link;
 };
 
 void request_init(struct request *req, struct caller *caller);
@@ -186,6 +189,8 @@
 uint64_t request_session(const struct request *req);
 /** request_finish() - the answer is with the caller; start the next */
 void request_finish(struct request *req);
+/** request_unpark() - it no longer waits for a decision */
+void request_unpark(struct request *req);
 /** request_detach() - the request no longer runs on its connection */
 void request_detach(struct request *req);
 /** request_leave() - leave whatever queue or wait the request is in */
@@ -202,6 +207,8 @@
 
 /** requests_wake() - decide parked requests of a cluster again */
 void requests_wake(struct proxy *proxy, int cluster);
+/** requests_wake_reads() - those that wait for a replica only */
+void requests_wake_reads(struct proxy *proxy, int cluster);
 /**
  * requests_fence() - end commits in flight of a cluster and its transactions
  * @cluster: CLUSTER_NONE for all clusters, each with its own primary
--- a/comfreywheeld/request_route.c
+++ b/comfreywheeld/request_route.c
@@ -1,6 +1,7 @@
 #include "request.h"
 
 #include "caller.h"
+#include "commit_wait.h"
 #include "upstream_pool.h"
 
 static struct proxy *proxy_of(const struct request *req)
@@ -8,20 +9,36 @@
 	return req->caller->proxy;
 }
 
+void request_unpark(struct request *req)
+{
+	struct proxy *proxy = proxy_of(req);
+
+	if (req->state != REQUEST_PARKED)
+		return;
+	timer_cancel(&proxy->timers, &req->wake_timer);
+	g_queue_unlink(&proxy->parked, &req->parked_link);
+	req->state = REQUEST_NONE;
+}
+
 static void on_wake(int64_t now_us, void *data)
 {
 	struct request *req = data;
 
 	req->wake_timer = TIMER_NONE;
+	request_unpark(req);
 	request_decide(req);
 }
 
-static void park(struct request *req, int64_t until_us)
+static void park(struct request *req, const struct route_decision *decision)
 {
+	struct proxy *proxy = proxy_of(req);
+
 	req->state = REQUEST_PARKED;
-	timer_cancel(&proxy_of(req)->timers, &req->wake_timer);
-	req->wake_timer = timer_subscribe(&proxy_of(req)->timers, until_us, 0,
-					  on_wake, req);
+	req->waits_replay = decision->reason == ROUTE_REASON_WAIT_REPLAY;
+	req->parked_link.data = req;
+	g_queue_push_tail_link(&proxy->parked, &req->parked_link);
+	req->wake_timer = timer_subscribe(
+		&proxy->timers, decision->wait_until_us, 0, on_wake, req);
 }
 
 static void refuse_route(struct request *req, enum route_reason reason)
@@ -99,6 +116,9 @@
 	};
 
 	router_decide(&proxy->router, &proxy->directory, &rr, now, out);
+	if (out->reason == ROUTE_REASON_PRIMARY_POSITION ||
+	    out->reason == ROUTE_REASON_WAIT_REPLAY)
+		commit_wait_ask(proxy->commits, caller->cluster);
 }
 
 static void on_lookup(bool reached, const struct session_answer *answer,
@@ -200,7 +220,7 @@
 		enqueue(req, out.upstream);
 		return;
 	case ROUTE_WAIT:
-		park(req, out.wait_until_us);
+		park(req, &out);
 		return;
 	case ROUTE_REFUSE:
 		refuse_route(req, out.reason);
@@ -216,18 +236,32 @@
 	request_decide(req);
 }
 
-void requests_wake(struct proxy *proxy, int cluster)
+static void wake(struct proxy *proxy, int cluster, bool replay_only)
 {
-	struct caller *caller;
-	guint i;
+	guint left = proxy->parked.length;
+	struct request *req;
+	GList *link;
 
-	for (i = 0; i < proxy->callers->len; i++) {
-		caller = proxy->callers->pdata[i];
-		if (caller && caller->cluster == cluster &&
-		    caller->request.state == REQUEST_PARKED) {
-			timer_cancel(&proxy->timers,
-				     &caller->request.wake_timer);
-			request_decide(&caller->request);
+	/* What is decided again may park again, behind those looked at. */
+	while (left-- && (link = proxy->parked.head)) {
+		req = link->data;
+		if (req->caller->cluster != cluster ||
+		    (replay_only && !req->waits_replay)) {
+			g_queue_unlink(&proxy->parked, link);
+			g_queue_push_tail_link(&proxy->parked, link);
+			continue;
 		}
+		request_unpark(req);
+		request_decide(req);
 	}
 }
+
+void requests_wake(struct proxy *proxy, int cluster)
+{
+	wake(proxy, cluster, false);
+}
+
+void requests_wake_reads(struct proxy *proxy, int cluster)
+{
+	wake(proxy, cluster, true);
+}
