Hand a copy of the entry to the apply callback

raft_apply_committed() passed a pointer into the log, and looked at it again after the callback. A callback that proposes lets the log grow, which may move it: test_failover_faults under the address sanitizer failed with a read after free in on_apply. The header now says that a callback may propose.

test_propose_while_applying fails without the copy, also without the sanitizer; with it both tests pass under address and undefined sanitizers.

--- a/coordination/raft.c
+++ b/coordination/raft.c
@@ -251,13 +251,14 @@
 		return;
 	raft->applying = true;
 	while (raft->applied < until) {
-		const struct raft_entry *entry =
-			raft_log_get(&raft->log, raft->applied + 1);
+		/* A copy: the callback may propose, which moves the log. */
+		struct raft_entry entry =
+			*raft_log_get(&raft->log, raft->applied + 1);
 
 		raft->applied++;
-		raft->ops.apply(entry, raft->data);
-		if (entry->kind == RAFT_ENTRY_MEMBERS)
-			apply_members(raft, entry);
+		raft->ops.apply(&entry, raft->data);
+		if (entry.kind == RAFT_ENTRY_MEMBERS)
+			apply_members(raft, &entry);
 		until = MIN(raft->commit, raft->persisted);
 	}
 	raft->applying = false;
--- a/include/raft.h
+++ b/include/raft.h
@@ -113,7 +113,7 @@
  * @save_hard_state: persist and sync before returning
  * @append: start to persist @nr entries, replacing any from the first index
  *          on; raft_persisted() reports when they are synced
- * @apply: a committed entry, in order, once
+ * @apply: a committed entry, in order, once; may propose
  * @take_snapshot: serialise the applied state; caller frees with g_free()
  * @save_snapshot: persist and sync a snapshot before returning
  * @restore_snapshot: replace the applied state
--- a/tests/raft_sim.h
+++ b/tests/raft_sim.h
@@ -60,6 +60,7 @@
 	uint64_t snapshot_entries;
 	uint64_t snapshots_received;
 	uint64_t proposals;
+	unsigned propose_in_apply;
 };
 
 static inline void sim_clear_entry(void *e)
@@ -178,6 +179,10 @@
 	struct sim *sim = n->sim;
 	uint64_t known;
 
+	ck_assert_uint_eq(e->index, n->applied + 1);
+	if (sim->propose_in_apply && raft_is_leader(n->raft))
+		for (; sim->propose_in_apply; sim->propose_in_apply--)
+			raft_propose(n->raft, (uint8_t *)"more", 4, NULL, NULL);
 	ck_assert_uint_eq(e->index, n->applied + 1);
 	n->applied = e->index;
 	n->hash = XXH64(e->data, e->len, n->hash ^ e->term);
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -214,6 +214,22 @@
 }
 END_TEST
 
+/* Guards against an entry that moves while it is applied. */
+START_TEST(test_propose_while_applying)
+{
+	struct sim *sim = sim_new(13, 3);
+	uint64_t index;
+
+	sim_elect(sim);
+	sim->propose_in_apply = 2000;
+	index = sim_commit(sim);
+	sim_run(sim, 1000000);
+	ck_assert_uint_ge(raft_applied_index(sim_elect(sim)->raft),
+			  index + 2000);
+	sim_free(sim);
+}
+END_TEST
+
 /* Guards against equal timeouts and against jitter beyond the seed. */
 START_TEST(test_seeded_jitter)
 {
@@ -384,6 +400,7 @@
 TEST_MAIN("raft", test_replicates, test_unsynced_does_not_count,
 	  test_returning_node_does_not_disturb, test_isolated_leader,
 	  test_lease_is_exclusive, test_snapshot_to_late_node,
-	  test_flow_control, test_seeded_jitter, test_malformed_messages,
-	  test_vote_survives_restart, test_restart_keeps_lease_promise,
-	  test_empty_node_does_not_vote, test_replaced_entries_are_unsynced)
+	  test_flow_control, test_propose_while_applying, test_seeded_jitter,
+	  test_malformed_messages, test_vote_survives_restart,
+	  test_restart_keeps_lease_promise, test_empty_node_does_not_vote,
+	  test_replaced_entries_are_unsynced)
