Try more faults of daemons and replicas in the fail-over model

Cause: with some guards taken out no run failed, so the faults did not reach them: a daemon isolated with the primary while the replicas see both sides, a daemon whose grants alone are lost, and daemons that all restart while the replica that is ahead is away.

Conclusion: the answer of a promotion is now lost for longer than the timeout of the candidate, so that a second candidate is tried beside a promoted first one.

--- a/comfreywheel-bench/failover_faults.c
+++ b/comfreywheel-bench/failover_faults.c
@@ -1,25 +1,27 @@
 #include "failover_faults.h"
 
-#include <string.h>
-
-#define WARM_UP_US (2000 * WORLD_MS)
 #define STALL_US (3000 * WORLD_MS)
 #define RESTART_US (1000 * WORLD_MS)
 #define FAR_BEHIND_US (5000 * WORLD_MS)
-/* Longest time until all write again: expiry, election, choice, promotion. */
-#define RECOVERY_US (6000 * WORLD_MS)
-#define FINAL_US (2000 * WORLD_MS)
 
-static int primary_node(const struct world *world, unsigned cluster)
+int world_primary(const struct world *world, unsigned cluster)
 {
 	if (world->newest_term[cluster])
 		return world->newest_node[cluster];
 	return world_database_node(world, cluster, 0);
 }
 
+static int replica_node(const struct world *world, unsigned nr)
+{
+	int first = world_database_node(world, 0, 0);
+
+	return first +
+	       (world_primary(world, 0) - first + 1 + nr) % WORLD_REPLICATION;
+}
+
 static void crash_primary(struct world *world)
 {
-	struct database *db = world_database(world, primary_node(world, 0));
+	struct database *db = world_database(world, world_primary(world, 0));
 
 	db->up = false;
 	db->refuses = true;
@@ -27,12 +29,12 @@
 
 static void lose_primary_vm(struct world *world)
 {
-	world_database(world, primary_node(world, 0))->up = false;
+	world_database(world, world_primary(world, 0))->up = false;
 }
 
 static void isolate_with_daemon(struct world *world)
 {
-	int primary = primary_node(world, 0);
+	int primary = world_primary(world, 0);
 
 	world_isolate(world, primary, 0, true);
 	world_isolate(world, 0, primary, true);
@@ -41,7 +43,7 @@
 /* A replica on the isolated side goes on to confirm writes. */
 static void isolate_with_replica(struct world *world)
 {
-	int primary = primary_node(world, 0);
+	int primary = world_primary(world, 0);
 	int replica = world_database_node(world, 0,
 					  (primary + 1) % WORLD_REPLICATION);
 
@@ -56,10 +58,38 @@
 	world_cut(world, replica, primary, false);
 }
 
+/*
+ * The primary and a daemon see each other and the replicas only, the replicas
+ * see everyone: they go on to confirm that daemon's writes.
+ */
+static void isolate_between_replicas(struct world *world)
+{
+	int primary = world_primary(world, 0), i, node;
+
+	isolate_with_daemon(world);
+	for (i = 0; i < WORLD_REPLICATION; i++) {
+		node = world_database_node(world, 0, i);
+		world_cut(world, node, 0, false);
+		world_cut(world, 0, node, false);
+		world_cut(world, node, primary, false);
+		world_cut(world, primary, node, false);
+	}
+}
+
+/* The heartbeats of a daemon arrive, what it is sent does not. */
+static void lose_grants(struct world *world)
+{
+	unsigned i;
+
+	for (i = 0; i < world->config.control_vms; i++)
+		world_cut(world, world_control_node(world, i), 0, true);
+	lose_primary_vm(world);
+}
+
 /* Callers of the last three daemons still reach it. */
 static void isolate_from_most(struct world *world)
 {
-	int primary = primary_node(world, 0), node;
+	int primary = world_primary(world, 0), node;
 
 	for (node = 0; node < world->nr_nodes; node++) {
 		if (node >= (int)world->config.daemons - 3 &&
@@ -80,11 +110,7 @@
 
 static void lose_replica(struct world *world)
 {
-	int node = world_database_node(world, 0, 1);
-
-	if (node == primary_node(world, 0))
-		node = world_database_node(world, 0, 2);
-	world_database(world, node)->up = false;
+	world_database(world, replica_node(world, 0))->up = false;
 }
 
 /* The leader keeps two daemons and loses the other control VMs. */
@@ -141,6 +167,27 @@
 				   world->daemons[i].lease.incarnation + 1);
 }
 
+static void lose_memory(struct world *world, int node, void *data)
+{
+	unsigned i;
+
+	for (i = 0; i < world->config.daemons; i++)
+		world_daemon_start(world, i,
+				   world->daemons[i].lease.incarnation + 1);
+	world_isolate(world, replica_node(world, 1), -1, true);
+	lose_primary_vm(world);
+}
+
+/*
+ * One replica falls behind; then the other one and the primary are lost while
+ * all daemons restart, so that nobody remembers what was acknowledged.
+ */
+static void lose_memory_and_replica(struct world *world)
+{
+	world_cut(world, world_primary(world, 0), replica_node(world, 0), true);
+	world_after(world, RESTART_US, 0, lose_memory, NULL);
+}
+
 /* A VM that is paused: its clock has moved on when it runs again. */
 static void clocks_jump(struct world *world)
 {
@@ -155,12 +202,12 @@
 	unsigned i;
 
 	for (i = 0; i < world->config.clusters && i < 2; i++)
-		world_database(world, primary_node(world, i))->up = false;
+		world_database(world, world_primary(world, i))->up = false;
 }
 
 static void lose_zone(struct world *world)
 {
-	int zone = world_zone(world, primary_node(world, 0)), node;
+	int zone = world_zone(world, world_primary(world, 0)), node;
 
 	for (node = 0; node < world->nr_nodes; node++)
 		if (world_zone(world, node) == zone)
@@ -173,9 +220,17 @@
 	world->config.loss = 0.05;
 }
 
-static void heal_link(struct world *world, int node, void *data)
+static void cut_answers(struct world *world, int node, bool cut)
+{
+	unsigned i;
+
+	for (i = 0; i < world->config.control_vms; i++)
+		world_cut(world, node, world_control_node(world, i), cut);
+}
+
+static void restore_answers(struct world *world, int node, void *data)
 {
-	world_isolate(world, node, -1, false);
+	cut_answers(world, node, false);
 }
 
 /* Events at a recorded step: the leader or the candidate dies just then, or
@@ -191,9 +246,12 @@
 	}
 	if (candidate < 0)
 		return;
-	world_isolate(world, candidate, -1, true);
-	if (world->trap == TRAP_ANSWER)
-		world_after(world, RESTART_US, candidate, heal_link, NULL);
+	if (world->trap == TRAP_CANDIDATE) {
+		world_isolate(world, candidate, -1, true);
+		return;
+	}
+	cut_answers(world, candidate, true);
+	world_after(world, STALL_US, candidate, restore_answers, NULL);
 }
 
 static void set_trap(struct world *world, enum world_trap trap, int step)
@@ -251,7 +309,11 @@
 	{ "primary isolated with a daemon", isolate_with_daemon },
 	{ "primary isolated with a daemon and a replica",
 	  isolate_with_replica },
+	{ "primary and a daemon isolated, replicas see both sides",
+	  isolate_between_replicas },
 	{ "primary reached by a minority only", isolate_from_most },
+	{ "primary VM lost, grants of a daemon lost", lose_grants },
+	{ "daemons forget, replica behind", lose_memory_and_replica },
 	{ "replicas far behind", replicas_far_behind },
 	{ "replica lost", lose_replica },
 	{ "leader isolated with two daemons", isolate_leader },
@@ -285,79 +347,3 @@
 	if (faults[fault].apply)
 		faults[fault].apply(world);
 }
-
-void world_repair(struct world *world)
-{
-	struct database *db;
-	unsigned c, i;
-	int node, primary;
-
-	for (c = 0; c < world->config.clusters; c++) {
-		primary = primary_node(world, c);
-		for (i = 0; i < WORLD_REPLICATION; i++) {
-			node = world_database_node(world, c, i);
-			db = world_database(world, node);
-			if (node == primary)
-				continue;
-			db->up = true;
-			db->primary = false;
-			db->upstream = primary;
-			db->lag_us = 0;
-		}
-	}
-}
-
-void world_heal(struct world *world)
-{
-	size_t pairs = (size_t)world->nr_nodes * world->nr_nodes;
-	unsigned i;
-
-	memset(world->cut, 0, pairs * sizeof(bool));
-	world->config.loss = 0;
-	world->config.reliable = true;
-	for (i = 0; i < G_N_ELEMENTS(world->databases); i++) {
-		world->databases[i].up = true;
-		world->databases[i].lag_us = 0;
-	}
-}
-
-/* Which daemon did not write to which cluster in the last stretch. */
-static char *find_stuck(const struct world *world)
-{
-	unsigned c, i;
-
-	for (c = 0; c < world->config.clusters; c++)
-		for (i = 0; i < world->config.daemons; i++)
-			if (world->daemons[i].cluster[c].wrote_us <
-			    world->now_us - FINAL_US)
-				return g_strdup_printf(
-					"daemon %u does not write to cluster "
-					"%u after the faults",
-					i, c);
-	return NULL;
-}
-
-char *faults_check(const struct faults_run *run)
-{
-	struct world *world = world_new(&run->config);
-	char *seen = NULL;
-
-	world_run(world, WARM_UP_US);
-	fault_apply(world, run->first);
-	world_run(world, world->now_us + run->gap_us);
-	fault_apply(world, run->second);
-	world_run(world, world->now_us + run->hold_us);
-	world_heal(world);
-	world_run(world, world->now_us + RECOVERY_US);
-	if (!world->violation)
-		world_repair(world);
-	world_run(world, world->now_us + RECOVERY_US);
-	if (!world->violation)
-		world_check_end(world);
-	if (world->violation)
-		seen = g_strdup(world->violation);
-	else
-		seen = find_stuck(world);
-	world_free(world);
-	return seen;
-}
--- a/comfreywheel-bench/failover_faults.h
+++ b/comfreywheel-bench/failover_faults.h
@@ -12,6 +12,8 @@
 const char *fault_name(unsigned fault);
 void fault_apply(struct world *world, unsigned fault);
 
+/** world_primary() - database that the newest term names */
+int world_primary(const struct world *world, unsigned cluster);
 /** world_repair() - operators copy databases anew that follow nobody */
 void world_repair(struct world *world);
 /** world_heal() - ends all partitions, restarts all nodes */
