--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -68,12 +68,8 @@
 	if (caller->state == CALLER_CLOSING)
 		pg_buffer_consume(&caller->stream.in,
 				  pg_buffer_length(&caller->stream.in));
-	if (caller->state == CALLER_CLOSED)
-		return;
-	stream_flush(&caller->stream);
-	if (caller->state == CALLER_CLOSING &&
-	    !pg_buffer_length(&caller->stream.out))
-		caller_close(caller);
+	if (caller->state != CALLER_CLOSED)
+		stream_flush(&caller->stream);
 }
 
 static void on_drained(void *data)
@@ -82,6 +78,8 @@
 
 	if (caller->request.conn)
 		upstream_connection_resume(caller->request.conn);
+	else if (caller->state == CALLER_READY)
+		caller_input(caller);
 }
 
 static void on_closed(int err, void *data)
@@ -139,10 +137,13 @@
 void caller_fatal(struct caller *caller, const char *sqlstate,
 		  const char *message, const char *hint)
 {
+	if (caller->state >= CALLER_CLOSING)
+		return;
 	request_drop(&caller->request);
 	pg_put_error(caller_out(caller), "FATAL", sqlstate, message, hint);
 	caller->state = CALLER_CLOSING;
-	stream_flush(&caller->stream);
+	caller->closing_us = proxy_now();
+	stream_finish(&caller->stream);
 }
 
 void caller_error(struct caller *caller, const char *sqlstate,
@@ -152,30 +153,46 @@
 	pg_put_ready(caller_out(caller), caller->transaction);
 }
 
+static void copy_route(struct caller_route *copy, const struct tables *tables,
+		       const struct route *route)
+{
+	const struct pool *pool = tables_pool(tables, route);
+
+	copy->version = tables->version;
+	copy->pool = g_intern_string(pool->name);
+	copy->tenant = g_intern_string(route->tenant);
+	copy->weight = route->weight;
+	copy->slots = pool->slots;
+	copy->max_queue = pool->max_queue;
+	copy->ack_replicas = pool->ack_replicas;
+	copy->max_replica_lag_us = pool->max_replica_lag_us;
+	copy->request_timeout_us = pool->request_timeout_us;
+}
+
 bool caller_resolve(struct caller *caller, GError **error)
 {
 	struct proxy *proxy = caller->proxy;
 	const struct tables *tables = control_client_tables(proxy->control);
+	const struct route *route;
 	const char *cluster;
 
-	if (!tables) {
+	if (!tables || !tables->version) {
 		g_set_error(error, CW_ERROR, CW_ERROR_UNAVAILABLE,
 			    "this daemon has no tables yet; connect again "
 			    "once a control leader is reachable");
 		return false;
 	}
-	if (caller->route && caller->tables_version == tables->version)
+	if (caller->route.version == tables->version)
 		return true;
-	caller->route = tables_route(tables, caller->user, caller->database,
-				     &cluster, error);
-	if (!caller->route)
+	route = tables_route(tables, caller->user, caller->database, &cluster,
+			     error);
+	if (!route)
 		return false;
-	caller->pool = tables_pool(tables, caller->route);
-	caller->tables_version = tables->version;
+	copy_route(&caller->route, tables, route);
 	/* An open transaction stays where it began. */
 	if (caller->transaction == 'I')
-		caller->cluster = directory_cluster(
-			&proxy->directory, caller->route->service, cluster);
+		caller->cluster = directory_cluster(&proxy->directory,
+						    route->service, cluster);
 	return true;
 }
 
@@ -212,18 +229,20 @@
 
 void caller_input(struct caller *caller)
 {
+	bool ahead;
+
 	if (caller->in_input)
 		return;
 	caller->in_input = true;
 	while (caller->state == CALLER_READY && may_take(caller) &&
-	       take_frame(caller))
+	       !stream_is_high(&caller->stream) && take_frame(caller))
 		;
 	caller->in_input = false;
 	if (caller->state != CALLER_READY)
 		return;
+	ahead = pg_buffer_length(&caller->stream.in) > AHEAD_MAX;
 	stream_pause(&caller->stream,
-		     caller->busy &&
-			     pg_buffer_length(&caller->stream.in) > AHEAD_MAX);
+		     ahead && (caller->busy || caller->stream.was_high));
 }
 
 void caller_answered(struct caller *caller)
--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -16,11 +16,30 @@
 	CALLER_AUTH_FIRST,
 	CALLER_AUTH_FINAL,
 	CALLER_READY,
-	/** the output is written, then the connection closes */
+	/** the output is written, then the peer is expected to close */
 	CALLER_CLOSING,
 	CALLER_CLOSED,
 };
 
+/**
+ * struct caller_route - what the tables in force say of a caller
+ * @version: version of the tables, 0 before the first
+ * @pool: interned, as is @tenant
+ *
+ * A copy, since a request outlives the tables it was started under.
+ */
+struct caller_route {
+	uint64_t version;
+	const char *pool;
+	const char *tenant;
+	unsigned weight;
+	unsigned slots;
+	unsigned max_queue;
+	unsigned ack_replicas;
+	int64_t max_replica_lag_us;
+	int64_t request_timeout_us;
+};
+
 /**
  * struct caller - one connection
  * @index: handle; @generation distinguishes reuse of the handle
@@ -29,10 +48,12 @@
  * @held: connection of the open transaction; NULL with 'E' if it was lost
  * @wrote: the open transaction may have written
  * @read_only: the open transaction was begun READ ONLY
+ * @at_primary: the open transaction began at the primary
  * @skip_to_sync: an extended batch failed; its rest is dropped
  * @statements: struct statement by the caller's name for it
  * @busy: a request is under way
  * @in_input: caller_input() runs further up the stack
+ * @closing_us: when the state became CALLER_CLOSING
  * @cluster: directory handle
  */
 struct caller {
@@ -46,20 +67,21 @@
 	char *database;
 	struct scram_server scram;
 	struct caller_settings settings;
-	uint64_t tables_version;
-	const struct route *route;
-	const struct pool *pool;
+	struct caller_route route;
 	int cluster;
 	char transaction;
 	struct upstream_connection *held;
 	bool wrote;
 	bool read_only;
+	bool at_primary;
 	bool skip_to_sync;
 	bool busy;
 	bool in_input;
 	GHashTable *statements;
+	size_t statement_bytes;
 	struct request request;
 	int login_timer;
+	int64_t closing_us;
 };
 
 void caller_accept(struct proxy *proxy, int fd);
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -20,6 +20,8 @@
 #define CLASSIFIER_BYTES (8u * 1024 * 1024)
 /* Time between looks at callers that do not read. */
 #define SWEEP_US (250 * 1000ll)
+/* Time for a caller to close after its last answer. */
+#define CLOSE_WAIT_US (1000 * 1000ll)
 /* Connections taken from the listener at once. */
 #define ACCEPT_BATCH 64
 
@@ -73,6 +75,12 @@
 
 	for (i = 0; i < proxy->callers->len; i++) {
 		caller = proxy->callers->pdata[i];
+		if (caller && caller->state == CALLER_CLOSING &&
+		    !pg_buffer_length(caller_out(caller)) &&
+		    now_us - caller->closing_us > CLOSE_WAIT_US) {
+			caller_close(caller);
+			continue;
+		}
 		if (!caller || !caller->stream.stalled_since_us ||
 		    caller->stream.stalled_since_us > limit)
 			continue;
@@ -106,6 +114,7 @@
 	proxy->sweep_timer = timer_subscribe(
 		&proxy->timers, proxy_now() + SWEEP_US, SWEEP_US, sweep, proxy);
 	proxy->drain_timer = TIMER_NONE;
+	proxy->surrender_timer = TIMER_NONE;
 }
 
 static void finish_callers(struct proxy *proxy)
@@ -153,6 +162,14 @@
 	counter_set_finish(&proxy->counters);
 }
 
+void proxy_stop_listening(struct proxy *proxy)
+{
+	if (!ev_is_active(&proxy->listener))
+		return;
+	ev_io_stop(proxy->loop, &proxy->listener);
+	close(proxy->listener.fd);
+}
+
 static void start_loop(struct proxy *proxy, int listener)
 {
 	ev_timer_init(&proxy->tick, on_tick, 0., 0.);
@@ -169,8 +186,7 @@
 {
 	ev_prepare_stop(proxy->loop, &proxy->prepare);
 	ev_timer_stop(proxy->loop, &proxy->tick);
-	ev_io_stop(proxy->loop, &proxy->listener);
-	close(proxy->listener.fd);
+	proxy_stop_listening(proxy);
 }
 
 int proxy_run(struct settings *settings, const char *settings_path,
--- a/comfreywheeld/request.h
+++ b/comfreywheeld/request.h
@@ -169,6 +169,8 @@
 void request_requeue(struct request *req);
 /** request_position() - answer of the position query, NULL if it failed */
 void request_position(struct request *req, const struct position *pos);
+/** request_move() - run a read elsewhere, its upstream does not answer */
+void request_move(struct request *req);
 /** request_lost() - the connection closed under the request */
 void request_lost(struct request *req);
 
@@ -188,8 +190,6 @@
 void request_detach(struct request *req);
 /** request_leave() - leave whatever queue or wait the request is in */
 void request_leave(struct request *req);
-/** request_retry() - run it on another upstream, if that is allowed */
-bool request_retry(struct request *req, enum outcome outcome);
 /** request_send() - write it to its connection */
 void request_send(struct request *req);
 /** request_wait_commit() - withhold the answer until the write is safe */
@@ -202,7 +202,14 @@
 
 /** requests_wake() - decide parked requests of a cluster again */
 void requests_wake(struct proxy *proxy, int cluster);
-/** requests_fence() - end all commits in flight of a cluster and its writes */
-void requests_fence(struct proxy *proxy, int cluster, const char *why);
+/**
+ * requests_fence() - end commits in flight of a cluster and its transactions
+ * @cluster: CLUSTER_NONE for all clusters, each with its own primary
+ * @primary: upstream that was the primary until now
+ *
+ * New requests start while this runs, so the fence is in force before.
+ */
+void requests_fence(struct proxy *proxy, int cluster, int primary,
+		    const char *why);
 
 #endif
--- a/comfreywheeld/request_run.c
+++ b/comfreywheeld/request_run.c
@@ -105,7 +105,8 @@
 {
 	struct proxy *proxy = proxy_of(req);
 
-	if (!req->read || !req->has_lookup || req->must_primary)
+	if (!req->read || !req->has_lookup || req->must_primary ||
+	    cluster_of(req)->primary == upstream)
 		return primary_allowed(req, upstream);
 	return control_client_may_serve(proxy->control, proxy_now());
 }
@@ -114,7 +115,7 @@
 {
 	struct caller *caller = req->caller;
 
-	if (caller->read_only)
+	if (!caller->at_primary)
 		return control_client_may_serve(caller->proxy->control,
 						proxy_now());
 	return primary_allowed(req, conn->home->handle);
@@ -243,8 +244,11 @@
 		caller->read_only = false;
 		return;
 	}
-	if (!was_open)
+	if (!was_open) {
 		caller->read_only = req->begins_read_only;
+		caller->at_primary = req->home->handle ==
+				     cluster_of(req)->primary;
+	}
 	if (req->pending_writes)
 		caller->wrote = true;
 }
@@ -260,9 +264,11 @@
 	conn->request = NULL;
 	if (caller->transaction != 'I') {
 		caller->held = conn;
+		conn->holder = caller;
 		return;
 	}
 	caller->held = NULL;
+	conn->holder = NULL;
 	upstream_home_release(home, conn);
 }
 
@@ -296,6 +302,9 @@
 
 	if (req->hidden_error)
 		report_identity(req);
+	if (req->identified)
+		caller_settings_assign(&caller->settings,
+				       "comfreywheel.request_id", NULL, NULL);
 	release_hold(req);
 	pg_put_ready(caller_out(caller), caller->transaction);
 	request_finish(req);
@@ -310,7 +319,9 @@
 
 void request_steps_done(struct request *req)
 {
-	bool unsure = req->writes && req->saw_complete && !req->hidden_error;
+	/* That it ran already is told once the first run is safe, too. */
+	bool unsure = req->writes && (req->hidden_error ? req->identity_seen :
+							  req->saw_complete);
 
 	req->stage = STAGE_ANSWERED;
 	if (req->admission)
--- a/comfreywheeld/upstream_pool.c
+++ b/comfreywheeld/upstream_pool.c
@@ -43,7 +43,6 @@
 static void free_queue(struct pool_queue *queue)
 {
 	admission_finish(&queue->admission);
-	g_free(queue->pool);
 	g_free(queue);
 }
 
@@ -66,22 +65,22 @@
 }
 
 static struct pool_queue *queue_of(struct upstream_home *home,
-				   const struct pool *pool)
+				   const struct caller_route *route)
 {
 	struct pool_queue *queue;
 	guint i;
 
 	for (i = 0; i < home->queues->len; i++) {
 		queue = home->queues->pdata[i];
-		if (!strcmp(queue->pool, pool->name)) {
-			queue->admission.max_queue = pool->max_queue;
+		if (queue->pool == route->pool) {
+			queue->admission.max_queue = route->max_queue;
 			return queue;
 		}
 	}
 	queue = g_new0(struct pool_queue, 1);
-	queue->pool = g_strdup(pool->name);
-	admission_init(&queue->admission, ADMISSION_FAIR, pool->max_queue,
-		       pool->slots);
+	queue->pool = route->pool;
+	admission_init(&queue->admission, ADMISSION_FAIR, route->max_queue,
+		       route->slots);
 	g_ptr_array_add(home->queues, queue);
 	return queue;
 }
@@ -105,10 +104,15 @@
 	return 2 + home->busy.length + waiting(home);
 }
 
+unsigned upstream_home_limit(const struct upstream_home *home)
+{
+	return home->proxy->surrendered ? 0 : home->share;
+}
+
 /* A place is kept for the probe connection while that is closed. */
 static bool may_open(const struct upstream_home *home)
 {
-	return home->open + (home->probe ? 0 : 1) < home->share &&
+	return home->open + (home->probe ? 0 : 1) < upstream_home_limit(home) &&
 	       proxy_now() >= home->retry_us;
 }
 
@@ -129,14 +133,21 @@
 
 static void trim(struct upstream_home *home)
 {
-	while (home->open > home->share && home->idle.head)
+	while (home->open > upstream_home_limit(home) && home->idle.head)
 		upstream_connection_close(home->idle.head->data, false);
-	while (home->open > home->share && home->opening.head)
+	while (home->open > upstream_home_limit(home) && home->opening.head)
 		upstream_connection_close(home->opening.head->data, false);
-	if (!home->share && home->probe)
+	if (!upstream_home_limit(home) && home->probe)
 		upstream_connection_close(home->probe, false);
 }
 
+void upstream_home_surrender(struct upstream_home *home)
+{
+	while (home->busy.head)
+		upstream_connection_lose(home->busy.head->data);
+	trim(home);
+}
+
 void upstream_home_share(struct upstream_home *home, unsigned connections)
 {
 	home->share = connections;
@@ -144,11 +155,25 @@
 	upstream_home_dispatch(home);
 }
 
+int64_t upstream_home_cost(const struct upstream_home *home)
+{
+	const struct pool_queue *queue;
+	int64_t cost = 0;
+	guint i;
+
+	for (i = 0; i < home->queues->len; i++) {
+		queue = home->queues->pdata[i];
+		cost += admission_waiting(&queue->admission) *
+			queue->admission.service_us;
+	}
+	return cost / MAX(home->open, 1);
+}
+
 bool upstream_home_enqueue(struct upstream_home *home, struct request *req,
-			   const struct route *route, const struct pool *pool,
 			   enum admission_verdict *verdict)
 {
-	struct pool_queue *queue = queue_of(home, pool);
+	const struct caller_route *route = &req->caller->route;
+	struct pool_queue *queue = queue_of(home, route);
 
 	req->tenant = admission_tenant(&queue->admission, route->tenant,
 				       route->weight);
@@ -229,7 +254,8 @@
 			   struct upstream_connection *conn)
 {
 	conn->request = NULL;
-	if (!upstream_connection_is_clean(conn) || home->open > home->share) {
+	if (!upstream_connection_is_clean(conn) ||
+	    home->open > upstream_home_limit(home)) {
 		upstream_connection_close(conn, false);
 		return;
 	}
@@ -282,3 +308,17 @@
 		requeue_one(g_array_index(handles, uint64_t, i), home);
 	g_array_free(handles, TRUE);
 }
+
+void upstream_home_avoid(struct upstream_home *home)
+{
+	GList *at, *next;
+	struct upstream_connection *conn;
+
+	for (at = home->busy.head; home->suspect && at; at = next) {
+		next = at->next;
+		conn = at->data;
+		if (conn->request)
+			request_move(conn->request);
+	}
+	upstream_home_requeue(home);
+}
