Send only what changed in heartbeats and grants

Cause: a heartbeat of 54 bytes and 279 per cluster and a grant of 26 bytes and 104 per cluster, five times a second, cost a daemon with five clusters about 10 KB/s, over the 3 KB/s it may spend for control (slopes by the capacity experiment, exact sizes).

A heartbeat now carries the reports that changed since the last one the leader answered; demand and positions alone are sent once a second. A leader that cannot complete a partial heartbeat asks for a whole one. A grant leaves out clusters and shares whose hash the daemon named.

--- a/comfreywheeld/control_client.c
+++ b/comfreywheeld/control_client.c
@@ -42,20 +42,25 @@
 	g_free(hb->upstreams);
 }
 
-static void send_heartbeat(struct control_client *client, int64_t now_us)
+static void send_heartbeat(struct control_client *client, bool urgent,
+			   int64_t now_us)
 {
 	int64_t silent_us = now_us - client->answered_us;
+	bool search = silent_us >
+		      SILENT_HEARTBEATS * client->settings->heartbeat_us;
 	Wire__Heartbeat hb = WIRE__HEARTBEAT__INIT;
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	unsigned i;
 
 	fill(client, &hb);
 	hb.sequence = lease_heartbeat(&client->lease, now_us);
+	hb.state_hash = client->state_hash;
+	control_delta_trim(&client->delta, &hb, search, urgent, now_us);
 	envelope.body_case = WIRE__ENVELOPE__BODY_HEARTBEAT;
 	envelope.heartbeat = &hb;
 	client->counts.heartbeats++;
 	client->sent_us = now_us;
-	if (silent_us > SILENT_HEARTBEATS * client->settings->heartbeat_us) {
+	if (search) {
 		client->counts.searches++;
 		for (i = 0; i < client->nr_vms; i++)
 			bus_send(client->bus, client->vms[i].handle, &envelope);
@@ -68,7 +73,7 @@
 
 static void on_heartbeat(int64_t now_us, void *data)
 {
-	send_heartbeat(data, now_us);
+	send_heartbeat(data, false, now_us);
 }
 
 static void on_soon(int64_t now_us, void *data)
@@ -76,7 +81,7 @@
 	struct control_client *client = data;
 
 	client->soon_timer = TIMER_NONE;
-	send_heartbeat(client, now_us);
+	send_heartbeat(client, true, now_us);
 }
 
 void control_client_urgent(struct control_client *client, int64_t now_us)
@@ -86,7 +91,7 @@
 	if (client->soon_timer != TIMER_NONE)
 		return;
 	if (now_us >= earliest_us)
-		send_heartbeat(client, now_us);
+		send_heartbeat(client, true, now_us);
 	else
 		client->soon_timer = timer_subscribe(
 			client->timers, earliest_us, 0, on_soon, client);
@@ -123,6 +128,7 @@
 						 g_free, control_known_free);
 	client->shares =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	control_delta_init(&client->delta);
 	client->lease_timer = TIMER_NONE;
 	client->soon_timer = TIMER_NONE;
 	client->sent_us = INT64_MIN / 2;
@@ -157,6 +163,7 @@
 		bus_forget(client->bus, client->vms[i].handle);
 	g_hash_table_destroy(client->clusters);
 	g_hash_table_destroy(client->shares);
+	control_delta_finish(&client->delta);
 	tables_finish(&client->tables);
 	g_free(client);
 }
@@ -195,10 +202,15 @@
 		return;
 	}
 	client->counts.grants++;
+	if (client->raft_term != grant->raft_term || client->leader != vm)
+		client->delta.needs_full = true;
+	control_delta_answered(&client->delta, grant->sequence);
 	client->raft_term = grant->raft_term;
 	client->last_sequence = grant->sequence;
 	client->leader = vm;
 	client->answered_us = now_us;
+	if (!grant->unchanged)
+		client->state_hash = grant->state_hash;
 	/* A fence takes effect before the lease that came with it. */
 	for (i = 0; i < grant->n_clusters; i++)
 		control_merge_cluster(client, grant->clusters[i]);
@@ -228,7 +240,8 @@
 		return;
 	client->redirected_us = now_us;
 	client->leader = i;
-	send_heartbeat(client, now_us);
+	client->delta.needs_full = true;
+	send_heartbeat(client, true, now_us);
 }
 
 static void take_fence(struct control_client *client, unsigned vm,
--- a/comfreywheeld/control_client_internal.h
+++ b/comfreywheeld/control_client_internal.h
@@ -26,6 +26,35 @@
 	struct position acknowledged;
 };
 
+/**
+ * struct control_delta - which reports the leader has
+ * @sent: report key to struct sent_report
+ * @needs_full: until a grant answers a heartbeat with all reports
+ * @full_sequence: last heartbeat with all reports, sent at @full_us
+ * @answered_sequence: last heartbeat the leader answered
+ */
+struct control_delta {
+	GHashTable *sent;
+	bool needs_full;
+	uint64_t full_sequence;
+	int64_t full_us;
+	uint64_t answered_sequence;
+};
+
+void control_delta_init(struct control_delta *delta);
+void control_delta_finish(struct control_delta *delta);
+
+/**
+ * control_delta_trim() - leave out the reports that the leader has
+ * @all: send all reports whatever the leader has
+ * @urgent: report changes of demand and positions now, not once a second
+ */
+void control_delta_trim(struct control_delta *delta, Wire__Heartbeat *hb,
+			bool all, bool urgent, int64_t now_us);
+
+/** control_delta_answered() - a grant answered heartbeat @sequence */
+void control_delta_answered(struct control_delta *delta, uint64_t sequence);
+
 struct control_client {
 	const struct settings *settings;
 	struct bus *bus;
@@ -45,6 +74,8 @@
 	GHashTable *clusters;
 	GHashTable *shares;
 	int64_t sent_us;
+	struct control_delta delta;
+	uint64_t state_hash;
 	int heartbeat_timer;
 	int soon_timer;
 	int lease_timer;
--- a/comfreywheeld/control_leader.c
+++ b/comfreywheeld/control_leader.c
@@ -2,6 +2,7 @@
 #include "log.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Daemons that are remembered; further ones are not answered. */
 #define DAEMONS_MAX 4096
@@ -197,6 +198,32 @@
 	}
 }
 
+/* Leaves out what the daemon said it has. */
+static void trim_grant(Wire__LeaseGrant *grant, const Wire__Heartbeat *hb)
+{
+	Wire__LeaseGrant state = WIRE__LEASE_GRANT__INIT;
+	uint8_t *bytes;
+	size_t i, len;
+
+	state.n_clusters = grant->n_clusters;
+	state.clusters = grant->clusters;
+	state.n_shares = grant->n_shares;
+	state.shares = grant->shares;
+	len = wire__lease_grant__get_packed_size(&state);
+	bytes = g_malloc(len);
+	wire__lease_grant__pack(&state, bytes);
+	grant->state_hash = XXH64(bytes, len, 0);
+	g_free(bytes);
+	if (grant->state_hash != hb->state_hash)
+		return;
+	for (i = 0; i < grant->n_clusters; i++)
+		wire__cluster_state__free_unpacked(grant->clusters[i], NULL);
+	for (i = 0; i < grant->n_shares; i++)
+		wire__share__free_unpacked(grant->shares[i], NULL);
+	grant->n_clusters = grant->n_shares = 0;
+	grant->unchanged = true;
+}
+
 /* Released as protobuf-c releases an unpacked message: all is allocated. */
 static void grant_lease(struct control *c, struct control_daemon *d)
 {
@@ -213,6 +240,7 @@
 	add_clusters(c, hb, grant);
 	add_shares(c, hb, grant);
 	add_members(c, hb, grant);
+	trim_grant(grant, hb);
 	lease_table_grant(&c->leases, d->name, d->received_us);
 	d->granted_us = control_now();
 	d->grant_due = false;
@@ -310,8 +338,15 @@
 		d = control_daemon_new(hb->daemon);
 		g_hash_table_insert(c->daemons, d->name, d);
 	}
-	if (!control_daemon_hear(d, hb, control_now()))
+	switch (control_daemon_hear(d, hb, control_now())) {
+	case CONTROL_HEARD_NEW:
+		break;
+	case CONTROL_HEARD_OLD:
 		return;
+	case CONTROL_HEARD_TOO_LITTLE:
+		control_redirect(c, from);
+		return;
+	}
 	d->from = *from;
 	d->grant_due = true;
 	if (!c->ready)
--- a/comfreywheeld/control_view.c
+++ b/comfreywheeld/control_view.c
@@ -29,22 +29,76 @@
 	g_free(d);
 }
 
-bool control_daemon_hear(struct control_daemon *d, const Wire__Heartbeat *hb,
-			 int64_t now_us)
+static bool has_cluster(const Wire__Heartbeat *hb, const Wire__ClusterReport *c)
+{
+	size_t i;
+
+	for (i = 0; i < hb->n_clusters; i++)
+		if (!strcmp(hb->clusters[i]->cluster, c->cluster) &&
+		    !strcmp(hb->clusters[i]->service, c->service))
+			return true;
+	return false;
+}
+
+static bool has_upstream(const Wire__Heartbeat *hb, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < hb->n_upstreams; i++)
+		if (!strcmp(hb->upstreams[i]->name, name))
+			return true;
+	return false;
+}
+
+/* Moves the reports that a partial heartbeat leaves out from the last one. */
+static void carry_over(Wire__Heartbeat *hb, Wire__Heartbeat *last)
+{
+	size_t i;
+
+	hb->clusters = g_renew(Wire__ClusterReport *, hb->clusters,
+			       hb->n_clusters + last->n_clusters);
+	for (i = 0; i < last->n_clusters; i++) {
+		if (has_cluster(hb, last->clusters[i]))
+			continue;
+		hb->clusters[hb->n_clusters++] = last->clusters[i];
+		last->clusters[i--] = last->clusters[--last->n_clusters];
+	}
+	hb->upstreams = g_renew(Wire__UpstreamReport *, hb->upstreams,
+				hb->n_upstreams + last->n_upstreams);
+	for (i = 0; i < last->n_upstreams; i++) {
+		if (has_upstream(hb, last->upstreams[i]->name))
+			continue;
+		hb->upstreams[hb->n_upstreams++] = last->upstreams[i];
+		last->upstreams[i--] = last->upstreams[--last->n_upstreams];
+	}
+}
+
+enum control_heard control_daemon_hear(struct control_daemon *d,
+				       const Wire__Heartbeat *hb,
+				       int64_t now_us)
 {
 	g_autofree uint8_t *bytes = NULL;
+	Wire__Heartbeat *copy;
 	size_t len;
 
 	if (d->last && d->last->incarnation == hb->incarnation &&
 	    hb->sequence <= d->last->sequence)
-		return false;
+		return CONTROL_HEARD_OLD;
+	if (hb->partial &&
+	    (!d->last || d->last->incarnation != hb->incarnation))
+		return CONTROL_HEARD_TOO_LITTLE;
 	bytes = g_malloc(wire__heartbeat__get_packed_size(hb));
 	len = wire__heartbeat__pack(hb, bytes);
+	copy = wire__heartbeat__unpack(NULL, len, bytes);
+	if (!copy)
+		return CONTROL_HEARD_OLD;
+	if (hb->partial)
+		carry_over(copy, d->last);
 	if (d->last)
 		wire__heartbeat__free_unpacked(d->last, NULL);
-	d->last = wire__heartbeat__unpack(NULL, len, bytes);
+	d->last = copy;
 	d->received_us = now_us;
-	return d->last;
+	return CONTROL_HEARD_NEW;
 }
 
 const struct control_member *
--- a/comfreywheeld/control_view.h
+++ b/comfreywheeld/control_view.h
@@ -38,9 +38,21 @@
 
 struct control_daemon *control_daemon_new(const char *name);
 void control_daemon_free(void *daemon);
-/** control_daemon_hear() - take a heartbeat; false if it is an old one */
-bool control_daemon_hear(struct control_daemon *daemon,
-			 const Wire__Heartbeat *heartbeat, int64_t now_us);
+/**
+ * enum control_heard - what became of a heartbeat
+ * @CONTROL_HEARD_OLD: older than the last one, or of no use
+ * @CONTROL_HEARD_TOO_LITTLE: partial, and nothing is known to complete it
+ */
+enum control_heard {
+	CONTROL_HEARD_NEW,
+	CONTROL_HEARD_OLD,
+	CONTROL_HEARD_TOO_LITTLE,
+};
+
+/** control_daemon_hear() - take a heartbeat in */
+enum control_heard control_daemon_hear(struct control_daemon *daemon,
+				       const Wire__Heartbeat *heartbeat,
+				       int64_t now_us);
 
 /** struct control_facts - all that decisions depend on */
 struct control_facts {
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -2098,7 +2098,7 @@
   (ProtobufCMessageInit) wire__upstream_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__heartbeat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__heartbeat__field_descriptors[12] =
 {
   {
     "daemon",
@@ -2220,6 +2220,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "partial",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Heartbeat, partial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_hash",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Heartbeat, state_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__heartbeat__field_indices_by_name[] = {
   4,   /* field[4] = availability_zone */
@@ -2229,14 +2253,16 @@
   8,   /* field[8] = draining */
   1,   /* field[1] = incarnation */
   9,   /* field[9] = members_version */
+  10,   /* field[10] = partial */
   2,   /* field[2] = sequence */
+  11,   /* field[11] = state_hash */
   3,   /* field[3] = tables_version */
   7,   /* field[7] = upstreams */
 };
 static const ProtobufCIntRange wire__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__heartbeat__descriptor =
 {
@@ -2246,7 +2272,7 @@
   "Wire__Heartbeat",
   "wire",
   sizeof(Wire__Heartbeat),
-  10,
+  12,
   wire__heartbeat__field_descriptors,
   wire__heartbeat__field_indices_by_name,
   1,  wire__heartbeat__number_ranges,
@@ -2471,7 +2497,7 @@
   (ProtobufCMessageInit) wire__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__lease_grant__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__lease_grant__field_descriptors[11] =
 {
   {
     "sequence",
@@ -2581,6 +2607,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state_hash",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, state_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unchanged",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, unchanged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__lease_grant__field_indices_by_name[] = {
   4,   /* field[4] = clusters */
@@ -2591,12 +2641,14 @@
   8,   /* field[8] = raft_term */
   0,   /* field[0] = sequence */
   5,   /* field[5] = shares */
+  9,   /* field[9] = state_hash */
   3,   /* field[3] = tables_version */
+  10,   /* field[10] = unchanged */
 };
 static const ProtobufCIntRange wire__lease_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__lease_grant__descriptor =
 {
@@ -2606,7 +2658,7 @@
   "Wire__LeaseGrant",
   "wire",
   sizeof(Wire__LeaseGrant),
-  9,
+  11,
   wire__lease_grant__field_descriptors,
   wire__lease_grant__field_indices_by_name,
   1,  wire__lease_grant__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -176,10 +176,19 @@
   Wire__UpstreamReport **upstreams;
   protobuf_c_boolean draining;
   uint64_t members_version;
+  /*
+   * Reports that are not here are as in the last heartbeat that this leader
+   * answered.
+   */
+  protobuf_c_boolean partial;
+  /*
+   * state_hash of the last grant taken in.
+   */
+  uint64_t state_hash;
 };
 #define WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Wire__ClusterState
@@ -242,12 +251,20 @@
   size_t n_members;
   Wire__Member **members;
   uint64_t raft_term;
+  /*
+   * Hash of clusters and shares; both are left out if the heartbeat names it.
+   */
+  uint64_t state_hash;
+  protobuf_c_boolean unchanged;
 };
 #define WIRE__LEASE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__lease_grant__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
 
 
+/*
+ * The answer of the leader itself asks for a heartbeat with all reports.
+ */
 struct  Wire__Redirect
 {
   ProtobufCMessage base;
--- a/tests/test_control_failover.c
+++ b/tests/test_control_failover.c
@@ -218,7 +218,8 @@
 			d = control_daemon_new(name);
 			g_hash_table_insert(c->daemons, d->name, d);
 		}
-		ck_assert(control_daemon_hear(d, &hb, now_us));
+		ck_assert_int_eq(control_daemon_hear(d, &hb, now_us),
+				 CONTROL_HEARD_NEW);
 		lease_table_grant(&c->leases, name, now_us);
 		for (i = 0; i < 3; i++) {
 			g_free(up[i].name);
--- a/tests/test_control_task.c
+++ b/tests/test_control_task.c
@@ -117,7 +117,8 @@
 	hb.n_clusters = cluster != NULL;
 	hb.upstreams = &upstream;
 	hb.n_upstreams = upstream != NULL;
-	ck_assert(control_daemon_hear(d, &hb, f->facts.now_us));
+	ck_assert_int_eq(control_daemon_hear(d, &hb, f->facts.now_us),
+			 CONTROL_HEARD_NEW);
 	d->granted_us = f->facts.now_us;
 	lease_table_grant(&f->leases, name, f->facts.now_us);
 }
@@ -190,15 +191,15 @@
 	hb.daemon = "vm-1";
 	hb.incarnation = 5;
 	hb.sequence = 9;
-	ck_assert(control_daemon_hear(d, &hb, 100));
-	ck_assert(!control_daemon_hear(d, &hb, 200));
+	ck_assert_int_eq(control_daemon_hear(d, &hb, 100), CONTROL_HEARD_NEW);
+	ck_assert_int_eq(control_daemon_hear(d, &hb, 200), CONTROL_HEARD_OLD);
 	hb.sequence = 8;
-	ck_assert(!control_daemon_hear(d, &hb, 200));
+	ck_assert_int_eq(control_daemon_hear(d, &hb, 200), CONTROL_HEARD_OLD);
 	ck_assert_int_eq(d->received_us, 100);
 	/* A restarted daemon counts from the start again. */
 	hb.incarnation = 6;
 	hb.sequence = 1;
-	ck_assert(control_daemon_hear(d, &hb, 200));
+	ck_assert_int_eq(control_daemon_hear(d, &hb, 200), CONTROL_HEARD_NEW);
 	control_daemon_free(d);
 }
 END_TEST
