Do not report an upstream as suspect when it rejects a start-up

An upstream with too many connections answers the start-up of a probe with an error. That counted like a refused connection, of which two make a primary suspect, so a full database could have been replaced.

--- a/comfreywheeld/caller_query.c
+++ b/comfreywheeld/caller_query.c
@@ -59,6 +59,37 @@
 		     "Send ROLLBACK and run the transaction again.");
 }
 
+/* Return: true if the statement needs no upstream, and is answered. */
+static bool answer_here(struct caller *caller, const struct sql_class *class)
+{
+	bool commit = class->kind == SQL_COMMIT;
+
+	switch (class->kind) {
+	case SQL_PRODUCT_SET:
+	case SQL_PRODUCT_SHOW:
+		caller_local(caller, class);
+		return true;
+	case SQL_EMPTY:
+		answer_empty(caller);
+		return true;
+	case SQL_REFUSED:
+		refuse(caller, class);
+		return true;
+	default:
+		break;
+	}
+	if (caller->transaction != 'I' && !caller->held) {
+		after_loss(caller, class);
+		return true;
+	}
+	if (caller->transaction == 'I' &&
+	    (commit || class->kind == SQL_ROLLBACK)) {
+		complete(caller, commit ? "COMMIT" : "ROLLBACK");
+		return true;
+	}
+	return false;
+}
+
 static void simple_query(struct caller *caller, const struct pg_frame *frame,
 			 const uint8_t *data)
 {
@@ -82,28 +113,8 @@
 		return;
 	}
 	class = sql_classify(&caller->proxy->classifier, sql);
-	if (class->kind == SQL_PRODUCT_SET || class->kind == SQL_PRODUCT_SHOW) {
-		caller_local(caller, class);
+	if (answer_here(caller, class))
 		return;
-	}
-	if (class->kind == SQL_EMPTY) {
-		answer_empty(caller);
-		return;
-	}
-	if (class->kind == SQL_REFUSED) {
-		refuse(caller, class);
-		return;
-	}
-	if (caller->transaction != 'I' && !caller->held) {
-		after_loss(caller, class);
-		return;
-	}
-	if (caller->transaction == 'I' &&
-	    (class->kind == SQL_COMMIT || class->kind == SQL_ROLLBACK)) {
-		complete(caller,
-			 class->kind == SQL_COMMIT ? "COMMIT" : "ROLLBACK");
-		return;
-	}
 	request_classify(&caller->request, class->kind, class->read_only);
 	caller_start(caller, data, frame->frame_len);
 }
--- a/comfreywheeld/main.c
+++ b/comfreywheeld/main.c
@@ -2,6 +2,7 @@
 
 #include "control_task.h"
 #include "log.h"
+#include "users.h"
 
 #include <argtable2.h>
 #include <signal.h>
@@ -38,6 +39,21 @@
 	return status;
 }
 
+static int check_users(const struct settings *settings)
+{
+	GHashTable *users = NULL;
+	GError *error = NULL;
+
+	if (!users_load(settings->users_file, &users, &error)) {
+		fprintf(stderr, "%s: %s\n", PROGRAM, error->message);
+		g_error_free(error);
+		return EXIT_USAGE;
+	}
+	if (users)
+		g_hash_table_destroy(users);
+	return EXIT_SUCCESS;
+}
+
 static int load_and_run(const char *path, bool check_only)
 {
 	struct settings settings;
@@ -50,7 +66,9 @@
 		g_error_free(error);
 		status = EXIT_USAGE;
 	} else if (check_only) {
-		printf("%s: settings are valid\n", path);
+		status = check_users(&settings);
+		if (status == EXIT_SUCCESS)
+			printf("%s: settings are valid\n", path);
 	} else {
 		status = run(&settings, path);
 	}
--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -114,7 +114,7 @@
 	conn->request = NULL;
 	conn->holder = NULL;
 	conn->doomed = true;
-	upstream_connection_close(conn, false);
+	upstream_connection_close(conn, UPSTREAM_ENDED);
 }
 
 /* The transaction, if one was open, is lost with its connection. */
--- a/comfreywheeld/request_commit.c
+++ b/comfreywheeld/request_commit.c
@@ -115,7 +115,7 @@
 	}
 	if (req->state == REQUEST_NONE && caller->held &&
 	    caller->held->home->handle == primary)
-		upstream_connection_close(caller->held, false);
+		upstream_connection_close(caller->held, UPSTREAM_ENDED);
 }
 
 /* Without a cluster, the primary of each caller's own. */
--- a/comfreywheeld/upstream_connection.c
+++ b/comfreywheeld/upstream_connection.c
@@ -1,10 +1,11 @@
 #include "upstream_connection.h"
 
 #include "caller.h"
-#include "log.h"
 #include "net.h"
 #include "upstream_pool.h"
+#include "upstream_startup.h"
 
+#include <errno.h>
 #include <string.h>
 
 /* A frame above this is relayed piecewise, bytes. */
@@ -29,7 +30,8 @@
 	holder->transaction = 'E';
 }
 
-void upstream_connection_close(struct upstream_connection *conn, bool refused)
+void upstream_connection_close(struct upstream_connection *conn,
+			       enum upstream_end end)
 {
 	struct upstream_home *home = conn->home;
 
@@ -40,95 +42,21 @@
 	stream_close(&conn->stream);
 	parsed_statements_finish(&conn->parsed);
 	proxy_count(proxy_of(conn), COUNT_UPSTREAM_CLOSED);
-	upstream_home_gone(home, conn, refused);
+	upstream_home_gone(home, conn, end);
 	proxy_discard(home->proxy, conn);
 }
 
-static void lose(struct upstream_connection *conn, bool refused)
+void upstream_connection_lose(struct upstream_connection *conn,
+			      enum upstream_end end)
 {
 	struct request *req = conn->request;
 
 	conn->request = NULL;
-	upstream_connection_close(conn, refused);
+	upstream_connection_close(conn, end);
 	if (req)
 		request_lost(req);
 }
 
-void upstream_connection_lose(struct upstream_connection *conn)
-{
-	lose(conn, false);
-}
-
-static void start_up_failed(struct upstream_connection *conn, const char *why)
-{
-	struct upstream_home *home = conn->home;
-
-	proxy_count(home->proxy, COUNT_UPSTREAM_FAILED);
-	if (!home->refused)
-		log_warning("upstream %s refuses the start-up: %s", home->name,
-			    why);
-	lose(conn, true);
-}
-
-static const char *authentication_remedy(uint32_t kind)
-{
-	if (kind == 10)
-		return "it asks for SCRAM; allow this VM by trust in its "
-		       "pg_hba.conf";
-	return "it asks for an unsupported login; allow this VM by trust in "
-	       "its pg_hba.conf";
-}
-
-static void note_parameter(struct upstream_connection *conn,
-			   const struct pg_frame *frame)
-{
-	struct pg_reader r;
-	const char *name, *value;
-
-	pg_reader_init(&r, frame->payload, frame->payload_len);
-	name = pg_read_string(&r);
-	value = pg_read_string(&r);
-	if (!r.failed)
-		g_hash_table_replace(proxy_of(conn)->parameters, g_strdup(name),
-				     g_strdup(value));
-}
-
-static const char *error_text(const struct pg_frame *frame)
-{
-	const char *text =
-		pg_error_field(frame->payload, frame->payload_len, 'M');
-
-	return text ? text : "an error without a message";
-}
-
-static void start_up_frame(struct upstream_connection *conn,
-			   const struct pg_frame *frame)
-{
-	struct pg_reader r;
-	uint32_t kind;
-
-	pg_reader_init(&r, frame->payload, frame->payload_len);
-	switch (frame->type) {
-	case 'R':
-		kind = pg_read_u32(&r);
-		if (kind)
-			start_up_failed(conn, authentication_remedy(kind));
-		return;
-	case 'S':
-		note_parameter(conn, frame);
-		return;
-	case 'K':
-		conn->pid = pg_read_u32(&r);
-		conn->secret = pg_read_u32(&r);
-		return;
-	case 'E':
-		start_up_failed(conn, error_text(frame));
-		return;
-	default:
-		return;
-	}
-}
-
 static void position_frame(struct upstream_connection *conn,
 			   const struct pg_frame *frame)
 {
@@ -214,7 +142,7 @@
 		       const struct pg_frame *frame)
 {
 	if (conn->state == UPSTREAM_STARTING) {
-		start_up_frame(conn, frame);
+		upstream_startup_frame(conn, frame);
 		return true;
 	}
 	if (!conn->nr_steps)
@@ -301,10 +229,10 @@
 			return true;
 		if (frame.frame_len <= PG_FRAME_MAX)
 			return false;
-		lose(conn, false);
+		upstream_connection_lose(conn, UPSTREAM_ENDED);
 		return false;
 	case PG_FRAME_INVALID:
-		lose(conn, false);
+		upstream_connection_lose(conn, UPSTREAM_ENDED);
 		return false;
 	case PG_FRAME_READY:
 		break;
@@ -318,7 +246,7 @@
 		taken = take_frame(conn, &frame);
 	}
 	if (!taken) {
-		lose(conn, false);
+		upstream_connection_lose(conn, UPSTREAM_ENDED);
 		return false;
 	}
 	if (conn->state != UPSTREAM_CLOSED)
@@ -358,7 +286,12 @@
 {
 	struct upstream_connection *conn = data;
 
-	lose(conn, conn->state != UPSTREAM_READY);
+	if (conn->state == UPSTREAM_READY)
+		upstream_connection_lose(conn, UPSTREAM_ENDED);
+	else if (conn->state == UPSTREAM_CONNECTING && err == ECONNREFUSED)
+		upstream_connection_lose(conn, UPSTREAM_REFUSED);
+	else
+		upstream_connection_lose(conn, UPSTREAM_BROKEN);
 }
 
 static const struct stream_events connection_events = {
--- a/comfreywheeld/upstream_connection.h
+++ b/comfreywheeld/upstream_connection.h
@@ -35,6 +35,18 @@
 
 #define UPSTREAM_STEPS 8
 
+/** enum upstream_end - why a connection was closed */
+enum upstream_end {
+	/** by this daemon, or after its start-up */
+	UPSTREAM_ENDED,
+	/** the upstream's system refused it: nobody listens */
+	UPSTREAM_REFUSED,
+	/** the upstream refused its start-up, and is alive */
+	UPSTREAM_REJECTED,
+	/** before the start-up was done, for another reason */
+	UPSTREAM_BROKEN,
+};
+
 /**
  * struct upstream_connection - one connection
  * @request: what runs on it, NULL if idle
@@ -72,10 +84,12 @@
 						     bool probe);
 
 /** upstream_connection_close() - close; its request, if any, is not told */
-void upstream_connection_close(struct upstream_connection *conn, bool refused);
+void upstream_connection_close(struct upstream_connection *conn,
+			       enum upstream_end end);
 
 /** upstream_connection_lose() - close; its request is told */
-void upstream_connection_lose(struct upstream_connection *conn);
+void upstream_connection_lose(struct upstream_connection *conn,
+			      enum upstream_end end);
 
 void upstream_connection_step(struct upstream_connection *conn,
 			      enum upstream_step step);
--- a/comfreywheeld/upstream_pool.c
+++ b/comfreywheeld/upstream_pool.c
@@ -37,7 +37,7 @@
 static void close_all(GQueue *queue)
 {
 	while (queue->head)
-		upstream_connection_close(queue->head->data, false);
+		upstream_connection_close(queue->head->data, UPSTREAM_ENDED);
 }
 
 static void free_queue(struct pool_queue *queue)
@@ -53,7 +53,7 @@
 	home->share = 0;
 	timer_cancel(&home->proxy->timers, &home->probe_timer);
 	if (home->probe)
-		upstream_connection_close(home->probe, false);
+		upstream_connection_close(home->probe, UPSTREAM_ENDED);
 	close_all(&home->idle);
 	close_all(&home->busy);
 	close_all(&home->opening);
@@ -134,17 +134,19 @@
 static void trim(struct upstream_home *home)
 {
 	while (home->open > upstream_home_limit(home) && home->idle.head)
-		upstream_connection_close(home->idle.head->data, false);
+		upstream_connection_close(home->idle.head->data,
+					  UPSTREAM_ENDED);
 	while (home->open > upstream_home_limit(home) && home->opening.head)
-		upstream_connection_close(home->opening.head->data, false);
+		upstream_connection_close(home->opening.head->data,
+					  UPSTREAM_ENDED);
 	if (!upstream_home_limit(home) && home->probe)
-		upstream_connection_close(home->probe, false);
+		upstream_connection_close(home->probe, UPSTREAM_ENDED);
 }
 
 void upstream_home_surrender(struct upstream_home *home)
 {
 	while (home->busy.head)
-		upstream_connection_lose(home->busy.head->data);
+		upstream_connection_lose(home->busy.head->data, UPSTREAM_ENDED);
 	trim(home);
 }
 
@@ -239,6 +241,7 @@
 void upstream_home_ready(struct upstream_home *home,
 			 struct upstream_connection *conn)
 {
+	home->rejected = false;
 	home->refused = 0;
 	home->retry_us = 0;
 	if (conn->probe) {
@@ -256,7 +259,7 @@
 	conn->request = NULL;
 	if (!upstream_connection_is_clean(conn) ||
 	    home->open > upstream_home_limit(home)) {
-		upstream_connection_close(conn, false);
+		upstream_connection_close(conn, UPSTREAM_ENDED);
 		return;
 	}
 	g_queue_remove(&home->busy, conn);
@@ -265,20 +268,20 @@
 }
 
 void upstream_home_gone(struct upstream_home *home,
-			struct upstream_connection *conn, bool refused)
+			struct upstream_connection *conn, enum upstream_end end)
 {
 	home->open--;
-	if (refused)
+	if (end != UPSTREAM_ENDED)
 		home->retry_us = proxy_now() + REOPEN_DELAY_US;
 	if (conn == home->probe) {
 		home->probe = NULL;
-		upstream_probe_lost(home, refused);
+		upstream_probe_lost(home, end);
 		return;
 	}
 	g_queue_remove(&home->idle, conn);
 	g_queue_remove(&home->busy, conn);
 	g_queue_remove(&home->opening, conn);
-	if (!refused)
+	if (end == UPSTREAM_ENDED)
 		open_needed(home);
 }
 
--- a/comfreywheeld/upstream_pool.h
+++ b/comfreywheeld/upstream_pool.h
@@ -27,6 +27,7 @@
  * @opening: connections not ready yet, the probe connection aside
  * @open: all connections, from connect() to close()
  * @share: connections granted
+ * @rejected: refused a start-up since the last one that succeeded
  * @suspect: misses probes or refuses connections
  * @position_wanted: ask for the position again once it has answered
  * @refused: consecutive refused connections of the probe
@@ -48,6 +49,7 @@
 	unsigned turn;
 	int probe_timer;
 	bool suspect;
+	bool rejected;
 	bool position_wanted;
 };
 
@@ -81,7 +83,8 @@
 
 /** upstream_home_gone() - @conn is closed; forget it */
 void upstream_home_gone(struct upstream_home *home,
-			struct upstream_connection *conn, bool refused);
+			struct upstream_connection *conn,
+			enum upstream_end end);
 
 /** upstream_home_wanted() - connections that could be used now */
 unsigned upstream_home_wanted(const struct upstream_home *home);
@@ -90,7 +93,7 @@
 void upstream_probe_start(struct upstream_home *home);
 void upstream_probe_ready(struct upstream_home *home);
 /** upstream_probe_lost() - the probe connection is closed */
-void upstream_probe_lost(struct upstream_home *home, bool refused);
+void upstream_probe_lost(struct upstream_home *home, enum upstream_end end);
 /** upstream_home_probed() - the position query on it was answered */
 void upstream_home_probed(struct upstream_home *home, bool has_position);
 /** upstream_probe_ask() - ask for the position now, for waiting commits */
--- a/comfreywheeld/upstream_probe.c
+++ b/comfreywheeld/upstream_probe.c
@@ -89,7 +89,7 @@
 	missed(home);
 	up = directory_upstream_at(&home->proxy->directory, home->handle);
 	if (up->missed_probes % REOPEN_MISSED == 0)
-		upstream_connection_close(probe, false);
+		upstream_connection_close(probe, UPSTREAM_ENDED);
 }
 
 void upstream_probe_start(struct upstream_home *home)
@@ -106,12 +106,17 @@
 	ask(home);
 }
 
-void upstream_probe_lost(struct upstream_home *home, bool refused)
+/*
+ * An upstream that refuses the start-up, for instance since it has too many
+ * connections, is alive and must not be replaced for it.
+ */
+void upstream_probe_lost(struct upstream_home *home, enum upstream_end end)
 {
 	if (!upstream_home_limit(home))
 		return;
-	home->refused = refused ? home->refused + 1 : 0;
-	missed(home);
+	home->refused = end == UPSTREAM_REFUSED ? home->refused + 1 : 0;
+	if (end != UPSTREAM_REJECTED)
+		missed(home);
 }
 
 void upstream_home_probed(struct upstream_home *home, bool has_position)
