Follow the leader that a control VM names in its verdict

The control role answers a change with "not leader" and the leader's identity, so the tool goes there instead of to the next address. Control VMs have no counters, so counters asks a daemon only.

--- a/comfreywheelctl/commands/apply.c
+++ b/comfreywheelctl/commands/apply.c
@@ -44,6 +44,19 @@
 		       change->request.request_id);
 }
 
+/* The leader that a control VM names instead of a verdict, 0 if none. */
+static uint64_t leader_of(const Wire__Envelope *reply)
+{
+	switch (reply->body_case) {
+	case WIRE__ENVELOPE__BODY_REDIRECT:
+		return reply->redirect->leader;
+	case WIRE__ENVELOPE__BODY_APPLY_VERDICT:
+		return reply->apply_verdict->leader;
+	default:
+		return 0;
+	}
+}
+
 /* Asks one control VM; true when a verdict came. */
 static bool attempt(struct change *change, const char *address,
 		    struct ctl_rounds *rounds)
@@ -64,8 +77,7 @@
 		change->answer = reply;
 		return true;
 	}
-	if (reply->body_case == WIRE__ENVELOPE__BODY_REDIRECT)
-		ctl_rounds_redirect(rounds, reply->redirect->leader);
+	ctl_rounds_redirect(rounds, leader_of(reply));
 	wire__envelope__free_unpacked(reply, NULL);
 	return false;
 }
--- a/comfreywheelctl/commands/counters.c
+++ b/comfreywheelctl/commands/counters.c
@@ -5,7 +5,7 @@
 	struct ctl_table table;
 	int code;
 
-	ctl_table_init(&table, CTL_EITHER);
+	ctl_table_init(&table, CTL_DAEMON);
 	code = ctl_table_parse(&table, ctl, argc, argv);
 	if (code < 0)
 		code = ctl_run_query(ctl, ctl->daemon, "counters", NULL);
--- a/comfreywheelctl/completion.bash
+++ b/comfreywheelctl/completion.bash
@@ -28,8 +28,8 @@
 	case $command in
 	apply) words="$client --control --base-version --request-id --operator" ;;
 	audit) words="$client --control" ;;
-	counters | diff | show | status) words="$client --control --daemon" ;;
-	drain) words="$client --daemon" ;;
+	diff | show | status) words="$client --control --daemon" ;;
+	counters | drain) words="$client --daemon" ;;
 	keygen) words='--public-key-file --secret-key-file' ;;
 	member) words="$client --control list add promote remove" ;;
 	user) words='--iterations' ;;
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -30,6 +30,7 @@
 	STEP_CONFLICT,
 	STEP_REFUSE,
 	STEP_NOT_LEADER,
+	STEP_NOT_LEADER_BUT_3,
 	STEP_REDIRECT_TO_3,
 	STEP_SILENT,
 };
@@ -74,11 +75,12 @@
 	verdict.verdict =
 		step == STEP_CONFLICT ? WIRE__APPLY_VERDICT__VERDICT__CONFLICT :
 		step == STEP_REFUSE   ? WIRE__APPLY_VERDICT__VERDICT__REFUSED :
-		step == STEP_NOT_LEADER ?
+		step == STEP_NOT_LEADER || step == STEP_NOT_LEADER_BUT_3 ?
 				      WIRE__APPLY_VERDICT__VERDICT__NOT_LEADER :
 				      WIRE__APPLY_VERDICT__VERDICT__ACCEPTED;
 	verdict.winner = step == STEP_CONFLICT ? "anna" : "";
 	verdict.message = step == STEP_REFUSE ? "routes:1: wrong; mend it" : "";
+	verdict.leader = step == STEP_NOT_LEADER_BUT_3 ? 3 : 0;
 	redirect.leader = 3;
 	envelope.body_case = WIRE__ENVELOPE__BODY_APPLY_VERDICT;
 	envelope.apply_verdict = &verdict;
@@ -268,6 +270,7 @@
 static const enum step conflict[] = { STEP_CONFLICT };
 static const enum step refuse[] = { STEP_REFUSE };
 static const enum step not_leader[] = { STEP_NOT_LEADER };
+static const enum step not_leader_but_3[] = { STEP_NOT_LEADER_BUT_3 };
 static const enum step redirect[] = { STEP_REDIRECT_TO_3 };
 static const enum step silent[] = { STEP_SILENT };
 
@@ -350,6 +353,14 @@
 	  "",
 	  { 1, 1 },
 	  7 },
+	{ STEPS(not_leader_but_3),
+	  STEPS(conflict),
+	  "ctl apply --control VMS3 ROUTES POOLS",
+	  CTL_OK,
+	  "accepted",
+	  "",
+	  { 1, 0, 1 },
+	  7 },
 	{ STEPS(redirect),
 	  STEPS(conflict),
 	  "ctl apply --control VMS3 --request-id again-1 ROUTES POOLS",
@@ -476,6 +487,7 @@
 	{ "ctl status --control VMS --public-key-file x", CTL_USAGE,
 	  "give both" },
 	{ "ctl drain", CTL_USAGE, "give --daemon" },
+	{ "ctl counters", CTL_USAGE, "give --daemon" },
 	{ "ctl member --control VMS evict x", CTL_USAGE, "use list, add" },
 	{ "ctl member --control VMS add 3", CTL_USAGE, "ID IP:PORT" },
 	{ "ctl member --control VMS add x 127.0.0.1:1", CTL_USAGE,
