Print lists of objects as tables

Status lists clusters, daemons and control VMs with up to ten members each; one line per member spread a cluster over eight lines, in which an operator cannot look a row up. Lists of flat objects are tables with aligned columns now. The test path_isolated, which looks for cluster and primary in one line, failed before and passes.

--- a/comfreywheelctl/output.c
+++ b/comfreywheelctl/output.c
@@ -44,6 +44,116 @@
 	free(text);
 }
 
+static bool is_flat(json_t *object)
+{
+	const char *key;
+	json_t *item;
+
+	json_object_foreach(object, key,
+			    item) if (json_is_object(item) ||
+				      json_is_array(item)) return false;
+	return json_is_object(object);
+}
+
+static bool is_table(json_t *array)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(array, i, row) if (!is_flat(row)) return false;
+	return json_array_size(array) > 0;
+}
+
+static char *cell_text(const json_t *value)
+{
+	char *text, *copy;
+
+	if (!value || (json_is_string(value) && !json_string_length(value)))
+		return g_strdup("-");
+	if (json_is_string(value))
+		return g_strdup(json_string_value(value));
+	text = json_dumps(value, JSON_ENCODE_ANY);
+	copy = g_strdup(text);
+	free(text);
+	return copy;
+}
+
+/* Rows may lack members, so the columns are those of all rows. */
+static GPtrArray *column_names(json_t *rows)
+{
+	GPtrArray *names = g_ptr_array_new();
+	const char *key;
+	json_t *row, *item;
+	size_t i;
+
+	json_array_foreach(rows, i, row) json_object_foreach(
+		row, key,
+		item) if (!g_ptr_array_find_with_equal_func(names, key,
+							    g_str_equal, NULL))
+		g_ptr_array_add(names, (void *)key);
+	return names;
+}
+
+static int column_width(json_t *rows, const char *name)
+{
+	glong width = g_utf8_strlen(name, -1);
+	json_t *row;
+	char *text;
+	size_t i;
+
+	json_array_foreach(rows, i, row)
+	{
+		text = cell_text(json_object_get(row, name));
+		width = MAX(width, g_utf8_strlen(text, -1));
+		g_free(text);
+	}
+	return width;
+}
+
+/* The last column is not filled up, so that no line ends in spaces. */
+static void print_cell(FILE *to, const char *text, int width, bool last)
+{
+	int fill = width - (int)g_utf8_strlen(text, -1);
+
+	fprintf(to, "%s%*s", text, last ? 0 : fill + INDENT, "");
+	if (last)
+		fputc('\n', to);
+}
+
+static void print_row(FILE *to, json_t *row, const GPtrArray *names,
+		      const int *widths, int indent)
+{
+	const char *name;
+	char *text;
+	guint k;
+
+	fprintf(to, "%*s", indent, "");
+	for (k = 0; k < names->len; k++) {
+		name = names->pdata[k];
+		text = row ? cell_text(json_object_get(row, name)) :
+			     g_strdup(name);
+		print_cell(to, text, widths[k], k + 1 == names->len);
+		g_free(text);
+	}
+}
+
+static void print_table(FILE *to, json_t *rows, int indent)
+{
+	GPtrArray *names = column_names(rows);
+	int *widths = g_new0(int, names->len);
+	json_t *row;
+	size_t i;
+	guint k;
+
+	for (k = 0; k < names->len; k++)
+		widths[k] = column_width(rows, names->pdata[k]);
+	print_row(to, NULL, names, widths, indent);
+	json_array_foreach(rows, i, row)
+		print_row(to, row, names, widths, indent);
+	g_free(widths);
+	g_ptr_array_free(names, TRUE);
+}
+
 static void print_value(FILE *to, json_t *value, int indent);
 
 /* Scalars stay on the line of their key, the rest goes below it. */
@@ -75,6 +185,10 @@
 		print_scalar(to, value);
 		return;
 	}
+	if (is_table(value)) {
+		print_table(to, value, indent);
+		return;
+	}
 	json_array_foreach(value, i, item)
 	{
 		if (i && (json_is_object(item) || json_is_array(item)))
