Keep the queue out of the database, for the sake of quiet tenants

Behind 8 daemons with 3 connections each, 24 statements stood in a database with 2 slots, first come first served, whatever the order in the daemons. A daemon now holds tenants that queue to its part of the slots, and drops what cannot be answered by its deadline.

--- a/comfreywheel-bench/overload.c
+++ b/comfreywheel-bench/overload.c
@@ -147,7 +147,7 @@
 	w.station.fault_rate = FAULTS;
 	for (i = 0; i < GATES; i++) {
 		gate_init(&w.gates[i], &w.station, run->order, run->naive,
-			  CONNECTIONS / GATES, DELAY_US);
+			  CONNECTIONS / GATES, CONNECTIONS, DELAY_US);
 		for (t = 0; t < TENANTS; t++) {
 			tenant[0] = 'a' + t;
 			admission_tenant(&w.gates[i].admission, tenant, 1);
--- a/comfreywheel-bench/retry_storm.c
+++ b/comfreywheel-bench/retry_storm.c
@@ -105,7 +105,7 @@
 	for (i = 0; i < GATES; i++) {
 		gate_init(&w->gates[i], &w->station,
 			  naive ? ADMISSION_FIFO : ADMISSION_FAIR, naive, SHARE,
-			  DELAY_US);
+			  SHARE * GATES, DELAY_US);
 		admission_tenant(&w->gates[i].admission, "a", 1);
 	}
 	timer_subscribe(&w->timers, 0, 0, send_next, w);
--- a/comfreywheel-bench/station.c
+++ b/comfreywheel-bench/station.c
@@ -29,7 +29,7 @@
 
 void gate_init(struct gate *gate, struct station *st,
 	       enum admission_order order, bool naive, unsigned share,
-	       int64_t delay_us)
+	       unsigned budget, int64_t delay_us)
 {
 	*gate = (struct gate){
 		.station = st,
@@ -39,6 +39,8 @@
 	};
 	admission_init(&gate->admission, order, naive ? NAIVE_QUEUE : QUEUE,
 		       share);
+	if (!naive)
+		admission_set_limit(&gate->admission, st->slots, share, budget);
 	retry_budget_init(&gate->budget);
 }
 
@@ -90,6 +92,7 @@
 	if (!gate->naive)
 		admission_note_service(&gate->admission,
 				       now_us - req->started_us);
+	admission_done(&gate->admission);
 	if (req->ok)
 		req->done(req, GATE_ANSWERED, now_us);
 	else if (runs_again(req, now_us))
--- a/comfreywheel-bench/station.h
+++ b/comfreywheel-bench/station.h
@@ -71,7 +71,7 @@
 
 void gate_init(struct gate *gate, struct station *st,
 	       enum admission_order order, bool naive, unsigned share,
-	       int64_t delay_us);
+	       unsigned budget, int64_t delay_us);
 void gate_finish(struct gate *gate);
 /** gate_submit() - a request reaches the daemon; @req outlives the run */
 void gate_submit(struct gate_request *req, int64_t now_us);
--- a/comfreywheel-bench/tenants.c
+++ b/comfreywheel-bench/tenants.c
@@ -101,7 +101,7 @@
 	for (i = 0; i < GATES; i++) {
 		gate_init(&w->gates[i], &w->station,
 			  naive ? ADMISSION_FIFO : ADMISSION_FAIR, naive,
-			  CONNECTIONS / GATES, BETWEEN_US);
+			  CONNECTIONS / GATES, CONNECTIONS, BETWEEN_US);
 		admission_tenant(&w->gates[i].admission, "quiet", 1);
 		admission_tenant(&w->gates[i].admission, "flood", 1);
 	}
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1,6 +1,8 @@
 #include "admission.h"
 #include "test_main.h"
 
+#define START 1000000000ll
+
 static struct admission adm;
 static uint64_t request;
 
@@ -208,7 +210,162 @@
 }
 END_TEST
 
+/* A flooding tenant a with 90 requests beside b, at an eighth of 2 slots and
+ * a service time of 1 ms. */
+static void setup_limit(int *a, int *b)
+{
+	int i;
+
+	admission_init(&adm, ADMISSION_FAIR, 100, 2);
+	*a = admission_tenant(&adm, "a", 1);
+	*b = admission_tenant(&adm, "b", 1);
+	for (i = 0; i < 90; i++)
+		admission_enqueue(&adm, *a, i, 10 * START, START);
+	admission_note_service(&adm, 1000);
+	admission_set_limit(&adm, 2, 2, 16);
+}
+
+static bool next_at(int64_t now_us)
+{
+	return admission_next(&adm, now_us, accept_all, NULL, &request);
+}
+
+/* Starts of a and of b in 100 ms, each answered at once. */
+static void serve(unsigned *served)
+{
+	int64_t now;
+
+	served[0] = served[1] = 0;
+	for (now = START; now < START + 100000; now += 10)
+		while (next_at(now)) {
+			served[request >= 100]++;
+			admission_done(&adm);
+		}
+}
+
+/* Guards against the queue moving into the database, where a flooding tenant
+ * is ahead of everybody. */
+START_TEST(test_limit_holds_back_a_queue)
+{
+	int a, b;
+
+	setup_limit(&a, &b);
+	ck_assert(next_at(START));
+	ck_assert(!next_at(START));
+	ck_assert(!next_at(START + 100000));
+	admission_done(&adm);
+	ck_assert(next_at(START));
+	admission_done(&adm);
+	/* 0.25 slots at 6 in flight each: 1.5, or one in 666 us. */
+	ck_assert(!next_at(START + 600));
+	ck_assert_int_eq(admission_wake_us(&adm, START + 600), START + 666);
+	ck_assert(next_at(START + 666));
+	admission_set_limit(&adm, 2, 2, 0);
+	ck_assert(next_at(START + 666));
+	admission_finish(&adm);
+}
+END_TEST
+
+/* Guards against a quiet tenant being held back with the flooding one. */
+START_TEST(test_limit_spares_the_quiet)
+{
+	int a, b, i;
+
+	setup_limit(&a, &b);
+	ck_assert(next_at(START));
+	for (i = 0; i < 4; i++) {
+		admission_enqueue(&adm, b, 100 + i, 10 * START, START);
+		ck_assert(next_at(START));
+		ck_assert_uint_eq(request, 100 + i);
+	}
+	admission_finish(&adm);
+}
+END_TEST
+
+/* Guards against a busy database when a quiet tenant comes, and against idle
+ * slots when there is none. */
+START_TEST(test_limit_depends_on_a_quiet_tenant)
+{
+	unsigned served[2];
+	int a, b;
+
+	setup_limit(&a, &b);
+	admission_enqueue(&adm, b, 100, 10 * START, START);
+	serve(served);
+	/* One in 2,222 us. */
+	ck_assert_uint_ge(served[0], 44);
+	ck_assert_uint_le(served[0], 47);
+	admission_finish(&adm);
+	setup_limit(&a, &b);
+	serve(served);
+	ck_assert_uint_eq(served[0], 90);
+	admission_finish(&adm);
+}
+END_TEST
+
+/* Guards against a tenant that floods in the guise of a quiet one: what it
+ * may start without waiting is bounded. */
+START_TEST(test_credit_is_bounded)
+{
+	unsigned served[2];
+	int a, b, i;
+
+	setup_limit(&a, &b);
+	for (i = 0; i < 90; i++)
+		admission_enqueue(&adm, b, 100, 10 * START, START);
+	serve(served);
+	/* 150 starts by the limit in 100 ms, and the credit. */
+	ck_assert_uint_ge(served[0], 60);
+	ck_assert_uint_ge(served[1], 60);
+	ck_assert_uint_le(served[0] + served[1], 160);
+	admission_finish(&adm);
+}
+END_TEST
+
+/* Guards against a tenant that never queues but sends one after another. */
+START_TEST(test_credit_is_spent)
+{
+	unsigned served = 0;
+	int64_t now;
+	int a, b;
+
+	setup_limit(&a, &b);
+	for (now = START; now < START + 100000; now += 50) {
+		admission_enqueue(&adm, b, 100, 10 * START, now);
+		while (next_at(now)) {
+			served += request == 100;
+			admission_done(&adm);
+		}
+		admission_remove(&adm, b, 100);
+	}
+	/* Half of 150 starts, and the credit. */
+	ck_assert_uint_le(served, 80);
+	admission_finish(&adm);
+}
+END_TEST
+
+/* Guards against starting what will be answered past its deadline. */
+START_TEST(test_expires_what_cannot_be_answered)
+{
+	unsigned expired = 0;
+	int a;
+
+	admission_init(&adm, ADMISSION_FAIR, 100, 1);
+	a = admission_tenant(&adm, "a", 1);
+	admission_note_service(&adm, 100);
+	admission_enqueue(&adm, a, 1, 500, 0);
+	admission_expire(&adm, 399, count, &expired);
+	ck_assert_uint_eq(expired, 0);
+	admission_expire(&adm, 400, count, &expired);
+	ck_assert_uint_eq(expired, 1);
+	admission_finish(&adm);
+}
+END_TEST
+
 TEST_MAIN("admission", test_earliest_deadline_within_a_tenant,
 	  test_shares_by_weight, test_idle_tenant_saves_nothing,
 	  test_tenants_do_not_block_each_other, test_refuses_early,
-	  test_expire_and_remove, test_global_orders, test_service_time)
+	  test_expire_and_remove, test_global_orders, test_service_time,
+	  test_limit_holds_back_a_queue, test_limit_spares_the_quiet,
+	  test_limit_depends_on_a_quiet_tenant, test_credit_is_bounded,
+	  test_credit_is_spent, test_expires_what_cannot_be_answered)
