--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -16,7 +16,7 @@
 	CALLER_AUTH_FIRST,
 	CALLER_AUTH_FINAL,
 	CALLER_READY,
-	/** the output is written, then the connection closes */
+	/** the output is written, then the peer is expected to close */
 	CALLER_CLOSING,
 	CALLER_CLOSED,
 };
@@ -48,10 +48,13 @@
  * @held: connection of the open transaction; NULL with 'E' if it was lost
  * @wrote: the open transaction may have written
  * @read_only: the open transaction was begun READ ONLY
+ * @at_primary: the open transaction began at the primary
  * @skip_to_sync: an extended batch failed; its rest is dropped
  * @statements: struct statement by the caller's name for it
  * @busy: a request is under way
  * @in_input: caller_input() runs further up the stack
+ * @idle_since_us: when the last request ended, or the drain began
+ * @closing_us: when the state became CALLER_CLOSING
  * @cluster: directory handle
  */
 struct caller {
@@ -71,12 +74,16 @@
 	struct upstream_connection *held;
 	bool wrote;
 	bool read_only;
+	bool at_primary;
 	bool skip_to_sync;
 	bool busy;
 	bool in_input;
 	GHashTable *statements;
+	size_t statement_bytes;
 	struct request request;
 	int login_timer;
+	int64_t closing_us;
+	int64_t idle_since_us;
 };
 
 void caller_accept(struct proxy *proxy, int fd);
