--- a/state/session_owners.c
+++ b/state/session_owners.c
@@ -21,58 +21,98 @@
 				    session);
 }
 
-static bool taken(const struct session_member *members, const unsigned *owners,
-		  unsigned nr, unsigned candidate, bool distinct_zone)
+struct candidate {
+	unsigned index;
+	uint64_t score;
+};
+
+/* The best members so far, best first. */
+struct ranking {
+	struct candidate best[SESSION_OWNERS];
+	unsigned nr;
+};
+
+/* The name decides between equal scores, so that the order of the list does
+ * not matter. */
+static bool is_better(const struct session_member *members,
+		      const struct candidate *a, const struct candidate *b)
 {
-	unsigned i;
+	if (a->score != b->score)
+		return a->score > b->score;
+	return strcmp(members[a->index].name, members[b->index].name) < 0;
+}
 
-	for (i = 0; i < nr; i++) {
-		if (owners[i] == candidate)
-			return true;
-		if (distinct_zone &&
-		    !strcmp(members[owners[i]].availability_zone,
-			    members[candidate].availability_zone))
-			return true;
-	}
-	return false;
+/* Puts @new in the place of entry @at and moves it up to its rank. */
+static void place(const struct session_member *members, struct ranking *ranking,
+		  unsigned at, struct candidate new)
+{
+	for (; at > 0 && is_better(members, &new, &ranking->best[at - 1]); at--)
+		ranking->best[at] = ranking->best[at - 1];
+	ranking->best[at] = new;
 }
 
-/* Highest score wins; the name decides between equal scores, so that the
- * order of the list does not matter. */
-static bool find_best(const struct session_member *members, unsigned nr,
-		      uint64_t session, const unsigned *owners,
-		      unsigned nr_owners, bool distinct_zone, unsigned *best)
+static void rank(const struct session_member *members, struct ranking *ranking,
+		 struct candidate new)
 {
-	uint64_t best_score = 0, current;
-	bool found = false;
+	if (ranking->nr < SESSION_OWNERS)
+		place(members, ranking, ranking->nr++, new);
+	else if (is_better(members, &new, &ranking->best[ranking->nr - 1]))
+		place(members, ranking, ranking->nr - 1, new);
+}
+
+/* As rank(), with at most one member of each zone. */
+static void rank_by_zone(const struct session_member *members,
+			 struct ranking *ranking, struct candidate new)
+{
+	const char *zone = members[new.index].availability_zone;
 	unsigned i;
 
-	for (i = 0; i < nr; i++) {
-		if (taken(members, owners, nr_owners, i, distinct_zone))
-			continue;
-		current = score(&members[i], session);
-		if (found &&
-		    (current < best_score ||
-		     (current == best_score &&
-		      strcmp(members[i].name, members[*best].name) >= 0)))
+	for (i = 0; i < ranking->nr; i++) {
+		if (strcmp(members[ranking->best[i].index].availability_zone,
+			   zone))
 			continue;
-		best_score = current;
-		*best = i;
-		found = true;
+		if (is_better(members, &new, &ranking->best[i]))
+			place(members, ranking, i, new);
+		return;
 	}
-	return found;
+	rank(members, ranking, new);
+}
+
+/* Most members of a long list score too low for either ranking. */
+static bool is_out(const struct ranking *ranking, uint64_t score)
+{
+	return ranking->nr == SESSION_OWNERS &&
+	       score < ranking->best[SESSION_OWNERS - 1].score;
+}
+
+static bool contains(const unsigned *owners, unsigned nr, unsigned index)
+{
+	unsigned i;
+
+	for (i = 0; i < nr; i++)
+		if (owners[i] == index)
+			return true;
+	return false;
 }
 
 unsigned session_owners(const struct session_member *members, unsigned nr,
 			uint64_t session, unsigned *owners)
 {
-	unsigned nr_owners = 0;
-
-	while (nr_owners < SESSION_OWNERS &&
-	       (find_best(members, nr, session, owners, nr_owners, true,
-			  &owners[nr_owners]) ||
-		find_best(members, nr, session, owners, nr_owners, false,
-			  &owners[nr_owners])))
-		nr_owners++;
+	struct ranking zones = { .nr = 0 }, any = { .nr = 0 };
+	struct candidate new;
+	unsigned nr_owners = 0, i;
+
+	for (i = 0; i < nr; i++) {
+		new = (struct candidate){ i, score(&members[i], session) };
+		if (is_out(&any, new.score) && is_out(&zones, new.score))
+			continue;
+		rank(members, &any, new);
+		rank_by_zone(members, &zones, new);
+	}
+	for (i = 0; i < zones.nr; i++)
+		owners[nr_owners++] = zones.best[i].index;
+	for (i = 0; i < any.nr && nr_owners < SESSION_OWNERS; i++)
+		if (!contains(owners, nr_owners, any.best[i].index))
+			owners[nr_owners++] = any.best[i].index;
 	return nr_owners;
 }
--- a/tests/test_session_positions.c
+++ b/tests/test_session_positions.c
@@ -1,6 +1,9 @@
 #include "session_positions.h"
 #include "test_main.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 #define SECOND 1000000ll
 
 static struct session_positions sp;
@@ -193,6 +196,66 @@
 }
 END_TEST
 
+/* Owner by owner: the best member left, of a new zone if there is one. */
+static unsigned naive_owners(const struct session_member *members, unsigned nr,
+			     const uint64_t *scores, unsigned *owners)
+{
+	unsigned found, i, k, wanted_new;
+	bool used, same;
+	int best;
+
+	for (found = 0; found < SESSION_OWNERS && found < nr; found++) {
+		best = -1;
+		for (wanted_new = 1; best < 0; wanted_new--) {
+			for (i = 0; i < nr; i++) {
+				used = same = false;
+				for (k = 0; k < found; k++) {
+					used |= owners[k] == i;
+					same |= members[owners[k]]
+							.availability_zone ==
+						members[i].availability_zone;
+				}
+				if (!used && !(wanted_new && same) &&
+				    (best < 0 || scores[i] > scores[best]))
+					best = i;
+			}
+			if (!wanted_new)
+				break;
+		}
+		owners[found] = best;
+	}
+	return found;
+}
+
+/* Guards against the single pass choosing others than the definition. */
+START_TEST(test_owners_against_definition)
+{
+	static const char *const zones[] = { "a", "b", "c", "d" };
+	struct session_member members[40];
+	char names[40][8];
+	uint64_t scores[40], session;
+	unsigned owners[SESSION_OWNERS], naive[SESSION_OWNERS], nr, i;
+
+	for (session = 0; session < 3000; session++) {
+		nr = session % 41;
+		for (i = 0; i < nr; i++) {
+			g_snprintf(names[i], sizeof(names[i]), "vm%u", i);
+			members[i] = (struct session_member){
+				names[i],
+				zones[(session / 41 * 7 + i * i) %
+				      (1 + session % 4)],
+			};
+			scores[i] = XXH3_64bits_withSeed(
+				names[i], strlen(names[i]), session);
+		}
+		ck_assert_uint_eq(session_owners(members, nr, session, owners),
+				  naive_owners(members, nr, scores, naive));
+		for (i = 0; i < MIN(nr, SESSION_OWNERS); i++)
+			ck_assert_uint_eq(owners[i], naive[i]);
+	}
+}
+END_TEST
+
 /* Guards against two clusters that share one hash. */
 START_TEST(test_hashes)
 {
@@ -205,4 +268,5 @@
 TEST_MAIN("session_positions", test_keeps_the_largest,
 	  test_eviction_shortens_completeness, test_retention,
 	  test_member_version, test_member_change_covers_old_leases,
-	  test_quorum, test_owners, test_owners_move_little, test_hashes)
+	  test_quorum, test_owners, test_owners_move_little,
+	  test_owners_against_definition, test_hashes)
