--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -44,7 +44,7 @@
 {
 	struct proxy *proxy = proxy_of(req);
 
-	timer_cancel(&proxy->timers, &req->wake_timer);
+	request_unpark(req);
 	if (req->state == REQUEST_QUEUED)
 		upstream_home_remove(req->home, req);
 	if (req->state == REQUEST_COMMIT_WAIT)
@@ -114,7 +114,7 @@
 	conn->request = NULL;
 	conn->holder = NULL;
 	conn->doomed = true;
-	upstream_connection_close(conn, false);
+	upstream_connection_close(conn, UPSTREAM_ENDED);
 }
 
 /* The transaction, if one was open, is lost with its connection. */
