Count connections until the upstream has closed them, too

A closed connection now counts against the share until the upstream has closed its side or connection_linger has passed, and a probe connection is opened anew after 20 missed probes instead of 5. What runs for a request that was given up is canceled at the upstream.

--- a/comfreywheeld/cancel.c
+++ b/comfreywheeld/cancel.c
@@ -62,7 +62,7 @@
 	.closed = on_closed,
 };
 
-static void send_cancel(struct proxy *proxy, struct upstream_connection *conn)
+void cancel_send(struct proxy *proxy, struct upstream_connection *conn)
 {
 	const struct upstream *up =
 		directory_upstream_at(&proxy->directory, conn->home->handle);
@@ -104,7 +104,7 @@
 	}
 	proxy_count(proxy, COUNT_CANCELS);
 	if (caller->request.state == REQUEST_RUNNING)
-		send_cancel(proxy, caller->request.conn);
+		cancel_send(proxy, caller->request.conn);
 	else
 		request_cancel(&caller->request);
 }
--- a/comfreywheeld/cancel.h
+++ b/comfreywheeld/cancel.h
@@ -15,6 +15,11 @@
 /** cancel_request() - identity and key as the caller was told */
 void cancel_request(struct proxy *proxy, uint32_t pid, uint32_t secret);
 
+struct upstream_connection;
+
+/** cancel_send() - cancel what runs on @conn, which is not reused after it */
+void cancel_send(struct proxy *proxy, struct upstream_connection *conn);
+
 /** cancel_finish() - give up the connections under way */
 void cancel_finish(struct proxy *proxy);
 
--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -2,6 +2,7 @@
 
 #include "caller.h"
 #include "caller_batch.h"
+#include "cancel.h"
 #include "commit_wait.h"
 #include "upstream_pool.h"
 
@@ -111,6 +112,9 @@
 		caller->held = NULL;
 	if (!conn)
 		return;
+	/* Nobody waits for the rest, so the upstream need not compute it. */
+	if (conn->nr_steps && !conn->home->suspect)
+		cancel_send(caller->proxy, conn);
 	conn->request = NULL;
 	conn->holder = NULL;
 	conn->doomed = true;
--- a/comfreywheeld/upstream_connection.c
+++ b/comfreywheeld/upstream_connection.c
@@ -30,22 +30,69 @@
 	holder->transaction = 'E';
 }
 
-void upstream_connection_close(struct upstream_connection *conn,
-			       enum upstream_end end)
+static bool is_live(const struct upstream_connection *conn)
+{
+	return conn->state < UPSTREAM_CLOSING;
+}
+
+void upstream_connection_free(struct upstream_connection *conn)
 {
 	struct upstream_home *home = conn->home;
 
 	if (conn->state == UPSTREAM_CLOSED)
 		return;
 	conn->state = UPSTREAM_CLOSED;
-	caller_lost_transaction(conn);
+	timer_cancel(&home->proxy->timers, &conn->linger_timer);
 	stream_close(&conn->stream);
 	parsed_statements_finish(&conn->parsed);
-	proxy_count(proxy_of(conn), COUNT_UPSTREAM_CLOSED);
-	upstream_home_gone(home, conn, end);
+	proxy_count(home->proxy, COUNT_UPSTREAM_CLOSED);
+	upstream_home_closed(home, conn);
 	proxy_discard(home->proxy, conn);
 }
 
+static void on_linger(int64_t now_us, void *data)
+{
+	struct upstream_connection *conn = data;
+
+	conn->linger_timer = TIMER_NONE;
+	upstream_connection_free(conn);
+}
+
+static void begin_closing(struct upstream_connection *conn)
+{
+	struct proxy *proxy = proxy_of(conn);
+	struct pg_buffer *out = &conn->stream.out;
+
+	if (conn->state == UPSTREAM_READY)
+		pg_end(out, pg_begin(out, 'X'));
+	conn->state = UPSTREAM_CLOSING;
+	conn->linger_timer = timer_subscribe(
+		&proxy->timers,
+		proxy_now() + proxy->settings->connection_linger_us, 0,
+		on_linger, conn);
+	stream_finish(&conn->stream);
+}
+
+void upstream_connection_close(struct upstream_connection *conn,
+			       enum upstream_end end)
+{
+	struct upstream_home *home = conn->home;
+	bool established = conn->state == UPSTREAM_READY ||
+			   conn->state == UPSTREAM_STARTING;
+
+	if (!is_live(conn))
+		return;
+	caller_lost_transaction(conn);
+	conn->request = NULL;
+	if (established && !conn->peer_closed)
+		begin_closing(conn);
+	else
+		conn->state = UPSTREAM_CLOSING;
+	upstream_home_gone(home, conn, end);
+	if (!established || conn->peer_closed)
+		upstream_connection_free(conn);
+}
+
 void upstream_connection_lose(struct upstream_connection *conn,
 			      enum upstream_end end)
 {
@@ -249,7 +296,7 @@
 		upstream_connection_lose(conn, UPSTREAM_ENDED);
 		return false;
 	}
-	if (conn->state != UPSTREAM_CLOSED)
+	if (is_live(conn))
 		pg_buffer_consume(in, frame.frame_len);
 	return true;
 }
@@ -258,14 +305,16 @@
 {
 	struct upstream_connection *conn = data;
 
-	while (conn->state != UPSTREAM_CLOSED &&
-	       pg_buffer_length(&conn->stream.in)) {
+	while (is_live(conn) && pg_buffer_length(&conn->stream.in)) {
 		if (must_pause(conn))
 			return;
 		if (!take_one(conn))
 			break;
 	}
-	if (conn->state != UPSTREAM_CLOSED && conn->request)
+	if (conn->state == UPSTREAM_CLOSING)
+		pg_buffer_consume(&conn->stream.in,
+				  pg_buffer_length(&conn->stream.in));
+	else if (is_live(conn) && conn->request)
 		stream_flush(&conn->request->caller->stream);
 }
 
@@ -286,7 +335,10 @@
 {
 	struct upstream_connection *conn = data;
 
-	if (conn->state == UPSTREAM_READY)
+	conn->peer_closed = true;
+	if (conn->state == UPSTREAM_CLOSING)
+		upstream_connection_free(conn);
+	else if (conn->state == UPSTREAM_READY)
 		upstream_connection_lose(conn, UPSTREAM_ENDED);
 	else if (conn->state == UPSTREAM_CONNECTING && err == ECONNREFUSED)
 		upstream_connection_lose(conn, UPSTREAM_REFUSED);
@@ -316,6 +368,7 @@
 	conn->probe = probe;
 	conn->state = UPSTREAM_CONNECTING;
 	conn->transaction = 'I';
+	conn->linger_timer = TIMER_NONE;
 	parsed_statements_init(&conn->parsed);
 	stream_init(&conn->stream, proxy->loop, fd, true, &connection_events,
 		    conn);
@@ -347,7 +400,7 @@
 
 void upstream_connection_resume(struct upstream_connection *conn)
 {
-	if (conn->state == UPSTREAM_CLOSED || !conn->stream.paused)
+	if (!is_live(conn) || !conn->stream.paused)
 		return;
 	stream_pause(&conn->stream, false);
 	on_input(conn);
--- a/comfreywheeld/upstream_connection.h
+++ b/comfreywheeld/upstream_connection.h
@@ -21,6 +21,8 @@
 	UPSTREAM_CONNECTING,
 	UPSTREAM_STARTING,
 	UPSTREAM_READY,
+	/** given up here; the upstream has not closed its side yet */
+	UPSTREAM_CLOSING,
 	UPSTREAM_CLOSED,
 };
 
@@ -52,10 +54,12 @@
  * @request: what runs on it, NULL if idle
  * @holder: caller whose open transaction it holds, NULL if none
  * @doomed: close it instead of reusing it
+ * @peer_closed: the upstream closed its side
  * @probe: whether it is the probe connection
  * @passing: bytes of a large frame still to be relayed
  * @transaction: 'I', 'T' or 'E' as of the last ReadyForQuery
  * @asked_us: when the position query was sent
+ * @linger_timer: longest time in UPSTREAM_CLOSING
  * @parsed: statements prepared here
  */
 struct upstream_connection {
@@ -65,6 +69,7 @@
 	struct request *request;
 	struct caller *holder;
 	bool doomed;
+	bool peer_closed;
 	bool probe;
 	size_t passing;
 	char transaction;
@@ -74,6 +79,7 @@
 	unsigned first_step;
 	unsigned nr_steps;
 	int64_t asked_us;
+	int linger_timer;
 	bool has_row;
 	struct position_row row;
 	struct parsed_statements parsed;
@@ -83,10 +89,19 @@
 struct upstream_connection *upstream_connection_open(struct upstream_home *home,
 						     bool probe);
 
-/** upstream_connection_close() - close; its request, if any, is not told */
+/**
+ * upstream_connection_close() - close; its request, if any, is not told
+ *
+ * The connection counts against the share until the upstream has closed its
+ * side as well, or for connection_linger: an upstream that hangs still holds
+ * it.
+ */
 void upstream_connection_close(struct upstream_connection *conn,
 			       enum upstream_end end);
 
+/** upstream_connection_free() - close without waiting for the upstream */
+void upstream_connection_free(struct upstream_connection *conn);
+
 /** upstream_connection_lose() - close; its request is told */
 void upstream_connection_lose(struct upstream_connection *conn,
 			      enum upstream_end end);
--- a/comfreywheeld/upstream_pool.c
+++ b/comfreywheeld/upstream_pool.c
@@ -57,6 +57,8 @@
 	close_all(&home->idle);
 	close_all(&home->busy);
 	close_all(&home->opening);
+	while (home->closing.head)
+		upstream_connection_free(home->closing.head->data);
 	for (i = 0; i < home->queues->len; i++)
 		free_queue(home->queues->pdata[i]);
 	g_ptr_array_free(home->queues, TRUE);
@@ -131,12 +133,18 @@
 	}
 }
 
+/* More connections are in use than granted; those closing will go. */
+static bool is_over(const struct upstream_home *home)
+{
+	return home->open - home->closing.length > upstream_home_limit(home);
+}
+
 static void trim(struct upstream_home *home)
 {
-	while (home->open > upstream_home_limit(home) && home->idle.head)
+	while (is_over(home) && home->idle.head)
 		upstream_connection_close(home->idle.head->data,
 					  UPSTREAM_ENDED);
-	while (home->open > upstream_home_limit(home) && home->opening.head)
+	while (is_over(home) && home->opening.head)
 		upstream_connection_close(home->opening.head->data,
 					  UPSTREAM_ENDED);
 	if (!upstream_home_limit(home) && home->probe)
@@ -257,8 +265,7 @@
 			   struct upstream_connection *conn)
 {
 	conn->request = NULL;
-	if (!upstream_connection_is_clean(conn) ||
-	    home->open > upstream_home_limit(home)) {
+	if (!upstream_connection_is_clean(conn) || is_over(home)) {
 		upstream_connection_close(conn, UPSTREAM_ENDED);
 		return;
 	}
@@ -270,19 +277,24 @@
 void upstream_home_gone(struct upstream_home *home,
 			struct upstream_connection *conn, enum upstream_end end)
 {
-	home->open--;
 	if (end != UPSTREAM_ENDED)
 		home->retry_us = proxy_now() + REOPEN_DELAY_US;
+	g_queue_remove(&home->idle, conn);
+	g_queue_remove(&home->busy, conn);
+	g_queue_remove(&home->opening, conn);
+	g_queue_push_tail(&home->closing, conn);
 	if (conn == home->probe) {
 		home->probe = NULL;
 		upstream_probe_lost(home, end);
-		return;
 	}
-	g_queue_remove(&home->idle, conn);
-	g_queue_remove(&home->busy, conn);
-	g_queue_remove(&home->opening, conn);
-	if (end == UPSTREAM_ENDED)
-		open_needed(home);
+}
+
+void upstream_home_closed(struct upstream_home *home,
+			  struct upstream_connection *conn)
+{
+	home->open--;
+	g_queue_remove(&home->closing, conn);
+	open_needed(home);
 }
 
 static void requeue_one(uint64_t request, void *data)
--- a/comfreywheeld/upstream_pool.h
+++ b/comfreywheeld/upstream_pool.h
@@ -25,7 +25,8 @@
  * @idle: clean connections, last used at the tail
  * @busy: connections that run or hold a request
  * @opening: connections not ready yet, the probe connection aside
- * @open: all connections, from connect() to close()
+ * @closing: connections given up that the upstream has not closed yet
+ * @open: all connections, those in @closing included
  * @share: connections granted
  * @rejected: refused a start-up since the last one that succeeded
  * @suspect: misses probes or refuses connections
@@ -41,6 +42,7 @@
 	GQueue idle;
 	GQueue busy;
 	GQueue opening;
+	GQueue closing;
 	unsigned open;
 	unsigned share;
 	unsigned refused;
@@ -81,11 +83,15 @@
 void upstream_home_release(struct upstream_home *home,
 			   struct upstream_connection *conn);
 
-/** upstream_home_gone() - @conn is closed; forget it */
+/** upstream_home_gone() - @conn is given up; it still counts as open */
 void upstream_home_gone(struct upstream_home *home,
 			struct upstream_connection *conn,
 			enum upstream_end end);
 
+/** upstream_home_closed() - the upstream has closed its side, too */
+void upstream_home_closed(struct upstream_home *home,
+			  struct upstream_connection *conn);
+
 /** upstream_home_wanted() - connections that could be used now */
 unsigned upstream_home_wanted(const struct upstream_home *home);
 
--- a/comfreywheeld/upstream_probe.c
+++ b/comfreywheeld/upstream_probe.c
@@ -9,8 +9,11 @@
  */
 #define SUSPECT_MISSED 3
 #define SUSPECT_REFUSED 2
-/* Missed probes before the probe connection is opened anew. */
-#define REOPEN_MISSED 5
+/*
+ * Missed probes before the probe connection is opened anew. A hanging
+ * upstream holds the old one, which counts against the share meanwhile.
+ */
+#define REOPEN_MISSED 20
 
 static bool is_primary(const struct upstream_home *home)
 {
