Insert the request identity in transactions opened by BEGIN, too

comfreywheel.request_id was ignored inside explicit transactions, silently. The identity is now inserted right behind a BEGIN that is a request of its own; a repeated one is answered with 23505, the transaction is rolled back and the answer waits until the first run is safe. Where there is no point at which the identity could be inserted, as in a script with BEGIN and COMMIT, the request is refused.

--- a/comfreywheeld/caller_batch.c
+++ b/comfreywheeld/caller_batch.c
@@ -286,7 +286,7 @@
 	struct request *req = &caller->request;
 	bool lost = caller->transaction != 'I' && !caller->held;
 
-	if (!req->classified)
+	if (!req->statements)
 		request_classify(req, SQL_READ, false);
 	if (req->has_local && req->has_remote) {
 		fail(caller, "0A000",
@@ -332,9 +332,9 @@
 
 	if (!pg_buffer_length(&req->bytes))
 		return;
-	if (req->has_local || lost) {
+	if (req->has_local || lost || caller->settings.request_id) {
 		fail(caller, "0A000", "this batch cannot be flushed",
-		     "Send Sync after it.");
+		     "Send Sync instead of Flush.");
 		return;
 	}
 	request_classify(req, SQL_READ, false);
--- a/comfreywheeld/caller_query.c
+++ b/comfreywheeld/caller_query.c
@@ -14,6 +14,15 @@
 		request_clear(req);
 		return;
 	}
+	if (req->unidentified) {
+		caller_error(caller, "0A000",
+			     "comfreywheel.request_id does not work with "
+			     "BEGIN and other statements in one request",
+			     "Send BEGIN as a request of its own, or RESET "
+			     "comfreywheel.request_id.");
+		request_clear(req);
+		return;
+	}
 	pg_buffer_append(&req->bytes, data, len);
 	caller->busy = true;
 	request_start(req);
--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -255,6 +255,7 @@
 	req->saw_complete = req->saw_error = false;
 	req->hidden_error = req->identity_seen = req->commit_failed = false;
 	req->has_commit = req->stored = req->acknowledged = false;
+	req->undone = false;
 	req->parse_completes = 0;
 	req->final_status = 0;
 	req->state = REQUEST_NONE;
--- a/comfreywheeld/request.h
+++ b/comfreywheeld/request.h
@@ -43,7 +43,7 @@
  * @new_names: names given by the batch's Parse frames, in order
  * @binds: Bind frames
  * @parse_completes: how many of these are confirmed
- * @classified: at least one statement was classified
+ * @statements: how many were classified
  * @read: shown to have no effects
  * @begins: opens a transaction
  * @begins_read_only: and that is READ ONLY
@@ -51,6 +51,7 @@
  * @pending_writes: has effects that its own commit is still to confirm
  * @writes: commits effects, so that the answer is withheld
  * @identified: runs together with an insert of the request identity
+ * @unidentified: the caller stated an identity that cannot be inserted
  * @must_primary: the session's position is unknown, use the primary
  * @waits_replay: parked until a replica has replayed more
  * @stage: how far it got, for the outcome when its upstream is lost
@@ -60,6 +61,7 @@
  * @saw_error: an ErrorResponse was among the answer
  * @hidden_error: a step of the daemon failed
  * @identity_seen: the identity is in the database already
+ * @undone: the transaction of a repeated identity was rolled back
  * @commit_failed: the commit of an identified request failed
  * @term: term of the cluster when the request was sent
  * @commit: position behind the commit
@@ -81,7 +83,7 @@
 	GPtrArray *new_names;
 	unsigned parse_completes;
 	unsigned binds;
-	bool classified;
+	unsigned statements;
 	bool read;
 	bool begins;
 	bool begins_read_only;
@@ -89,6 +91,7 @@
 	bool pending_writes;
 	bool writes;
 	bool identified;
+	bool unidentified;
 	bool must_primary;
 	bool waits_replay;
 	bool has_lookup;
@@ -114,6 +117,7 @@
 	bool hidden_error;
 	bool identity_seen;
 	bool commit_failed;
+	bool undone;
 	char final_status;
 	uint32_t term;
 	struct position commit;
--- a/comfreywheeld/request_classify.c
+++ b/comfreywheeld/request_classify.c
@@ -42,13 +42,33 @@
 	req->pending_writes = false;
 }
 
-void request_classify(struct request *req, enum sql_kind kind, bool read_only)
+/*
+ * The identity is inserted in the transaction of a single query or batch, or
+ * in one that a BEGIN of its own opens. In other places there is no point at
+ * which it could be inserted before anything is committed.
+ */
+static void identify(struct request *req)
 {
-	struct caller *caller = req->caller;
+	const struct caller *caller = req->caller;
+	bool effects = req->writes || req->pending_writes ||
+		       (req->begins && !req->begins_read_only);
 
-	if (!req->classified)
+	req->identified = req->unidentified = false;
+	if (!caller->settings.request_id || caller->transaction != 'I' ||
+	    !effects)
+		return;
+	if (req->begins)
+		req->identified = req->statements == 1;
+	else
+		req->identified = !req->ends;
+	req->unidentified = !req->identified;
+}
+
+void request_classify(struct request *req, enum sql_kind kind, bool read_only)
+{
+	if (!req->statements)
 		req->read = true;
-	req->classified = true;
+	req->statements++;
 	switch (kind) {
 	case SQL_BEGIN:
 		classify_begin(req, read_only);
@@ -73,7 +93,5 @@
 	default:
 		break;
 	}
-	req->identified = req->writes && caller->transaction == 'I' &&
-			  !req->begins && !req->ends &&
-			  caller->settings.request_id;
+	identify(req);
 }
--- a/comfreywheeld/request_run.c
+++ b/comfreywheeld/request_run.c
@@ -22,6 +22,12 @@
 
 /* Whether the answer waits for replicas and session owners. */
 static bool is_withheld(const struct request *req)
+{
+	return (req->writes || req->identified) && !req->flushed;
+}
+
+/* The position behind what is sent is to be replicated and stored. */
+static bool commits(const struct request *req)
 {
 	return req->writes && !req->flushed;
 }
@@ -35,7 +41,8 @@
 	char *sql = g_strdup_printf(
 		"INSERT INTO comfreywheel_request (id) VALUES ('%s')", quoted);
 
-	upstream_connection_query(conn, STEP_HIDDEN, "BEGIN");
+	if (!req->begins)
+		upstream_connection_query(conn, STEP_HIDDEN, "BEGIN");
 	upstream_connection_query(conn, STEP_HIDDEN, sql);
 	g_free(sql);
 	g_free(quoted);
@@ -79,15 +86,17 @@
 	struct upstream_connection *conn = req->conn;
 
 	req->stage = STAGE_NOT_SENT;
-	if (req->identified)
+	if (req->identified && !req->begins)
 		put_identity(req);
 	upstream_connection_step(conn, STEP_RELAY);
 	put_frames(req);
-	if (req->identified)
+	if (req->identified && req->begins)
+		put_identity(req);
+	else if (req->identified)
 		upstream_connection_query(conn, STEP_HIDDEN, "COMMIT");
-	if (is_withheld(req))
+	if (commits(req))
 		upstream_connection_position(conn);
-	req->stage = is_withheld(req) ? STAGE_COMMIT_SENT : STAGE_SENT;
+	req->stage = commits(req) ? STAGE_COMMIT_SENT : STAGE_SENT;
 	/* What follows a Flush is not kept, so the batch cannot run again. */
 	if (req->flushed)
 		req->answer_started = true;
@@ -221,7 +230,7 @@
 
 void request_hidden_error(struct request *req, const char *sqlstate)
 {
-	if (req->final_status)
+	if (req->final_status && !req->begins)
 		req->commit_failed = true;
 	else if (!req->hidden_error && !strcmp(sqlstate, "23505"))
 		req->identity_seen = true;
@@ -230,7 +239,7 @@
 
 void request_relayed(struct request *req, char status)
 {
-	req->final_status = req->identified ? 'I' : status;
+	req->final_status = req->identified && !req->begins ? 'I' : status;
 }
 
 static void note_transaction(struct request *req)
@@ -249,7 +258,7 @@
 		caller->at_primary = req->home->handle ==
 				     cluster_of(req)->primary;
 	}
-	if (req->pending_writes)
+	if (req->pending_writes || req->identified)
 		caller->wrote = true;
 }
 
@@ -317,12 +326,34 @@
 		req->commit = *pos;
 }
 
-void request_steps_done(struct request *req)
+/*
+ * A transaction whose identity was refused is rolled back. The position behind
+ * it covers the first run, whose commit may not be safe yet.
+ */
+static bool undo(struct request *req)
 {
-	/* That it ran already is told once the first run is safe, too. */
-	bool unsure = req->writes && (req->hidden_error ? req->identity_seen :
-							  req->saw_complete);
+	if (!req->begins || !req->hidden_error || req->undone)
+		return false;
+	req->undone = true;
+	req->final_status = 'I';
+	upstream_connection_query(req->conn, STEP_HIDDEN, "ROLLBACK");
+	upstream_connection_position(req->conn);
+	stream_flush(&req->conn->stream);
+	return true;
+}
 
+/* That it ran already is told once the first run is safe, too. */
+static bool must_wait(const struct request *req)
+{
+	if (req->hidden_error)
+		return req->identity_seen;
+	return req->writes && req->saw_complete;
+}
+
+void request_steps_done(struct request *req)
+{
+	if (undo(req))
+		return;
 	req->stage = STAGE_ANSWERED;
 	if (req->admission)
 		admission_note_service(req->admission,
@@ -331,7 +362,7 @@
 		caller_batch_failed(req->caller);
 	note_transaction(req);
 	give_back(req);
-	if (!unsure) {
+	if (!must_wait(req)) {
 		request_deliver(req);
 		return;
 	}
--- a/tests/test_caller_protocol.c
+++ b/tests/test_caller_protocol.c
@@ -227,6 +227,33 @@
 }
 END_TEST
 
+START_TEST(test_identity_is_for_begin_alone)
+{
+	struct request *req = start('I', false);
+
+	test_caller.settings.request_id = "r-1";
+	request_classify(req, SQL_BEGIN, false);
+	ck_assert(req->identified && !req->unidentified);
+	request_classify(req, SQL_WRITE, false);
+	ck_assert(!req->identified && req->unidentified);
+	req = start('I', false);
+	test_caller.settings.request_id = "r-1";
+	request_classify(req, SQL_BEGIN, true);
+	ck_assert(!req->identified && !req->unidentified);
+}
+END_TEST
+
+/* Guards against an identity that is silently not recorded. */
+START_TEST(test_script_with_identity_is_refused)
+{
+	struct request *req = start('I', false);
+
+	test_caller.settings.request_id = "r-1";
+	request_classify(req, SQL_SCRIPT, false);
+	ck_assert(!req->identified && req->unidentified);
+}
+END_TEST
+
 TEST_MAIN("caller_protocol", test_settings_assign_and_show,
 	  test_settings_default, test_settings_refuse,
 	  test_read_is_not_withheld, test_write_alone_is_withheld,
@@ -236,4 +263,5 @@
 	  test_commit_of_reads_is_not_withheld, test_whole_transaction_in_batch,
 	  test_rollback_is_not_withheld, test_write_after_rollback_in_batch,
 	  test_read_only_transaction_is_a_read,
-	  test_identity_is_for_single_writes)
+	  test_identity_is_for_single_writes, test_identity_is_for_begin_alone,
+	  test_script_with_identity_is_refused)
