--- a/comfreywheel-bench/overload.c
+++ b/comfreywheel-bench/overload.c
@@ -179,18 +179,24 @@
 	bool naive;
 };
 
-static const struct schedule schedules[] = {
+static const struct schedule schedules[OVERLOAD_SCHEDULES] = {
 	{ "weighted fair", ADMISSION_FAIR, false },
 	{ "earliest deadline", ADMISSION_DEADLINE, false },
 	{ "first come first served", ADMISSION_FIFO, false },
 	{ "naive", ADMISSION_FIFO, true },
 };
 
+const char *overload_name(unsigned schedule)
+{
+	return schedules[schedule].name;
+}
+
 static const double loads[] = { 0.5, 0.9, 1.0, 1.2, 2.0 };
 
-static double mean_goodput(const struct schedule *sc, double load,
-			   unsigned seeds, double *p99_ms)
+double overload_mean(unsigned schedule, double load, unsigned seeds,
+		     double *p99_ms)
 {
+	const struct schedule *sc = &schedules[schedule];
 	GArray *latencies = g_array_new(FALSE, FALSE, sizeof(double));
 	struct overload_run run;
 	double sum = 0;
@@ -266,8 +272,8 @@
 
 	for (s = 0; s < G_N_ELEMENTS(schedules); s++) {
 		for (l = 0; l < G_N_ELEMENTS(loads); l++) {
-			goodput[s][l] = mean_goodput(&schedules[s], loads[l],
-						     seeds, &p99_ms);
+			goodput[s][l] =
+				overload_mean(s, loads[l], seeds, &p99_ms);
 			fprintf(out,
 				"  %-24s load %.1f  goodput %.4f of capacity  "
 				"p99 %.1f ms\n",
--- a/comfreywheel-bench/overload.h
+++ b/comfreywheel-bench/overload.h
@@ -31,4 +31,10 @@
 void overload_run(struct overload_run *run);
 double overload_goodput(const struct overload_run *run);
 
+#define OVERLOAD_SCHEDULES 4
+const char *overload_name(unsigned schedule);
+/** overload_mean() - mean goodput of one schedule over @seeds runs */
+double overload_mean(unsigned schedule, double load, unsigned seeds,
+		     double *p99_ms);
+
 #endif
