--- a/tests/path/setup.sh
+++ b/tests/path/setup.sh
@@ -41,5 +41,5 @@
 counter () {
 	"$CTL" counters --settings "$WORK/vm-$1.conf" \
 		--daemon "127.0.0.1:$(bus_port "$1")" |
-		awk -v n="$2" '$1 == n { print $2 }'
+		awk -v n="$2:" '$1 == n { print $2 }'
 }
