Look for the new primary in the JSON of the status

path_isolated looked for 'primary: west-2' in the text that people read, which became a table in the meantime, so it waited 30 s and failed. The JSON form is the one for programs and does not change with the layout; the condition is the same.

--- a/tests/path/path_isolated.sh
+++ b/tests/path/path_isolated.sh
@@ -11,7 +11,7 @@
 lines () { test "$(wc -l <"$WORK/said")" -ge "$1"; }
 wait_for 600 lines 200 || die "the writer made no progress"
 kill -STOP "$STANDIN_PID_1"
-promoted () { ctl status | grep -q 'primary: west-[23]'; }
+promoted () { ctl status --json | grep -q '"primary": "west-[23]"'; }
 wait_for 300 promoted || die "no promotion"
 kill -CONT "$STANDIN_PID_1"
 echo "promoted, old primary thawed"
