--- a/comfreywheeld/request.c
+++ b/comfreywheeld/request.c
@@ -2,6 +2,7 @@
 
 #include "caller.h"
 #include "caller_batch.h"
+#include "cancel.h"
 #include "commit_wait.h"
 #include "upstream_pool.h"
 
@@ -111,6 +112,9 @@
 		caller->held = NULL;
 	if (!conn)
 		return;
+	/* Nobody waits for the rest, so the upstream need not compute it. */
+	if (conn->nr_steps && !conn->home->suspect)
+		cancel_send(caller->proxy, conn);
 	conn->request = NULL;
 	conn->holder = NULL;
 	conn->doomed = true;
@@ -251,6 +255,7 @@
 	req->saw_complete = req->saw_error = false;
 	req->hidden_error = req->identity_seen = req->commit_failed = false;
 	req->has_commit = req->stored = req->acknowledged = false;
+	req->undone = false;
 	req->parse_completes = 0;
 	req->final_status = 0;
 	req->state = REQUEST_NONE;
