Offer TLS to callers when a certificate is set

tls_certificate and tls_key were accepted as settings and ignored. SSLRequest is now answered with S, and OpenSSL works on the stream's own socket. Bytes sent behind the request in the clear close the connection.

--- a/comfreywheeld/caller_startup.c
+++ b/comfreywheeld/caller_startup.c
@@ -2,6 +2,7 @@
 
 #include "caller_auth.h"
 #include "cancel.h"
+#include "tls.h"
 
 #include <string.h>
 
@@ -202,6 +203,28 @@
 		caller_logged_in(caller);
 }
 
+/*
+ * Bytes behind the request would be taken for the encrypted part, although
+ * anybody on the way could have added them.
+ */
+static void answer_ssl(struct caller *caller, const struct pg_frame *frame)
+{
+	struct stream *s = &caller->stream;
+
+	if (!caller->proxy->tls || s->tls) {
+		pg_put_u8(caller_out(caller), 'N');
+		return;
+	}
+	if (pg_buffer_length(&s->in) != frame->frame_len) {
+		caller_close(caller);
+		return;
+	}
+	pg_put_u8(caller_out(caller), 'S');
+	stream_flush(s);
+	if (pg_buffer_length(&s->out) || !tls_start(s, caller->proxy->tls))
+		caller_close(caller);
+}
+
 static void startup_packet(struct caller *caller, const struct pg_frame *frame)
 {
 	struct pg_reader r;
@@ -218,6 +241,8 @@
 		caller_close(caller);
 		return;
 	case PG_SSL_CODE:
+		answer_ssl(caller, frame);
+		return;
 	case PG_GSS_CODE:
 		pg_put_u8(caller_out(caller), 'N');
 		return;
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -8,6 +8,7 @@
 #include "error.h"
 #include "log.h"
 #include "net.h"
+#include "tls.h"
 #include "upstream_pool.h"
 #include "users.h"
 
@@ -160,6 +161,7 @@
 	directory_finish(&proxy->directory);
 	timer_service_finish(&proxy->timers);
 	counter_set_finish(&proxy->counters);
+	tls_context_free(proxy->tls);
 }
 
 void proxy_stop_listening(struct proxy *proxy)
@@ -197,7 +199,9 @@
 	int listener;
 	bool ok;
 
-	if (!users_load(settings->users_file, &proxy.users, error))
+	if (!users_load(settings->users_file, &proxy.users, error) ||
+	    !tls_context_new(settings->tls_certificate, settings->tls_key,
+			     &proxy.tls, error))
 		return EXIT_FAILURE;
 	listener = net_listen(settings->caller_listen, error);
 	if (listener < 0)
--- a/comfreywheeld/proxy.h
+++ b/comfreywheeld/proxy.h
@@ -79,6 +79,7 @@
  * @surrendered: the lease was lost for so long that the control leader may
  *               give the connections of this daemon to others
  * @parameters: ParameterStatus values learned from upstreams, by name
+ * @tls: OpenSSL context for callers, NULL without a certificate
  * @cancels: struct cancel under way
  * @users: SCRAM verifiers by user name, NULL trusts every caller
  */
@@ -111,6 +112,7 @@
 	GArray *acknowledged;
 	GHashTable *parameters;
 	GHashTable *users;
+	struct ssl_ctx_st *tls;
 	GPtrArray *discarded;
 	GPtrArray *cancels;
 	struct announce *announce;
--- a/comfreywheeld/stream.c
+++ b/comfreywheeld/stream.c
@@ -1,5 +1,7 @@
 #include "stream.h"
 
+#include "tls.h"
+
 #include <errno.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -7,11 +9,36 @@
 /* Bytes asked of the socket at once. */
 #define READ_SIZE (16u * 1024)
 
+static ssize_t receive(struct stream *s)
+{
+	uint8_t *room = pg_buffer_reserve(&s->in, READ_SIZE);
+
+	if (s->tls)
+		return tls_recv(s, room, READ_SIZE);
+	return recv(s->fd, room, READ_SIZE, 0);
+}
+
+static ssize_t transmit(struct stream *s)
+{
+	const uint8_t *data = pg_buffer_head(&s->out);
+	size_t len = pg_buffer_length(&s->out);
+
+	if (s->tls)
+		return tls_send(s, data, len);
+	return send(s->fd, data, len, MSG_NOSIGNAL);
+}
+
+/* The kernel does not report bytes that TLS has decrypted already. */
+static void read_on(struct stream *s)
+{
+	if (stream_is_open(s) && !s->paused && tls_pending(s))
+		ev_feed_event(s->loop, &s->reader, EV_READ);
+}
+
 static void on_readable(struct ev_loop *loop, ev_io *w, int revents)
 {
 	struct stream *s = w->data;
-	uint8_t *room = pg_buffer_reserve(&s->in, READ_SIZE);
-	ssize_t n = recv(s->fd, room, READ_SIZE, 0);
+	ssize_t n = receive(s);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
@@ -22,6 +49,14 @@
 	}
 	pg_buffer_commit(&s->in, n);
 	s->events->input(s->data);
+	read_on(s);
+}
+
+static void end_output(struct stream *s)
+{
+	if (s->tls)
+		tls_end_output(s);
+	shutdown(s->fd, SHUT_WR);
 }
 
 /* Return: errno of a failed write, 0 otherwise. */
@@ -30,8 +65,7 @@
 	ssize_t n;
 
 	while (pg_buffer_length(&s->out)) {
-		n = send(s->fd, pg_buffer_head(&s->out),
-			 pg_buffer_length(&s->out), MSG_NOSIGNAL);
+		n = transmit(s);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN)
@@ -42,7 +76,7 @@
 		s->stalled_since_us = 0;
 	}
 	if (!pg_buffer_length(&s->out) && s->finishing)
-		shutdown(s->fd, SHUT_WR);
+		end_output(s);
 	if (!pg_buffer_length(&s->out))
 		s->stalled_since_us = 0;
 	else if (!s->stalled_since_us)
@@ -82,8 +116,12 @@
 		s->events->closed(err, s->data);
 		return;
 	}
-	if (!pg_buffer_length(&s->out))
+	if (!pg_buffer_length(&s->out)) {
 		ev_io_stop(loop, w);
+		/* A handshake that waited to write goes on by reading. */
+		if (s->tls && !s->paused)
+			ev_feed_event(loop, &s->reader, EV_READ);
+	}
 	if (s->was_high && pg_buffer_length(&s->out) < STREAM_LOW) {
 		s->was_high = false;
 		if (s->events->drained)
@@ -97,6 +135,7 @@
 {
 	s->loop = loop;
 	s->fd = fd;
+	s->tls = NULL;
 	s->events = events;
 	s->data = data;
 	s->connecting = connecting;
@@ -133,6 +172,7 @@
 		ev_io_stop(s->loop, &s->reader);
 	else
 		ev_io_start(s->loop, &s->reader);
+	read_on(s);
 }
 
 bool stream_is_high(struct stream *s)
@@ -155,7 +195,7 @@
 	if (pg_buffer_length(&s->out))
 		stream_flush(s);
 	else
-		shutdown(s->fd, SHUT_WR);
+		end_output(s);
 }
 
 void stream_close(struct stream *s)
@@ -164,6 +204,7 @@
 		return;
 	ev_io_stop(s->loop, &s->reader);
 	ev_io_stop(s->loop, &s->writer);
+	tls_finish(s);
 	close(s->fd);
 	s->fd = -1;
 	pg_buffer_finish(&s->in);
--- a/comfreywheeld/stream.h
+++ b/comfreywheeld/stream.h
@@ -31,8 +31,12 @@
 	void (*closed)(int err, void *data);
 };
 
+struct ssl_ctx_st;
+struct ssl_st;
+
 /**
  * struct stream - one socket
+ * @tls: TLS session on it, NULL for none
  * @stalled_since_us: when output last made progress while some is waiting,
  *                    0 if none waits
  */
@@ -41,6 +45,7 @@
 	int fd;
 	ev_io reader;
 	ev_io writer;
+	struct ssl_st *tls;
 	struct pg_buffer in;
 	struct pg_buffer out;
 	const struct stream_events *events;
