--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -30,6 +30,7 @@
 	STEP_CONFLICT,
 	STEP_REFUSE,
 	STEP_NOT_LEADER,
+	STEP_NOT_LEADER_BUT_3,
 	STEP_REDIRECT_TO_3,
 	STEP_SILENT,
 };
@@ -74,11 +75,12 @@
 	verdict.verdict =
 		step == STEP_CONFLICT ? WIRE__APPLY_VERDICT__VERDICT__CONFLICT :
 		step == STEP_REFUSE   ? WIRE__APPLY_VERDICT__VERDICT__REFUSED :
-		step == STEP_NOT_LEADER ?
+		step == STEP_NOT_LEADER || step == STEP_NOT_LEADER_BUT_3 ?
 				      WIRE__APPLY_VERDICT__VERDICT__NOT_LEADER :
 				      WIRE__APPLY_VERDICT__VERDICT__ACCEPTED;
 	verdict.winner = step == STEP_CONFLICT ? "anna" : "";
 	verdict.message = step == STEP_REFUSE ? "routes:1: wrong; mend it" : "";
+	verdict.leader = step == STEP_NOT_LEADER_BUT_3 ? 3 : 0;
 	redirect.leader = 3;
 	envelope.body_case = WIRE__ENVELOPE__BODY_APPLY_VERDICT;
 	envelope.apply_verdict = &verdict;
@@ -114,7 +116,9 @@
 	} else {
 		g_string_append(json,
 				"{\"leader\":1,\"members\":["
-				"{\"daemon\":\"a\"},{\"daemon\":\"b\"}]}");
+				"{\"daemon\":\"gl-west-1\",\"zone\":\"\","
+				"\"live\":true},"
+				"{\"daemon\":\"b\",\"zone\":\"z\xc3\xbc\"}]}");
 	}
 	reply.json = json->str;
 	envelope.body_case = WIRE__ENVELOPE__BODY_QUERY_REPLY;
@@ -268,6 +272,7 @@
 static const enum step conflict[] = { STEP_CONFLICT };
 static const enum step refuse[] = { STEP_REFUSE };
 static const enum step not_leader[] = { STEP_NOT_LEADER };
+static const enum step not_leader_but_3[] = { STEP_NOT_LEADER_BUT_3 };
 static const enum step redirect[] = { STEP_REDIRECT_TO_3 };
 static const enum step silent[] = { STEP_SILENT };
 
@@ -350,6 +355,14 @@
 	  "",
 	  { 1, 1 },
 	  7 },
+	{ STEPS(not_leader_but_3),
+	  STEPS(conflict),
+	  "ctl apply --control VMS3 ROUTES POOLS",
+	  CTL_OK,
+	  "accepted",
+	  "",
+	  { 1, 0, 1 },
+	  7 },
 	{ STEPS(redirect),
 	  STEPS(conflict),
 	  "ctl apply --control VMS3 --request-id again-1 ROUTES POOLS",
@@ -476,19 +489,22 @@
 	{ "ctl status --control VMS --public-key-file x", CTL_USAGE,
 	  "give both" },
 	{ "ctl drain", CTL_USAGE, "give --daemon" },
+	{ "ctl counters", CTL_USAGE, "give --daemon" },
 	{ "ctl member --control VMS evict x", CTL_USAGE, "use list, add" },
 	{ "ctl member --control VMS add 3", CTL_USAGE, "ID IP:PORT" },
 	{ "ctl member --control VMS add x 127.0.0.1:1", CTL_USAGE,
 	  "\"x\" cannot be used" },
 	{ "ctl user", CTL_USAGE, "see comfreywheelctl user --help" },
 	{ "ctl status --control VMS", CTL_OK,
-	  "leader: 1\nmembers:\n  daemon: "
-	  "a\n\n  daemon: b\n" },
+	  "leader: 1\nmembers:\n"
+	  "  daemon     zone  live\n"
+	  "  gl-west-1  -     true\n"
+	  "  b          z\xc3\xbc    -\n" },
 	{ "ctl status --json --control VMS", CTL_OK, "\"leader\": 1" },
 	{ "ctl audit --control VMS", CTL_REFUSED, "no trail; ask later" },
 	{ "ctl counters --daemon DAEMON", CTL_OK, "leader" },
 	{ "ctl drain --daemon DAEMON", CTL_OK, "leader" },
-	{ "ctl member --control VMS list", CTL_OK, "daemon: b" },
+	{ "ctl member --control VMS list", CTL_OK, "gl-west-1" },
 	{ "ctl member --control VMS add 3 127.0.0.1:7003", CTL_OK, "leader" },
 	{ "ctl member --control VMS remove gl-west-1", CTL_OK, "leader" },
 	{ "ctl show --control VMS", CTL_OK,
