--- a/tests/path/lib.sh
+++ b/tests/path/lib.sh
@@ -41,11 +41,13 @@
 	done
 }
 
+# Ports kept for each kind of endpoint; more daemons need a larger stride.
+STRIDE=${STRIDE:-10}
 caller_port () { echo $((PORT_BASE + $1)); }
-admin_port () { echo $((PORT_BASE + 10 + $1)); }
-bus_port () { echo $((PORT_BASE + 20 + $1)); }
-control_port () { echo $((PORT_BASE + 30 + $1)); }
-standin_port () { echo $((PORT_BASE + 40 + $1)); }
+admin_port () { echo $((PORT_BASE + STRIDE + $1)); }
+bus_port () { echo $((PORT_BASE + 2 * STRIDE + $1)); }
+control_port () { echo $((PORT_BASE + 3 * STRIDE + $1)); }
+standin_port () { echo $((PORT_BASE + 4 * STRIDE + $1)); }
 
 # announce_list NR_DAEMONS: admin addresses of all daemons
 announce_list () {
@@ -130,7 +132,8 @@
 	"$STANDIN" --name "$name" --listen "127.0.0.1:$(standin_port "$number")" \
 		--service grindplan-db --cluster "$group" \
 		--availability-zone "$zone" --data-folder "$WORK/databases" \
-		--announce "$(announce_list "$NR_DAEMONS")" --announce-ms 1000 \
+		--announce "$(announce_list "${ANNOUNCE_TO:-$NR_DAEMONS}")" \
+		--announce-ms 1000 \
 		--slots 2 --max-connections 16 "$@" 2>>"$WORK/$name.log" &
 	eval "STANDIN_PID_$number=$!"
 	PIDS="$PIDS $!"
@@ -145,7 +148,7 @@
 	NR_DAEMONS=$1
 	NR_CONTROL=$2
 	shift 2
-	PORT_BASE=$("$CLIENT" free-ports 100) || die "no free ports"
+	PORT_BASE=$("$CLIENT" free-ports $((10 * STRIDE))) || die "no free ports"
 	make_keys
 	for n in $(seq 1 "$NR_DAEMONS")
 	do
