--- a/comfreywheel-bench/failover_experiment.h
+++ b/comfreywheel-bench/failover_experiment.h
@@ -12,5 +12,6 @@
 
 /** failover_load() - changes in force and control traffic, by size */
 int failover_load(unsigned seeds, FILE *out);
+int failover_traffic(FILE *out);
 
 #endif
--- a/coordination/failover_choice.c
+++ b/coordination/failover_choice.c
@@ -3,6 +3,19 @@
 /* A report of a single daemon may be the fault of that daemon's own VM. */
 #define SUSPECTS_MIN 2
 
+/*
+ * A suspicion counts while its daemon's heartbeats arrive, a third of a lease
+ * apart at most: the end of a suspicion may be held up on a lossy link. The
+ * record of the lease tells when the last one arrived.
+ */
+static bool is_fresh(const struct failover_view *view,
+		     const struct failover_daemon *d, int64_t now_us)
+{
+	int64_t heard_us = d->lease_expires_us - view->lease_full_us;
+
+	return now_us - heard_us <= view->lease_full_us / 3;
+}
+
 bool failover_suspected(const struct failover_view *view, int64_t now_us)
 {
 	unsigned users = 0, live = 0, suspects = 0, i;
@@ -14,7 +27,7 @@
 			continue;
 		users++;
 		live += d->live || now_us < view->leases_known_us;
-		suspects += d->live && d->suspects;
+		suspects += d->live && d->suspects && is_fresh(view, d, now_us);
 	}
 	return suspects >= MIN(SUSPECTS_MIN, users) && suspects * 2 > live;
 }
--- a/include/failover.h
+++ b/include/failover.h
@@ -145,7 +145,8 @@
  * failover_suspected() - whether enough daemons report the primary
  *
  * A majority of the daemons that use the cluster and may hold a lease, and at
- * least two unless a single daemon uses it. A new leader has not heard of all
+ * least two unless a single daemon uses it. A report counts for a third of a
+ * lease after the heartbeat that made it. A new leader has not heard of all
  * leases, so until these have ended every daemon counts in the whole.
  */
 bool failover_suspected(const struct failover_view *view, int64_t now_us);
--- a/tests/test_control_failover.c
+++ b/tests/test_control_failover.c
@@ -236,6 +236,15 @@
 	control_failover_tick(c);
 }
 
+/* A majority must go on to report the primary before the fence. */
+static void wait_confirmed(struct control *c)
+{
+	int i;
+
+	for (i = 0; i < 15; i++)
+		tick(c);
+}
+
 static struct control_cluster *west(struct control *c)
 {
 	return control_state_cluster(&c->state, "grindplan-db", "west");
@@ -251,6 +260,8 @@
 	struct control *c = control_new();
 
 	hear(c, 1, true, false, 0, 900);
+	ck_assert_int_eq(west(c)->step, WIRE__FAILOVER_STEP__STEP__NONE);
+	wait_confirmed(c);
 	ck_assert_int_eq(west(c)->step, WIRE__FAILOVER_STEP__STEP__FENCING);
 	tick(c);
 	ck_assert_uint_eq(fences, 1);
@@ -288,6 +299,7 @@
 	struct control *c = control_new();
 
 	hear(c, 1, true, true, 100, 100);
+	wait_confirmed(c);
 	tick(c);
 	answer("west-2", true, 0, 100);
 	answer("west-3", true, 0, 90);
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -118,6 +118,22 @@
 }
 END_TEST
 
+/* Guards against the last word of a daemon whose link is stalled. */
+START_TEST(test_suspicion_grows_old)
+{
+	struct run r;
+
+	run_init(&r);
+	r.daemons[0].suspects = r.daemons[1].suspects = true;
+	r.now_us = 11000 * MS - FULL_US + FULL_US / 3;
+	ck_assert(failover_suspected(&r.view, r.now_us));
+	ck_assert(!failover_suspected(&r.view, r.now_us + 1));
+	r.daemons[0].lease_expires_us++;
+	r.daemons[1].lease_expires_us++;
+	ck_assert(failover_suspected(&r.view, r.now_us + 1));
+}
+END_TEST
+
 /* Guards against a new leader that hears the suspicious daemons first. */
 START_TEST(test_suspicion_of_new_leader)
 {
@@ -207,6 +223,8 @@
 	r.daemons[0].suspects = r.daemons[1].suspects = true;
 	ck_assert(proposes_fence(&r));
 	r.now_us += 500 * MS;
+	r.daemons[0].lease_expires_us = r.now_us + FULL_US;
+	r.daemons[1].lease_expires_us = r.now_us + FULL_US;
 	ck_assert(proposes_fence(&r));
 	r.daemons[0].suspects = false;
 	ck_assert_int_eq(next(&r), FAILOVER_WAIT);
@@ -395,7 +413,8 @@
 }
 END_TEST
 
-TEST_MAIN("failover", test_suspicion, test_suspicion_of_new_leader,
-	  test_suspicion_is_confirmed, test_order_of_steps,
-	  test_abandon_and_propose_again, test_fence_by_expiry, test_choice,
-	  test_asks_after_the_fence, test_resume, test_candidate_dies)
+TEST_MAIN("failover", test_suspicion, test_suspicion_grows_old,
+	  test_suspicion_of_new_leader, test_suspicion_is_confirmed,
+	  test_order_of_steps, test_abandon_and_propose_again,
+	  test_fence_by_expiry, test_choice, test_asks_after_the_fence,
+	  test_resume, test_candidate_dies)
