Name what is wrong with a statement that is refused

Cause: a text that cannot be read and one that is too large were both answered with the message on pooled connections, which names no remedy for them. The salts of unknown users came from a key that nobody had set, so a caller could compute them and tell which users exist.

The message follows the SQLSTATE, and the deployment's secret key makes those salts. path_basic checks 42601 for an unterminated string.

--- a/comfreywheeld/caller_batch.c
+++ b/comfreywheeld/caller_batch.c
@@ -158,9 +158,7 @@
 	class = sql_classify(&caller->proxy->classifier, sql);
 	if (class->kind == SQL_REFUSED) {
 		proxy_count(caller->proxy, COUNT_REFUSED_STATEMENTS);
-		return fail(caller, class->sqlstate,
-			    "this statement does not work on pooled "
-			    "connections",
+		return fail(caller, class->sqlstate, caller_refusal(class),
 			    class->remedy);
 	}
 	st = statement_intern(table_of(caller), body,
--- a/comfreywheeld/caller_query.c
+++ b/comfreywheeld/caller_query.c
@@ -3,6 +3,8 @@
 #include "caller_batch.h"
 #include "drain.h"
 
+#include <string.h>
+
 void caller_start(struct caller *caller, const uint8_t *data, size_t len)
 {
 	struct request *req = &caller->request;
@@ -44,11 +46,19 @@
 	proxy_count(caller->proxy, COUNT_LOCAL_ANSWERS);
 }
 
+const char *caller_refusal(const struct sql_class *class)
+{
+	if (!strcmp(class->sqlstate, "0A000"))
+		return "this statement does not work on pooled connections";
+	if (!strncmp(class->sqlstate, "54", 2))
+		return "this statement is too large to be classified";
+	return "this statement cannot be read";
+}
+
 static void refuse(struct caller *caller, const struct sql_class *class)
 {
 	proxy_count(caller->proxy, COUNT_REFUSED_STATEMENTS);
-	caller_error(caller, class->sqlstate,
-		     "this statement does not work on pooled connections",
+	caller_error(caller, class->sqlstate, caller_refusal(class),
 		     class->remedy);
 }
 
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -13,6 +13,7 @@
 #include "users.h"
 
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 /* Announcements arrive every 5 s; three missed ones end the selection. */
@@ -203,6 +204,9 @@
 	    !tls_context_new(settings->tls_certificate, settings->tls_key,
 			     &proxy.tls, error))
 		return EXIT_FAILURE;
+	if (settings->bus_secret_key)
+		scram_set_mock_key(settings->bus_secret_key,
+				   strlen(settings->bus_secret_key));
 	listener = net_listen(settings->caller_listen, error);
 	if (listener < 0)
 		return EXIT_FAILURE;
--- a/tests/path/path_client.c
+++ b/tests/path/path_client.c
@@ -188,6 +188,8 @@
 	CHECK(exec_fails(a, "LISTEN news", "0A000"));
 	CHECK(exec_fails(a, "PREPARE p AS SELECT 1", "0A000"));
 	CHECK(exec_fails(a, "SET search_path = x", "0A000"));
+	/* A text that cannot be read is no matter of pooled connections. */
+	CHECK(exec_fails(a, "SELECT 'unterminated", "42601"));
 	CHECK(exec_ok(a, ""));
 	CHECK(value_is(a, "SELECT count(*) FROM st", "1"));
 	PQfinish(a);
