Tell the control leader at once when a suspicion has ended

The daemon sends a heartbeat out of turn when its primary answers again, as it does when it stops answering; the model does the same.

--- a/comfreywheel-bench/failover_proxy.c
+++ b/comfreywheel-bench/failover_proxy.c
@@ -331,8 +331,11 @@
 	c->refused = l->promoted ? 0 : c->refused + 1;
 	c->answered_probe = l->write;
 	c->missed = 0;
-	if (l->promoted)
+	/* The leader must not act on a suspicion that has ended. */
+	if (l->promoted && c->known.suspect) {
 		c->known.suspect = false;
+		send_heartbeat(world, l->to);
+	}
 	if (c->refused < REFUSED_PROBES || c->known.suspect)
 		return;
 	c->known.suspect = true;
--- a/comfreywheeld/upstream_probe.c
+++ b/comfreywheeld/upstream_probe.c
@@ -37,7 +37,8 @@
 		log_warning("upstream %s does not answer probes", home->name);
 	else
 		log_notice("upstream %s answers probes again", home->name);
-	if (suspect && is_primary(home))
+	/* The leader must not act on a suspicion that has ended either. */
+	if (is_primary(home))
 		control_client_urgent(home->proxy->control, proxy_now());
 	if (suspect)
 		upstream_home_avoid(home);
