--- a/comfreywheel-bench/model.h
+++ b/comfreywheel-bench/model.h
@@ -138,6 +138,9 @@
 double model_exponential(struct model *m, double mean);
 bool model_chance(struct model *m, double probability);
 
+/** model_session_next() - timer callback: a session sends a request */
+void model_session_next(int64_t now_us, void *session);
+
 void model_databases_init(struct model *m);
 struct position model_database_write(struct model *m, uint64_t bytes);
 /** model_database_advance() - bring one database up to the present */
