--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -8,10 +8,12 @@
 #include "error.h"
 #include "log.h"
 #include "net.h"
+#include "tls.h"
 #include "upstream_pool.h"
 #include "users.h"
 
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 /* Announcements arrive every 5 s; three missed ones end the selection. */
@@ -160,6 +162,7 @@
 	directory_finish(&proxy->directory);
 	timer_service_finish(&proxy->timers);
 	counter_set_finish(&proxy->counters);
+	tls_context_free(proxy->tls);
 }
 
 void proxy_stop_listening(struct proxy *proxy)
@@ -197,8 +200,13 @@
 	int listener;
 	bool ok;
 
-	if (!users_load(settings->users_file, &proxy.users, error))
+	if (!users_load(settings->users_file, &proxy.users, error) ||
+	    !tls_context_new(settings->tls_certificate, settings->tls_key,
+			     &proxy.tls, error))
 		return EXIT_FAILURE;
+	if (settings->bus_secret_key)
+		scram_set_mock_key(settings->bus_secret_key,
+				   strlen(settings->bus_secret_key));
 	listener = net_listen(settings->caller_listen, error);
 	if (listener < 0)
 		return EXIT_FAILURE;
