Store positions by replaced member lists, too

Cause: a daemon with a replaced member list, whose lease still runs, reads from the owners by that list.

A write now needs a majority of the owners by the new list and by each list replaced within 1.25 lease durations, under the new version; answers carry the version, and a daemon that has just started waits for that time.

Conclusion: the price is paid by the first writes of a restarted daemon.

--- a/comfreywheeld/session_client.c
+++ b/comfreywheeld/session_client.c
@@ -15,10 +15,34 @@
 	int handle;
 };
 
+/**
+ * struct member_list - a list that was replaced
+ * @until_us: when no daemon can hold a lease with it any more
+ */
+struct member_list {
+	GArray *members;
+	int64_t until_us;
+};
+
+/* Lists that may be in use at once; further ones make stores wait. */
+#define FORMER_MAX 4
+#define GROUPS_MAX (1 + FORMER_MAX)
+
+/**
+ * struct owner - a daemon that was asked
+ * @handle: bus handle, -1 for this daemon
+ * @groups: bit mask of the lists by which it is an owner, bit 0 the newest
+ */
+struct owner {
+	int handle;
+	unsigned groups;
+	bool answered;
+	bool stored;
+};
+
 /**
  * struct pending - a store or a lookup under way
- * @owners: indices into the member list
- * @answered: by owner, so that a repeated answer counts once
+ * @needed: by list: owners that must have stored, until @until_us
  */
 struct pending {
 	struct session_client *client;
@@ -31,12 +55,20 @@
 	session_done done;
 	void *data;
 	struct session_quorum quorum;
-	unsigned owners[SESSION_OWNERS];
-	bool answered[SESSION_OWNERS];
+	struct owner owners[GROUPS_MAX * SESSION_OWNERS];
 	unsigned nr_owners;
+	unsigned needed[GROUPS_MAX];
+	int64_t until_us[GROUPS_MAX];
+	unsigned nr_groups;
 	int timer;
 };
 
+/**
+ * struct session_client - see session_client.h
+ * @former: struct member_list, oldest first
+ * @store_from_us: no store is complete before, since lists that this daemon
+ *                 does not know may be in use
+ */
 struct session_client {
 	const struct settings *settings;
 	struct bus *bus;
@@ -44,6 +76,8 @@
 	struct session_positions positions;
 	GArray *members;
 	uint64_t members_version;
+	GQueue *former;
+	int64_t store_from_us;
 	GHashTable *pending;
 	uint64_t next_id;
 };
@@ -56,6 +90,22 @@
 	g_free(m->zone);
 }
 
+static GArray *member_array_new(void)
+{
+	GArray *members = g_array_new(FALSE, TRUE, sizeof(struct member));
+
+	g_array_set_clear_func(members, member_clear);
+	return members;
+}
+
+static void member_list_free(void *data)
+{
+	struct member_list *list = data;
+
+	g_array_free(list->members, TRUE);
+	g_free(list);
+}
+
 static void pending_free(void *data)
 {
 	struct pending *p = data;
@@ -77,8 +127,8 @@
 	client->next_id = 1;
 	session_positions_init(&client->positions, SESSION_CAPACITY,
 			       SESSION_RETENTION_US, now_us);
-	client->members = g_array_new(FALSE, TRUE, sizeof(struct member));
-	g_array_set_clear_func(client->members, member_clear);
+	client->members = member_array_new();
+	client->former = g_queue_new();
 	client->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, pending_free);
 	return client;
@@ -88,15 +138,11 @@
 {
 	g_hash_table_destroy(client->pending);
 	g_array_free(client->members, TRUE);
+	g_queue_free_full(client->former, member_list_free);
 	session_positions_finish(&client->positions);
 	g_free(client);
 }
 
-static struct member *member_at(const struct session_client *client, guint i)
-{
-	return &g_array_index(client->members, struct member, i);
-}
-
 static void finish(struct pending *p, bool reached)
 {
 	struct session_answer answer = p->quorum.merged;
@@ -108,10 +154,36 @@
 	done(reached, store ? NULL : &answer, data);
 }
 
+/*
+ * A daemon with a replaced list reads from the owners by that list, so a
+ * majority of those must have moved to the new version as well.
+ */
+static bool is_stored(const struct pending *p, int64_t now_us)
+{
+	unsigned group, i, stored;
+
+	if (!p->nr_owners || now_us < p->client->store_from_us)
+		return false;
+	for (group = 0; group < p->nr_groups; group++) {
+		if (now_us >= p->until_us[group])
+			continue;
+		stored = 0;
+		for (i = 0; i < p->nr_owners; i++)
+			stored += p->owners[i].stored &&
+				  (p->owners[i].groups & 1u << group);
+		if (stored < p->needed[group])
+			return false;
+	}
+	return true;
+}
+
 /* Returns false when the request is over and @p is gone. */
-static bool settle(struct pending *p)
+static bool settle(struct pending *p, int64_t now_us)
 {
-	if (session_quorum_reached(&p->quorum)) {
+	bool reached = p->store ? is_stored(p, now_us) :
+				  session_quorum_reached(&p->quorum);
+
+	if (reached) {
 		finish(p, true);
 		return false;
 	}
@@ -123,7 +195,23 @@
 	return true;
 }
 
-static void ask_self(struct pending *p, int64_t now_us)
+static void note_answer(struct pending *p, struct owner *owner, bool accepted,
+			const struct session_answer *answer)
+{
+	if (p->store) {
+		owner->stored = owner->stored || accepted;
+		/* A refusal is not final: the member lists may meet again. */
+		owner->answered = owner->stored;
+		return;
+	}
+	owner->answered = true;
+	if (accepted)
+		session_quorum_answer(&p->quorum, answer);
+	else
+		session_quorum_refusal(&p->quorum);
+}
+
+static void ask_self(struct pending *p, struct owner *owner, int64_t now_us)
 {
 	struct session_client *client = p->client;
 	struct session_answer answer = { 0 };
@@ -138,11 +226,7 @@
 						    p->session, p->cluster,
 						    client->members_version,
 						    now_us, &answer);
-	answer.complete_for_us = MAX(answer.complete_for_us, 0);
-	if (accepted)
-		session_quorum_answer(&p->quorum, &answer);
-	else
-		session_quorum_refusal(&p->quorum);
+	note_answer(p, owner, accepted, &answer);
 }
 
 static void ask_peer(struct pending *p, int handle)
@@ -176,38 +260,79 @@
 
 static void ask_owners(struct pending *p, int64_t now_us)
 {
-	struct member *m;
+	struct owner *owner;
 	unsigned i;
 
 	for (i = 0; i < p->nr_owners; i++) {
-		if (p->answered[i])
-			continue;
-		m = member_at(p->client, p->owners[i]);
-		if (m->handle >= 0) {
-			ask_peer(p, m->handle);
+		owner = &p->owners[i];
+		if (owner->answered)
 			continue;
-		}
-		p->answered[i] = true;
-		ask_self(p, now_us);
+		if (owner->handle >= 0)
+			ask_peer(p, owner->handle);
+		else
+			ask_self(p, owner, now_us);
 	}
 }
 
-static void choose_owners(struct pending *p)
+static void add_owner(struct pending *p, int handle, unsigned group)
 {
-	struct session_client *client = p->client;
+	unsigned i;
+
+	for (i = 0; i < p->nr_owners; i++)
+		if (p->owners[i].handle == handle)
+			break;
+	if (i == p->nr_owners)
+		p->owners[p->nr_owners++] = (struct owner){ .handle = handle };
+	p->owners[i].groups |= 1u << group;
+}
+
+static void add_group(struct pending *p, const GArray *list, int64_t until_us)
+{
+	unsigned nr, i, owners[SESSION_OWNERS];
+	unsigned group = p->nr_groups++;
 	struct session_member *members;
-	guint i;
+	const struct member *m;
 
-	members = g_new(struct session_member, client->members->len);
-	for (i = 0; i < client->members->len; i++) {
-		members[i].name = member_at(client, i)->name;
-		members[i].availability_zone = member_at(client, i)->zone;
+	members = g_new(struct session_member, list->len);
+	for (i = 0; i < list->len; i++) {
+		m = &g_array_index(list, struct member, i);
+		members[i].name = m->name;
+		members[i].availability_zone = m->zone;
 	}
-	p->nr_owners = session_owners(members, client->members->len, p->session,
-				      p->owners);
+	nr = session_owners(members, list->len, p->session, owners);
 	g_free(members);
-	memset(p->answered, 0, sizeof(p->answered));
+	for (i = 0; i < nr; i++)
+		add_owner(p,
+			  g_array_index(list, struct member, owners[i]).handle,
+			  group);
+	p->needed[group] = nr / 2 + 1;
+	p->until_us[group] = until_us;
+}
+
+static void drop_former(struct session_client *client, int64_t now_us)
+{
+	struct member_list *oldest;
+
+	while ((oldest = g_queue_peek_head(client->former)) &&
+	       oldest->until_us <= now_us)
+		member_list_free(g_queue_pop_head(client->former));
+}
+
+static void choose_owners(struct pending *p, int64_t now_us)
+{
+	const struct member_list *list;
+	GList *l;
+
+	p->nr_owners = p->nr_groups = 0;
+	add_group(p, p->client->members, INT64_MAX);
 	session_quorum_init(&p->quorum, p->nr_owners);
+	if (!p->store)
+		return;
+	drop_former(p->client, now_us);
+	for (l = p->client->former->head; l; l = l->next) {
+		list = l->data;
+		add_group(p, list->members, list->until_us);
+	}
 }
 
 static void on_resend(int64_t now_us, void *data)
@@ -221,7 +346,7 @@
 	}
 	if (p->store)
 		ask_owners(p, now_us);
-	if (!settle(p))
+	if (!settle(p, now_us))
 		return;
 	p->timer = timer_subscribe(p->client->timers,
 				   MIN(now_us + RESEND_US, p->deadline_us), 0,
@@ -237,14 +362,14 @@
 	p->id = id;
 	p->timer = TIMER_NONE;
 	g_hash_table_insert(client->pending, &p->id, p);
-	choose_owners(p);
+	choose_owners(p, now_us);
 	/* Without a member list a lookup cannot reach anybody. */
 	if (!p->nr_owners && !p->store) {
 		finish(p, false);
 		return 0;
 	}
 	ask_owners(p, now_us);
-	if (p->nr_owners && !settle(p))
+	if (p->nr_owners && !settle(p, now_us))
 		return 0;
 	p->timer = timer_subscribe(client->timers,
 				   p->store ? MIN(now_us + RESEND_US,
@@ -292,11 +417,11 @@
 
 static void restart(struct pending *p, int64_t now_us)
 {
-	choose_owners(p);
+	choose_owners(p, now_us);
 	if (!p->nr_owners)
 		return;
 	ask_owners(p, now_us);
-	settle(p);
+	settle(p, now_us);
 }
 
 /* Owners moved: whatever is under way starts again. */
@@ -330,6 +455,30 @@
 	return client->settings->lease_us + client->settings->lease_us / 4;
 }
 
+/* Keeps the replaced list for as long as a lease with it may last. */
+static void replace_list(struct session_client *client, int64_t now_us)
+{
+	struct member_list *list;
+
+	drop_former(client, now_us);
+	/* What was in force before the first list is not known. */
+	if (!client->members_version) {
+		client->store_from_us = now_us + settle_time(client);
+		return;
+	}
+	if (g_queue_get_length(client->former) == FORMER_MAX) {
+		list = g_queue_pop_head(client->former);
+		client->store_from_us =
+			MAX(client->store_from_us, list->until_us);
+		member_list_free(list);
+	}
+	list = g_new(struct member_list, 1);
+	list->members = client->members;
+	list->until_us = now_us + settle_time(client);
+	g_queue_push_tail(client->former, list);
+	client->members = member_array_new();
+}
+
 void session_client_members(struct session_client *client,
 			    Wire__Member *const *members, size_t nr,
 			    uint64_t version, int64_t now_us)
@@ -337,7 +486,7 @@
 	struct member m;
 	size_t i;
 
-	g_array_set_size(client->members, 0);
+	replace_list(client, now_us);
 	for (i = 0; i < nr; i++) {
 		m.name = g_strdup(members[i]->daemon);
 		m.zone = g_strdup(members[i]->availability_zone);
@@ -348,8 +497,8 @@
 		g_array_append_val(client->members, m);
 	}
 	client->members_version = version;
-	session_positions_members(&client->positions, version,
-				  now_us + settle_time(client));
+	session_positions_members(&client->positions, version, now_us,
+				  settle_time(client));
 	restart_all(client, now_us);
 }
 
@@ -366,6 +515,7 @@
 		pos.lsn = store->position->lsn;
 	}
 	stored.request = store->request;
+	stored.members_version = store->members_version;
 	stored.refused = !session_positions_store(
 		&client->positions, store->session, store->cluster, pos,
 		store->members_version, now_us);
@@ -384,6 +534,7 @@
 	struct session_answer answer = { 0 };
 
 	reply.request = lookup->request;
+	reply.members_version = lookup->members_version;
 	reply.refused = !session_positions_lookup(
 		&client->positions, lookup->session, lookup->cluster,
 		lookup->members_version, now_us, &answer);
@@ -414,56 +565,47 @@
 }
 
 /* The owner behind @handle, if it was asked and has not answered. */
-static bool first_answer(struct pending *p, int handle)
+static struct owner *waiting_owner(struct pending *p, int handle)
 {
 	unsigned i;
 
-	for (i = 0; i < p->nr_owners; i++) {
-		if (member_at(p->client, p->owners[i])->handle != handle)
-			continue;
-		if (p->answered[i])
-			return false;
-		p->answered[i] = true;
-		return true;
-	}
-	return false;
+	for (i = 0; i < p->nr_owners; i++)
+		if (p->owners[i].handle == handle && !p->owners[i].answered)
+			return &p->owners[i];
+	return NULL;
 }
 
 static void on_stored(struct session_client *client, int handle,
-		      const Wire__SessionStored *stored)
+		      const Wire__SessionStored *stored, int64_t now_us)
 {
 	struct pending *p =
 		g_hash_table_lookup(client->pending, &stored->request);
+	struct owner *owner = p && p->store ? waiting_owner(p, handle) : NULL;
 
-	/* A refusal is not final: the member lists may meet again. */
-	if (!p || !p->store || stored->refused || !first_answer(p, handle))
+	if (!owner || stored->members_version != client->members_version)
 		return;
-	session_quorum_answer(&p->quorum, &(struct session_answer){ 0 });
-	settle(p);
+	note_answer(p, owner, !stored->refused, NULL);
+	settle(p, now_us);
 }
 
 static void on_position(struct session_client *client, int handle,
-			const Wire__SessionPosition *reply)
+			const Wire__SessionPosition *reply, int64_t now_us)
 {
 	struct pending *p =
 		g_hash_table_lookup(client->pending, &reply->request);
+	struct owner *owner = p && !p->store ? waiting_owner(p, handle) : NULL;
 	struct session_answer answer = { 0 };
 
-	if (!p || p->store || !first_answer(p, handle))
+	if (!owner || reply->members_version != client->members_version)
 		return;
-	if (reply->refused) {
-		session_quorum_refusal(&p->quorum);
-		settle(p);
-		return;
-	}
 	answer.found = reply->found && reply->position;
 	if (answer.found) {
 		answer.pos.term = reply->position->term;
 		answer.pos.lsn = reply->position->lsn;
 	}
 	answer.complete_for_us = MIN(reply->complete_for_us, INT64_MAX);
-	session_quorum_answer(&p->quorum, &answer);
-	settle(p);
+	note_answer(p, owner, !reply->refused, &answer);
+	settle(p, now_us);
 }
 
 bool session_client_reply(struct session_client *client, int handle,
@@ -471,10 +613,10 @@
 {
 	switch (envelope->body_case) {
 	case WIRE__ENVELOPE__BODY_SESSION_STORED:
-		on_stored(client, handle, envelope->session_stored);
+		on_stored(client, handle, envelope->session_stored, now_us);
 		return true;
 	case WIRE__ENVELOPE__BODY_SESSION_POSITION:
-		on_position(client, handle, envelope->session_position);
+		on_position(client, handle, envelope->session_position, now_us);
 		return true;
 	default:
 		return false;
--- a/include/session_positions.h
+++ b/include/session_positions.h
@@ -22,7 +22,7 @@
  * SESSION_MEMBERS_GRACE_US - for how long an older member list may be in use
  *
  * A daemon that has not heard of a new list uses the old one until its lease
- * ends: 1.2 s after the list was agreed, plus 2% for clocks of different
+ * ends: with the default lease 1.2 s after the list was agreed, plus 2% for clocks of different
  * rates and as much again for the clock that measures this time.
  *
  * For this long after taking in a list,
@@ -57,9 +57,12 @@
 			    int64_t retention_us, int64_t now_us);
 void session_positions_finish(struct session_positions *sp);
 
-/** session_positions_members() - a new member list moves owners */
+/**
+ * session_positions_members() - a new member list moves owners
+ * @grace_us: SESSION_MEMBERS_GRACE_US, or more for a longer lease
+ */
 void session_positions_members(struct session_positions *sp, uint64_t version,
-			       int64_t now_us);
+			       int64_t now_us, int64_t grace_us);
 
 /** session_positions_store() - false if @version is not ours */
 bool session_positions_store(struct session_positions *sp, uint64_t session,
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -3624,7 +3624,7 @@
   (ProtobufCMessageInit) wire__session_store__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__session_stored__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__session_stored__field_descriptors[3] =
 {
   {
     "request",
@@ -3650,15 +3650,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SessionStored, members_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__session_stored__field_indices_by_name[] = {
+  2,   /* field[2] = members_version */
   1,   /* field[1] = refused */
   0,   /* field[0] = request */
 };
 static const ProtobufCIntRange wire__session_stored__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__session_stored__descriptor =
 {
@@ -3668,7 +3681,7 @@
   "Wire__SessionStored",
   "wire",
   sizeof(Wire__SessionStored),
-  2,
+  3,
   wire__session_stored__field_descriptors,
   wire__session_stored__field_indices_by_name,
   1,  wire__session_stored__number_ranges,
@@ -3752,7 +3765,7 @@
   (ProtobufCMessageInit) wire__session_lookup__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__session_position__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__session_position__field_descriptors[6] =
 {
   {
     "request",
@@ -3814,10 +3827,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members_version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SessionPosition, members_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__session_position__field_indices_by_name[] = {
   4,   /* field[4] = complete_for_us */
   2,   /* field[2] = found */
+  5,   /* field[5] = members_version */
   3,   /* field[3] = position */
   1,   /* field[1] = refused */
   0,   /* field[0] = request */
@@ -3825,7 +3851,7 @@
 static const ProtobufCIntRange wire__session_position__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__session_position__descriptor =
 {
@@ -3835,7 +3861,7 @@
   "Wire__SessionPosition",
   "wire",
   sizeof(Wire__SessionPosition),
-  5,
+  6,
   wire__session_position__field_descriptors,
   wire__session_position__field_indices_by_name,
   1,  wire__session_position__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -445,10 +445,14 @@
   ProtobufCMessage base;
   uint64_t request;
   protobuf_c_boolean refused;
+  /*
+   * As in the request: an answer by an older list counts no more.
+   */
+  uint64_t members_version;
 };
 #define WIRE__SESSION_STORED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__session_stored__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Wire__SessionLookup
@@ -472,10 +476,11 @@
   protobuf_c_boolean found;
   Wire__Position *position;
   uint64_t complete_for_us;
+  uint64_t members_version;
 };
 #define WIRE__SESSION_POSITION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__session_position__descriptor) \
-    , 0, 0, 0, NULL, 0 }
+    , 0, 0, 0, NULL, 0, 0 }
 
 
 struct  Wire__UpstreamNews
--- a/state/session_positions.c
+++ b/state/session_positions.c
@@ -45,12 +45,12 @@
 }
 
 void session_positions_members(struct session_positions *sp, uint64_t version,
-			       int64_t now_us)
+			       int64_t now_us, int64_t grace_us)
 {
 	if (version == sp->members_version)
 		return;
 	sp->members_version = version;
-	sp->complete_since_us = now_us + SESSION_MEMBERS_GRACE_US;
+	sp->complete_since_us = now_us + grace_us;
 }
 
 static void remove_oldest(struct session_positions *sp)
