Hold tenants of a shared pool to their part in the daemon

The limit follows the daemon's share of the pool's connections; requests that it holds back run at the time it names. A pool of one tenant has none, since there is nobody to protect.

--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -153,6 +153,20 @@
 	pg_put_ready(caller_out(caller), caller->transaction);
 }
 
+static bool is_shared(const struct tables *tables, const struct route *route)
+{
+	const struct route *other;
+	guint i;
+
+	for (i = 0; i < tables->routes->len; i++) {
+		other = &g_array_index(tables->routes, struct route, i);
+		if (other->pool == route->pool &&
+		    strcmp(other->tenant, route->tenant))
+			return true;
+	}
+	return false;
+}
+
 static void copy_route(struct caller_route *copy, const struct tables *tables,
 		       const struct route *route)
 {
@@ -163,6 +177,8 @@
 	copy->tenant = g_intern_string(route->tenant);
 	copy->weight = route->weight;
 	copy->slots = pool->slots;
+	copy->connections = pool->connections;
+	copy->shared = is_shared(tables, route);
 	copy->max_queue = pool->max_queue;
 	copy->ack_replicas = pool->ack_replicas;
 	copy->max_replica_lag_us = pool->max_replica_lag_us;
--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -25,6 +25,7 @@
  * struct caller_route - what the tables in force say of a caller
  * @version: version of the tables, 0 before the first
  * @pool: interned, as is @tenant
+ * @shared: whether several tenants use the pool
  *
  * A copy, since a request outlives the tables it was started under.
  */
@@ -34,6 +35,8 @@
 	const char *tenant;
 	unsigned weight;
 	unsigned slots;
+	unsigned connections;
+	bool shared;
 	unsigned max_queue;
 	unsigned ack_replicas;
 	int64_t max_replica_lag_us;
--- a/comfreywheeld/upstream_connection.h
+++ b/comfreywheeld/upstream_connection.h
@@ -68,6 +68,7 @@
 	enum upstream_state state;
 	struct request *request;
 	struct caller *holder;
+	struct admission *admitted_by;
 	bool doomed;
 	bool peer_closed;
 	bool probe;
--- a/comfreywheeld/upstream_pool.c
+++ b/comfreywheeld/upstream_pool.c
@@ -27,6 +27,7 @@
 		directory_upstream_at(&proxy->directory, handle)->name);
 	home->queues = g_ptr_array_new();
 	home->probe_timer = TIMER_NONE;
+	home->wake_timer = TIMER_NONE;
 	proxy->homes->pdata[handle] = home;
 	share = g_hash_table_lookup(proxy->shares, home->name);
 	upstream_home_share(home, GPOINTER_TO_UINT(share));
@@ -52,6 +53,7 @@
 
 	home->share = 0;
 	timer_cancel(&home->proxy->timers, &home->probe_timer);
+	timer_cancel(&home->proxy->timers, &home->wake_timer);
 	if (home->probe)
 		upstream_connection_close(home->probe, UPSTREAM_ENDED);
 	close_all(&home->idle);
@@ -66,6 +68,19 @@
 	g_free(home);
 }
 
+/*
+ * The limit costs throughput and protects tenants from each other, so a pool
+ * of one tenant has none. The probe connection runs no requests.
+ */
+static void set_limit(struct upstream_home *home, struct pool_queue *queue)
+{
+	unsigned share = upstream_home_limit(home);
+
+	admission_set_limit(&queue->admission, queue->slots,
+			    share > 1 ? share - 1 : 1,
+			    queue->shared ? queue->connections : 0);
+}
+
 static struct pool_queue *queue_of(struct upstream_home *home,
 				   const struct caller_route *route)
 {
@@ -76,13 +91,21 @@
 		queue = home->queues->pdata[i];
 		if (queue->pool == route->pool) {
 			queue->admission.max_queue = route->max_queue;
+			queue->slots = route->slots;
+			queue->connections = route->connections;
+			queue->shared = route->shared;
+			set_limit(home, queue);
 			return queue;
 		}
 	}
 	queue = g_new0(struct pool_queue, 1);
 	queue->pool = route->pool;
+	queue->slots = route->slots;
+	queue->connections = route->connections;
+	queue->shared = route->shared;
 	admission_init(&queue->admission, ADMISSION_FAIR, route->max_queue,
 		       route->slots);
+	set_limit(home, queue);
 	g_ptr_array_add(home->queues, queue);
 	return queue;
 }
@@ -160,7 +183,11 @@
 
 void upstream_home_share(struct upstream_home *home, unsigned connections)
 {
+	guint i;
+
 	home->share = connections;
+	for (i = 0; i < home->queues->len; i++)
+		set_limit(home, home->queues->pdata[i]);
 	trim(home);
 	upstream_home_dispatch(home);
 }
@@ -226,10 +253,45 @@
 		req = request_by_handle(home->proxy, handle);
 		if (req)
 			return req;
+		admission_done(&queue->admission);
 	}
 	return NULL;
 }
 
+static void on_wake(int64_t now_us, void *data)
+{
+	struct upstream_home *home = data;
+
+	home->wake_timer = TIMER_NONE;
+	upstream_home_dispatch(home);
+}
+
+/* Requests that the limit holds back run later, not at the next event. */
+static void schedule_wake(struct upstream_home *home)
+{
+	const struct pool_queue *queue;
+	int64_t now = proxy_now(), wake_us = INT64_MAX;
+	guint i;
+
+	timer_cancel(&home->proxy->timers, &home->wake_timer);
+	for (i = 0; home->idle.tail && i < home->queues->len; i++) {
+		queue = home->queues->pdata[i];
+		wake_us =
+			MIN(wake_us, admission_wake_us(&queue->admission, now));
+	}
+	if (wake_us != INT64_MAX)
+		home->wake_timer = timer_subscribe(&home->proxy->timers,
+						   wake_us, 0, on_wake, home);
+}
+
+/* The database's slot is free for the next request of the same pool. */
+static void leave_slot(struct upstream_connection *conn)
+{
+	if (conn->admitted_by)
+		admission_done(conn->admitted_by);
+	conn->admitted_by = NULL;
+}
+
 void upstream_home_dispatch(struct upstream_home *home)
 {
 	struct upstream_connection *conn;
@@ -241,9 +303,11 @@
 			break;
 		conn = g_queue_pop_tail(&home->idle);
 		g_queue_push_tail(&home->busy, conn);
+		conn->admitted_by = req->admission;
 		request_run(req, conn);
 	}
 	open_needed(home);
+	schedule_wake(home);
 }
 
 void upstream_home_ready(struct upstream_home *home,
@@ -265,6 +329,7 @@
 			   struct upstream_connection *conn)
 {
 	conn->request = NULL;
+	leave_slot(conn);
 	if (!upstream_connection_is_clean(conn) || is_over(home)) {
 		upstream_connection_close(conn, UPSTREAM_ENDED);
 		return;
@@ -279,6 +344,7 @@
 {
 	if (end != UPSTREAM_ENDED)
 		home->retry_us = proxy_now() + REOPEN_DELAY_US;
+	leave_slot(conn);
 	g_queue_remove(&home->idle, conn);
 	g_queue_remove(&home->busy, conn);
 	g_queue_remove(&home->opening, conn);
@@ -315,9 +381,13 @@
 
 	for (i = 0; i < home->queues->len; i++) {
 		queue = home->queues->pdata[i];
+		admission_set_limit(&queue->admission, 0, 0, 0);
 		while (admission_next(&queue->admission, proxy_now(),
-				      accept_any, NULL, &handle))
+				      accept_any, NULL, &handle)) {
+			admission_done(&queue->admission);
 			g_array_append_val(handles, handle);
+		}
+		set_limit(home, queue);
 	}
 	for (i = 0; i < handles->len; i++)
 		requeue_one(g_array_index(handles, uint64_t, i), home);
--- a/comfreywheeld/upstream_pool.h
+++ b/comfreywheeld/upstream_pool.h
@@ -13,9 +13,17 @@
  * pools that share an upstream take turns.
  */
 
-/** struct pool_queue - waiting requests of one pool at one upstream */
+/**
+ * struct pool_queue - waiting requests of one pool at one upstream
+ * @slots: of the database
+ * @connections: of all daemons together at the database
+ * @shared: whether several tenants use the pool
+ */
 struct pool_queue {
 	const char *pool;
+	unsigned slots;
+	unsigned connections;
+	bool shared;
 	struct admission admission;
 };
 
@@ -50,6 +58,7 @@
 	GPtrArray *queues;
 	unsigned turn;
 	int probe_timer;
+	int wake_timer;
 	bool suspect;
 	bool rejected;
 	bool position_wanted;
