Measure time by a clock that suspension does not stop

Cause: CLOCK_MONOTONIC stands still while a VM is suspended, so a daemon could take a lease for valid that had run out for the leader long ago.

The daemon's tasks read CLOCK_BOOTTIME in one place. A suspended VM was not tried; a process stopped by a signal sees no difference between the two. The path tests stop at once when a program is not built, instead of waiting for it.

--- a/comfreywheeld/control_task.c
+++ b/comfreywheeld/control_task.c
@@ -1,5 +1,6 @@
 #include "control_task.h"
 
+#include "clock.h"
 #include "control_core.h"
 #include "error.h"
 #include "log.h"
@@ -8,7 +9,7 @@
 
 int64_t control_now(void)
 {
-	return g_get_monotonic_time();
+	return clock_now_us();
 }
 
 void control_fail(struct control *c, GError *error)
--- a/comfreywheeld/proxy.h
+++ b/comfreywheeld/proxy.h
@@ -3,6 +3,7 @@
 
 #include "admission.h"
 #include "bus.h"
+#include "clock.h"
 #include "control_client.h"
 #include "counters.h"
 #include "retry.h"
@@ -130,7 +131,7 @@
 
 static inline int64_t proxy_now(void)
 {
-	return g_get_monotonic_time();
+	return clock_now_us();
 }
 
 static inline void proxy_count(struct proxy *proxy, enum proxy_counter which)
--- a/comfreywheeld/stream.c
+++ b/comfreywheeld/stream.c
@@ -1,5 +1,6 @@
 #include "stream.h"
 
+#include "clock.h"
 #include "tls.h"
 
 #include <errno.h>
@@ -80,7 +81,7 @@
 	if (!pg_buffer_length(&s->out))
 		s->stalled_since_us = 0;
 	else if (!s->stalled_since_us)
-		s->stalled_since_us = g_get_monotonic_time();
+		s->stalled_since_us = clock_now_us();
 	return 0;
 }
 
--- a/tests/path/lib.sh
+++ b/tests/path/lib.sh
@@ -148,6 +148,10 @@
 	NR_DAEMONS=$1
 	NR_CONTROL=$2
 	shift 2
+	for program in "$DAEMON" "$STANDIN" "$CTL" "$CLIENT"
+	do
+		test -x "$program" || die "$program is not built"
+	done
 	PORT_BASE=$("$CLIENT" free-ports $((10 * STRIDE))) || die "no free ports"
 	make_keys
 	for n in $(seq 1 "$NR_DAEMONS")
