Show the counters of the bus in the operators' tool

"comfreywheelctl counters" printed the daemon's own counters only; those of the bus, refused keys among them, stood in the HTTP answer of admin_listen alone, although the man page promises the counters of the daemon. Both outputs now go through one list.

path_login guards this and the logins: right and wrong passwords and an unknown user against a users file of "comfreywheelctl user", and a tool with another key pair that is refused, counted and changes nothing.

--- a/comfreywheeld/bus_queries.c
+++ b/comfreywheeld/bus_queries.c
@@ -1,6 +1,7 @@
 #include "bus_queries.h"
 
 #include "drain.h"
+#include "http.h"
 #include "upstream_pool.h"
 
 #include <jansson.h>
@@ -74,6 +75,11 @@
 			 (int)proxy->nr_callers, "clusters", clusters);
 }
 
+static void add_bus_counter(const char *name, uint64_t value, void *data)
+{
+	json_object_set_new(data, name, json_integer((json_int_t)value));
+}
+
 static json_t *counters(struct proxy *proxy)
 {
 	const struct counter *at;
@@ -85,6 +91,7 @@
 				    i);
 		json_object_set_new(json, at->name, json_integer(at->value));
 	}
+	metrics_bus(bus_counts(proxy->bus), add_bus_counter, json);
 	return json;
 }
 
