Test that a wiped control VM does not vote

path_control only saw that a VM with an empty data folder does not lead under its old identity. It now stops two of the four other voters, so that a leader would need the vote of the wiped VM, and checks that there is none until one of the two returns.

--- a/tests/path/path_control.sh
+++ b/tests/path/path_control.sh
@@ -130,4 +130,21 @@
 grep -q "control VM $second \(leads\|founds\)" "$WORK/vm-$second.log" &&
 	die "a wiped VM leads under its old identity"
 test "$(version)" = "$last" || die "a wiped VM changed the tables"
+
+# Two of the four other voters stop, so a leader would need the wiped VM's vote.
+set -- $(others "$dead" "$second" 1)
+for n in "$1" "$2"
+do
+	kill -9 "$(pid_of "$n")"
+done
+no_leader () { ! ctl status --timeout 1s; }
+wait_for 100 no_leader || die "a minority keeps its leader"
+sleep 2
+for round in 1 2 3
+do
+	no_leader 2>/dev/null >&2 || die "a wiped VM voted under its old identity"
+done
+start_daemon "$1"
+wait_for 300 ctl status || die "no leader after the minority is repaired"
+test "$(version)" = "$last" || die "the tables were lost"
 echo "path_control done"
