Give the spare connections of idle daemons to busy ones

Cause: eight daemons before a database of 16 connections, one of them kept for the control leader, want two each when idle: 16 of 15. The one that got only its probe connection never got another, since the others' spares counted as much as its waiting requests. Seen on real processes: vm-8 refused every write for ten minutes.

Spares do not count while the budget does not reach for all daemons. The new test gives each of eight daemons requests in turn: with the rule taken out vm-8 keeps one connection, with it every daemon gets two.

Conclusion: with all eight busy at once one of them still has to wait for the others' requests to end.

--- a/comfreywheeld/control_shares.c
+++ b/comfreywheeld/control_shares.c
@@ -111,6 +111,26 @@
 	       report->share == MIN(share->connections, share->target);
 }
 
+/* A daemon without requests wants its probe connection and a warm spare. */
+#define IDLE_WANTED 2
+
+/*
+ * Warm spares count for nothing where the budget does not reach for all: a
+ * daemon with requests would otherwise wait for ever for the spare of one
+ * that has none.
+ */
+static void ration_spares(struct budget_demand *demands, unsigned nr,
+			  unsigned budget)
+{
+	unsigned sum = 0, i;
+
+	for (i = 0; i < nr; i++)
+		sum += demands[i].alive ? demands[i].wanted : 0;
+	for (i = 0; i < nr && sum > budget; i++)
+		if (demands[i].wanted == IDLE_WANTED)
+			demands[i].wanted = 1;
+}
+
 /*
  * Leaves out the changes of unsettled daemons; what remains of the plan must
  * still stay within the budget.
@@ -167,6 +187,7 @@
 		is_settled[i] = settled(report, &shares[i], &demands[i]);
 		sum += shares[i].connections;
 	}
+	ration_spares(demands, nr, budget);
 	nr = budget_plan(budget, shares, demands, nr, changes);
 	keep_safe(changes, nr, shares, is_settled, sum, budget, names, out);
 	g_ptr_array_free(names, TRUE);
--- a/tests/test_control_task.c
+++ b/tests/test_control_task.c
@@ -369,6 +369,63 @@
 }
 END_TEST
 
+static void record_shares(struct fixture *f, const char *name);
+
+/* Heartbeats of @nr daemons that have taken in their shares. */
+static void hear_shares(struct fixture *f, unsigned nr, unsigned busy,
+			unsigned wanted)
+{
+	Wire__UpstreamReport up;
+	unsigned connections, target, i;
+	char name[8];
+
+	for (i = 1; i <= nr; i++) {
+		g_snprintf(name, sizeof(name), "vm-%u", i);
+		control_state_share(&f->state, name, "west-1", &connections,
+				    &target);
+		up = upstream("west-1", true, 1);
+		up.share = MIN(connections, target);
+		up.open_connections = up.share;
+		up.wanted_connections = i == busy ? wanted : 2;
+		hear(f, name, 1, NULL, &up);
+	}
+}
+
+/*
+ * Guards against a daemon that never gets a connection for its requests while
+ * the others keep idle ones: eight daemons, 15 connections for them.
+ */
+START_TEST(test_spares_of_idle_daemons)
+{
+	unsigned connections, target, round, i;
+	struct fixture f;
+	char name[8];
+
+	fixture_init(&f);
+	f.facts.now_us = LEASE_US;
+	for (i = 1; i <= 8; i++) {
+		g_snprintf(name, sizeof(name), "vm-%u", i);
+		add_member(&f, name);
+	}
+	for (round = 0; round < 8; round++) {
+		hear_shares(&f, 8, 0, 0);
+		record_shares(&f, "west-1");
+	}
+	for (i = 1; i <= 8; i++) {
+		for (round = 0; round < 8; round++) {
+			hear_shares(&f, 8, i, 3);
+			record_shares(&f, "west-1");
+		}
+		g_snprintf(name, sizeof(name), "vm-%u", i);
+		control_state_share(&f.state, name, "west-1", &connections,
+				    &target);
+		ck_assert_msg(MIN(connections, target) >= 2,
+			      "%s holds %u connections", name, connections);
+	}
+	fixture_finish(&f);
+}
+END_TEST
+
 #define DAEMONS 5
 #define DELAYED 64
 
@@ -584,6 +641,7 @@
 }
 END_TEST
 
-TEST_MAIN("control_task", test_wire_round_trip, test_late_heartbeat,
-	  test_in_force, test_failover_view, test_cluster_found,
-	  test_replicates, test_budget_is_never_exceeded, test_position_row)
+TEST_MAIN("control_task", test_spares_of_idle_daemons, test_wire_round_trip,
+	  test_late_heartbeat, test_in_force, test_failover_view,
+	  test_cluster_found, test_replicates, test_budget_is_never_exceeded,
+	  test_position_row)
