Share sockets and timer loops between daemon and test upstream

Cause: listening, accepting, connecting and the libev timer behind the timer service stood twice, and the test upstream had once lacked the TCP_NODELAY that the daemon set.

Both use transport/net.c and transport/event_timers.c. path_basic and path_replicas pass.

--- a/comfreywheel-standin/client.c
+++ b/comfreywheel-standin/client.c
@@ -1,11 +1,8 @@
 #include "standin.h"
 
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 /* Delay between two bytes of a slow answer. */
@@ -411,10 +408,7 @@
 void client_accept(struct standin *s, int fd)
 {
 	struct client *c = g_new0(struct client, 1);
-	int on = 1;
 
-	/* Nagle's algorithm would hold back each log record for 40 ms. */
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	c->server = s;
 	c->fd = fd;
 	c->timer = c->slow_timer = TIMER_NONE;
--- a/comfreywheel-standin/main.c
+++ b/comfreywheel-standin/main.c
@@ -1,45 +1,26 @@
-#include "error.h"
+#include "clock.h"
 #include "log.h"
+#include "net.h"
 #include "standin.h"
 
-#include <arpa/inet.h>
 #include <argtable2.h>
-#include <errno.h>
-#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
-#include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #define PROGRAM "comfreywheel-standin"
 
 int64_t standin_now(struct standin *s)
 {
-	return (int64_t)(ev_now(s->loop) * 1e6);
+	return clock_now_us();
 }
 
-static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
-{
-	struct standin *s = w->data;
-
-	timer_service_advance(&s->timers, standin_now(s));
-}
-
-/* Arms the one libev timer for the next subscription. */
+/* No handler holds a closed client between two waits of the loop. */
 static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
 {
 	struct standin *s = w->data;
-	int64_t next = timer_service_next(&s->timers);
-	int64_t wait;
 
 	g_ptr_array_set_size(s->closed_clients, 0);
-	ev_timer_stop(loop, &s->timer_watcher);
-	if (next == INT64_MAX)
-		return;
-	wait = MAX(next - standin_now(s), 0);
-	ev_timer_set(&s->timer_watcher, wait / 1e6, 0.);
-	ev_timer_start(loop, &s->timer_watcher);
 }
 
 static void on_accept(struct ev_loop *loop, ev_io *w, int events)
@@ -48,7 +29,7 @@
 	int fd;
 
 	for (;;) {
-		fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		fd = net_accept(w->fd);
 		if (fd < 0)
 			return;
 		if (s->faults[FAULT_REFUSE]) {
@@ -64,35 +45,6 @@
 	ev_break(loop, EVBREAK_ALL);
 }
 
-static int listen_on(const char *address, int port, GError **error)
-{
-	struct sockaddr_in sa = { .sin_family = AF_INET };
-	int fd, on = 1;
-
-	sa.sin_port = htons(port);
-	if (inet_pton(AF_INET, address, &sa.sin_addr) != 1) {
-		g_set_error(error, CW_ERROR, CW_ERROR_USAGE,
-			    "%s is no IPv4 address; use --listen IP:PORT",
-			    address);
-		return -1;
-	}
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		goto fail;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
-	    listen(fd, 512) < 0)
-		goto fail;
-	return fd;
-fail:
-	g_set_error(error, CW_ERROR, CW_ERROR_IO,
-		    "cannot listen on %s:%d: %s; choose a free port", address,
-		    port, strerror(errno));
-	if (fd >= 0)
-		close(fd);
-	return -1;
-}
-
 static bool standin_run(struct standin *s, GError **error)
 {
 	ev_signal term, intr;
@@ -107,17 +59,16 @@
 	s->faults[FAULT_LAG] = s->options.lag_ms;
 	if (!replication_open(s, error))
 		return false;
-	fd = listen_on(s->options.address, s->options.port, error);
+	fd = net_listen(s->options.listen, error);
 	if (fd < 0)
 		return false;
 	ev_io_init(&s->listener, on_accept, fd, EV_READ);
 	s->listener.data = s;
 	ev_io_start(s->loop, &s->listener);
-	ev_timer_init(&s->timer_watcher, on_timer, 0., 0.);
-	s->timer_watcher.data = s;
-	ev_prepare_init(&s->timer_prepare, on_prepare);
-	s->timer_prepare.data = s;
-	ev_prepare_start(s->loop, &s->timer_prepare);
+	event_timers_init(&s->event_timers, s->loop, &s->timers);
+	ev_prepare_init(&s->prepare, on_prepare);
+	s->prepare.data = s;
+	ev_prepare_start(s->loop, &s->prepare);
 	ev_signal_init(&term, on_signal, SIGTERM);
 	ev_signal_start(s->loop, &term);
 	ev_signal_init(&intr, on_signal, SIGINT);
@@ -135,23 +86,13 @@
 	g_ptr_array_free(s->closed_clients, TRUE);
 	g_ptr_array_free(s->clients, TRUE);
 	replication_finish(s);
+	event_timers_finish(&s->event_timers);
 	timer_service_finish(&s->timers);
 	close(fd);
 	ev_loop_destroy(s->loop);
 	return true;
 }
 
-static bool parse_listen(const char *text, struct standin_options *options)
-{
-	const char *colon = strrchr(text, ':');
-
-	if (!colon)
-		return false;
-	options->address = g_strndup(text, colon - text);
-	options->port = atoi(colon + 1);
-	return options->port > 0 && options->port < 65536;
-}
-
 static const char *text_or(const struct arg_str *arg, const char *value)
 {
 	return arg->count ? arg->sval[0] : value;
@@ -206,12 +147,14 @@
 		arg_print_glossary(stdout, table, "  %-28s %s\n");
 		return 0;
 	}
-	if (errors || !parse_listen(addr->sval[0], &s.options)) {
+	if (errors ||
+	    !net_split(addr->sval[0], s.options.address, &s.options.port)) {
 		arg_print_errors(stderr, end, PROGRAM);
 		fprintf(stderr, "Try '" PROGRAM " --help'.\n");
 		return 2;
 	}
 	log_init(PROGRAM, LOG_LEVEL_INFO);
+	s.options.listen = addr->sval[0];
 	s.options.name = name->sval[0];
 	s.options.availability_zone = text_or(zone, "zone");
 	s.options.service = text_or(service, "service");
--- a/comfreywheel-standin/replication.c
+++ b/comfreywheel-standin/replication.c
@@ -1,12 +1,11 @@
 #include "error.h"
 #include "log.h"
+#include "net.h"
 #include "standin.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 /* Log position of an empty database; PostgreSQL's first segment is 16 MiB. */
@@ -410,30 +409,26 @@
 
 void replication_follow(struct standin *s)
 {
-	struct sockaddr_in sa = { .sin_family = AF_INET };
 	struct replication_link *l;
-	const char *colon;
-	char *host, *sql;
+	char host[64];
+	uint16_t port;
+	char *sql;
+	int fd;
 
 	if (!s->in_recovery || !s->follow || s->link)
 		return;
-	colon = strrchr(s->follow, ':');
-	host = g_strndup(s->follow, colon ? (size_t)(colon - s->follow) : 0);
-	inet_pton(AF_INET, host, &sa.sin_addr);
-	sa.sin_port = htons(colon ? atoi(colon + 1) : 0);
-	g_free(host);
+	fd = net_split(s->follow, host, &port) ? net_connect(host, port) : -1;
+	if (fd < 0) {
+		reconnect_later(s);
+		return;
+	}
 	l = g_new0(struct replication_link, 1);
 	l->server = s;
-	l->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	l->fd = fd;
 	s->link = l;
-	ev_io_init(&l->reader, on_link_readable, l->fd, EV_READ);
-	ev_io_init(&l->writer, on_link_writable, l->fd, EV_WRITE);
+	ev_io_init(&l->reader, on_link_readable, fd, EV_READ);
+	ev_io_init(&l->writer, on_link_writable, fd, EV_WRITE);
 	l->reader.data = l->writer.data = l;
-	if (connect(l->fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 &&
-	    errno != EINPROGRESS) {
-		reconnect_later(s);
-		return;
-	}
 	pg_put_startup(&l->out, "replication", s->options.database,
 		       s->options.name);
 	sql = g_strdup_printf("STANDIN REPLICATE %u %llu", s->term,
--- a/comfreywheel-standin/standin.h
+++ b/comfreywheel-standin/standin.h
@@ -1,6 +1,7 @@
 #ifndef STANDIN_H
 #define STANDIN_H
 
+#include "event_timers.h"
 #include "pg_frame.h"
 #include "position.h"
 #include "timer_service.h"
@@ -23,8 +24,9 @@
 
 struct standin_options {
 	const char *name;
-	const char *address;
-	int port;
+	const char *listen;
+	char address[64];
+	uint16_t port;
 	const char *availability_zone;
 	const char *service;
 	const char *cluster;
@@ -74,8 +76,8 @@
 	struct standin_options options;
 	struct ev_loop *loop;
 	struct timer_service timers;
-	ev_timer timer_watcher;
-	ev_prepare timer_prepare;
+	struct event_timers event_timers;
+	ev_prepare prepare;
 	ev_io listener;
 	GPtrArray *clients;
 	GPtrArray *closed_clients;
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -32,27 +32,12 @@
 	g_ptr_array_add(proxy->discarded, memory);
 }
 
-static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
-{
-	struct proxy *proxy = w->data;
-
-	timer_service_advance(&proxy->timers, proxy_now());
-}
-
+/* No handler holds a discarded object between two waits of the loop. */
 static void on_prepare(struct ev_loop *loop, ev_prepare *w, int revents)
 {
 	struct proxy *proxy = w->data;
-	int64_t next = timer_service_next(&proxy->timers);
-	double after;
 
 	g_ptr_array_set_size(proxy->discarded, 0);
-	ev_timer_stop(loop, &proxy->tick);
-	if (next == INT64_MAX)
-		return;
-	after = MAX(next - proxy_now(), 0) / 1e6;
-	ev_now_update(loop);
-	ev_timer_set(&proxy->tick, after, 0.);
-	ev_timer_start(loop, &proxy->tick);
 }
 
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
@@ -175,10 +160,9 @@
 
 static void start_loop(struct proxy *proxy, int listener)
 {
-	ev_timer_init(&proxy->tick, on_tick, 0., 0.);
+	event_timers_init(&proxy->event_timers, proxy->loop, &proxy->timers);
 	ev_prepare_init(&proxy->prepare, on_prepare);
 	ev_io_init(&proxy->listener, on_accept, listener, EV_READ);
-	proxy->tick.data = proxy;
 	proxy->prepare.data = proxy;
 	proxy->listener.data = proxy;
 	ev_prepare_start(proxy->loop, &proxy->prepare);
@@ -188,7 +172,7 @@
 static void stop_loop(struct proxy *proxy)
 {
 	ev_prepare_stop(proxy->loop, &proxy->prepare);
-	ev_timer_stop(proxy->loop, &proxy->tick);
+	event_timers_finish(&proxy->event_timers);
 	proxy_stop_listening(proxy);
 }
 
--- a/comfreywheeld/proxy.h
+++ b/comfreywheeld/proxy.h
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "control_client.h"
 #include "counters.h"
+#include "event_timers.h"
 #include "retry.h"
 #include "router.h"
 #include "session_client.h"
@@ -89,7 +90,7 @@
 	struct settings *settings;
 	const char *settings_path;
 	struct timer_service timers;
-	ev_timer tick;
+	struct event_timers event_timers;
 	ev_prepare prepare;
 	ev_io listener;
 	ev_signal signals[3];
--- /dev/null
+++ b/include/event_timers.h
@@ -0,0 +1,27 @@
+#ifndef EVENT_TIMERS_H
+#define EVENT_TIMERS_H
+
+#include "timer_service.h"
+
+#include <ev.h>
+
+/**
+ * DOC: Runs a timer service from an event loop, by the clock of clock.h.
+ */
+
+/**
+ * struct event_timers - one libev timer for all subscriptions
+ * @service: the subscriptions, owned by the caller
+ */
+struct event_timers {
+	struct ev_loop *loop;
+	struct timer_service *service;
+	ev_timer timer;
+	ev_prepare prepare;
+};
+
+void event_timers_init(struct event_timers *timers, struct ev_loop *loop,
+		       struct timer_service *service);
+void event_timers_finish(struct event_timers *timers);
+
+#endif
--- a/comfreywheeld/net.c
+++ b/transport/net.c
@@ -59,6 +59,7 @@
 	return false;
 }
 
+/* Nagle's algorithm holds small messages back for 40 ms. */
 static void set_no_delay(int fd)
 {
 	int on = 1;
