--- a/comfreywheel-standin/execute.c
+++ b/comfreywheel-standin/execute.c
@@ -1,4 +1,4 @@
-#include "standin.h"
+#include "execute.h"
 
 #include <string.h>
 
@@ -10,14 +10,6 @@
 #define LOCK_RETRY_US 1000
 #define COMMAND_TAG_MAX 64
 
-enum step {
-	STEP_DONE,
-	STEP_PAUSED,
-	STEP_LOCKED,
-	STEP_FAILED,
-	STEP_CLOSED,
-};
-
 static void finish(struct client *c)
 {
 	c->busy = false;
@@ -194,140 +186,6 @@
 	pg_end(&c->out, begin);
 }
 
-/* Returns STEP_CLOSED when a fault takes the connection down. */
-static enum step lose_connection(struct client *c, enum standin_fault fault)
-{
-	if (c->server->faults[fault] <= 0)
-		return STEP_DONE;
-	c->server->faults[fault]--;
-	client_close(c);
-	return STEP_CLOSED;
-}
-
-static enum step commit(struct client *c)
-{
-	struct standin *s = c->server;
-	uint64_t end = 0;
-
-	if (!c->transaction->len)
-		return sqlite3_exec(c->db, "COMMIT", NULL, NULL, NULL) ?
-			       STEP_FAILED :
-			       STEP_DONE;
-	if (lose_connection(c, FAULT_DROP_BEFORE_COMMIT) == STEP_CLOSED)
-		return STEP_CLOSED;
-	if (!replication_log(s, c->db, c->transaction->str, &end) ||
-	    sqlite3_exec(c->db, "COMMIT", NULL, NULL, NULL))
-		return STEP_FAILED;
-	g_string_truncate(c->transaction, 0);
-	replication_committed(s, end);
-	return lose_connection(c, FAULT_DROP_AFTER_COMMIT);
-}
-
-static enum step run_begin(struct client *c, const char *text)
-{
-	bool read_only = c->server->in_recovery ||
-			 strcasestr(text, "READ ONLY") != NULL;
-	int rc;
-
-	if (!c->in_transaction) {
-		rc = sqlite3_exec(c->db,
-				  read_only ? "BEGIN" : "BEGIN IMMEDIATE", NULL,
-				  NULL, NULL);
-		if (rc == SQLITE_BUSY)
-			return STEP_LOCKED;
-		if (rc)
-			return STEP_FAILED;
-	}
-	c->in_transaction = true;
-	g_string_truncate(c->transaction, 0);
-	pg_put_command_complete(&c->out, "BEGIN");
-	return STEP_DONE;
-}
-
-static enum step run_rollback(struct client *c, const char *text)
-{
-	if (c->in_transaction)
-		sqlite3_exec(c->db, "ROLLBACK", NULL, NULL, NULL);
-	c->in_transaction = c->failed = false;
-	g_string_truncate(c->transaction, 0);
-	pg_put_command_complete(&c->out, "ROLLBACK");
-	return STEP_DONE;
-}
-
-static enum step run_commit(struct client *c, const char *text)
-{
-	enum step step;
-
-	if (c->failed)
-		return run_rollback(c, text);
-	if (c->in_transaction) {
-		step = commit(c);
-		if (step != STEP_DONE)
-			return step;
-	}
-	c->in_transaction = false;
-	pg_put_command_complete(&c->out, "COMMIT");
-	return STEP_DONE;
-}
-
-static enum step run_set(struct client *c, const char *text)
-{
-	pg_put_command_complete(&c->out, "SET");
-	return STEP_DONE;
-}
-
-static enum step run_discard(struct client *c, const char *text)
-{
-	pg_put_command_complete(&c->out, "DISCARD ALL");
-	return STEP_DONE;
-}
-
-static enum step run_alter_system(struct client *c, const char *text)
-{
-	struct standin *s = c->server;
-	const char *host = strstr(text, "host=");
-	const char *port = strstr(text, "port=");
-
-	if (!host || !port)
-		return STEP_FAILED;
-	host += strlen("host=");
-	g_free(s->configured_follow);
-	s->configured_follow = g_strdup_printf("%.*s:%d",
-					       (int)strcspn(host, " '"), host,
-					       atoi(port + strlen("port=")));
-	pg_put_command_complete(&c->out, "ALTER SYSTEM");
-	return STEP_DONE;
-}
-
-static const struct command {
-	const char *prefix;
-	enum step (*run)(struct client *c, const char *text);
-} commands[] = {
-	{ "BEGIN", run_begin },
-	{ "START TRANSACTION", run_begin },
-	{ "COMMIT", run_commit },
-	{ "END", run_commit },
-	{ "ROLLBACK TO", NULL },
-	{ "ROLLBACK", run_rollback },
-	{ "ABORT", run_rollback },
-	{ "SET ", run_set },
-	{ "RESET ", run_set },
-	{ "DISCARD ALL", run_discard },
-	{ "ALTER SYSTEM SET primary_conninfo", run_alter_system },
-};
-
-static const struct command *find_command(const char *text)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
-		if (!g_ascii_strncasecmp(text, commands[i].prefix,
-					 strlen(commands[i].prefix)))
-			return commands[i].run ? &commands[i] : NULL;
-	}
-	return NULL;
-}
-
 /* "CREATE TABLE" and the like have tags of two words. */
 static const char *utility_tag(const char *sql, char *buf)
 {
@@ -425,7 +283,7 @@
 		sqlite3_free(sql);
 		sqlite3_reset(c->stmt);
 		if (c->autocommit)
-			step = commit(c);
+			step = transaction_commit(c);
 	}
 	if (step == STEP_CLOSED)
 		return step;
@@ -476,7 +334,7 @@
 static enum step run_next(struct client *c)
 {
 	const char *text = c->sql + c->sql_at;
-	const struct command *command = find_command(text);
+	const struct command *command = transaction_command(text);
 	enum step step;
 
 	if (!command) {
@@ -547,7 +405,7 @@
 	const char *text = c->sql + c->sql_at;
 	bool refused;
 
-	if (c->stmt || !c->server->in_recovery || find_command(text))
+	if (c->stmt || !c->server->in_recovery || transaction_command(text))
 		return false;
 	if (sqlite3_prepare_v2(c->db, text, -1, &c->stmt, NULL))
 		return false;
@@ -601,7 +459,7 @@
 	size_t begin;
 	int i, nr;
 
-	if (!find_command(sql) &&
+	if (!transaction_command(sql) &&
 	    sqlite3_prepare_v2(c->db, sql, -1, &stmt, NULL)) {
 		pg_put_error(&c->out, "ERROR", sqlstate_of(c->db),
 			     sqlite3_errmsg(c->db), NULL);
