Test lost transactions and commits on real processes

Cause: a daemon that dies inside a transaction and a connection lost around a commit were tested in the model only.

--- a/tests/path/path_client.c
+++ b/tests/path/path_client.c
@@ -414,6 +414,38 @@
 	return 0;
 }
 
+/* Runs one request with an identity; prints "done" or the SQLSTATE. */
+static int cmd_identified(int argc, char **argv)
+{
+	PGconn *conn = open_conn(argv[0]);
+	char *set;
+	PGresult *res;
+
+	CHECK(conn);
+	set = malloc(strlen(argv[1]) + 64);
+	sprintf(set, "SET comfreywheel.request_id = '%s'", argv[1]);
+	CHECK(exec_ok(conn, set));
+	free(set);
+	res = PQexec(conn, argv[2]);
+	printf("%s\n", result_ok(res) ? "done" : sqlstate(res));
+	PQclear(res);
+	PQfinish(conn);
+	return 0;
+}
+
+/* Keeps a transaction open in which a statement was executed. */
+static int cmd_hold(int argc, char **argv)
+{
+	PGconn *conn = open_conn(argv[0]);
+
+	CHECK(conn && exec_ok(conn, "BEGIN") && exec_ok(conn, argv[1]));
+	printf("open\n");
+	fflush(stdout);
+	sleep(atoi(argv[2]));
+	PQfinish(conn);
+	return 0;
+}
+
 /* Reads a result far larger than any buffer, slowly at first. */
 static int cmd_large_result(int argc, char **argv)
 {
@@ -548,6 +580,8 @@
 	{ "write-log", 4, cmd_write_log },
 	{ "check-log", 2, cmd_check_log },
 	{ "once", 2, cmd_once },
+	{ "identified", 3, cmd_identified },
+	{ "hold", 3, cmd_hold },
 	{ "large-result", 2, cmd_large_result },
 	{ "cancel", 2, cmd_cancel },
 	{ "drain", 2, cmd_drain },
