Warn of a lost disk only when the group is not forming

Cause: at a first start the VMs that are founded by another one logged that their disk might be lost, since the founder had data a moment earlier.

The warning waits 3 s. path_control, which wipes a VM, still sees it.

Conclusion: a first start logs no warning.

--- a/comfreywheeld/control_core.h
+++ b/comfreywheeld/control_core.h
@@ -121,6 +121,7 @@
 	int64_t next_budget_us;
 	uint64_t last_share_index;
 	int64_t next_bootstrap_us;
+	int64_t group_seen_us;
 	bool warned_wiped;
 };
 
--- a/comfreywheeld/control_members.c
+++ b/comfreywheeld/control_members.c
@@ -123,6 +123,9 @@
 	control_raft_start(c, &rec);
 }
 
+/* A group that is being founded reaches every VM within this time. */
+#define FORMING_US (3 * 1000000ll)
+
 /*
  * Only the VM of the lowest id founds the group, and only while every other
  * one of its settings answers that its folder is empty too. A VM that lost
@@ -145,7 +148,10 @@
 	for (i = 0; i < c->links->len; i++) {
 		const struct control_link *link = c->links->pdata[i];
 
-		if (link->has_data && !c->warned_wiped) {
+		if (link->has_data && !c->group_seen_us)
+			c->group_seen_us = now_us;
+		if (link->has_data && !c->warned_wiped &&
+		    now_us - c->group_seen_us >= FORMING_US) {
 			c->warned_wiped = true;
 			log_warning("the data folder is empty but the group "
 				    "exists; if the disk was lost, add this VM "
