--- a/tests/path/path_basic.sh
+++ b/tests/path/path_basic.sh
@@ -11,6 +11,9 @@
 "$CLIENT" once "$a" "$b" || die "request identity"
 "$CLIENT" large-result "$c" 200000 || die "large result"
 
+"$CLIENT" cancel "$b" "SELECT pg_sleep(2)" || die "cancel"
+"$CLIENT" late "$a" || die "late answer"
+
 # A caller without a route, a service that does not exist.
 "$CLIENT" sql "$(conninfo 1 west stranger)" "SELECT 1" 2>/dev/null &&
 	die "a caller without a route was served"
--- a/tests/path/path_client.c
+++ b/tests/path/path_client.c
@@ -414,6 +414,36 @@
 	return 0;
 }
 
+/*
+ * A request whose deadline passes while the upstream works on it. Its late
+ * answer must reach nobody: every later request gets its own.
+ */
+static int cmd_late(int argc, char **argv)
+{
+	PGconn *a = open_conn(argv[0]);
+	PGconn *b = open_conn(argv[0]);
+	char sql[64], want[16];
+	PGresult *res;
+	int i;
+
+	CHECK(a && b);
+	CHECK(exec_ok(a, "SET comfreywheel.deadline = '300ms'"));
+	res = PQexec(a, "SELECT pg_sleep(1)");
+	CHECK(!result_ok(res));
+	printf("late request: %s %s", sqlstate(res), PQresultErrorMessage(res));
+	PQclear(res);
+	CHECK(exec_ok(a, "SET comfreywheel.deadline = '5s'"));
+	for (i = 0; i < 300; i++) {
+		snprintf(sql, sizeof(sql), "SELECT %d + 1000", i);
+		snprintf(want, sizeof(want), "%d", i + 1000);
+		CHECK(value_is(i & 1 ? a : b, sql, want));
+		usleep(5000);
+	}
+	PQfinish(a);
+	PQfinish(b);
+	return 0;
+}
+
 /* Runs one request with an identity; prints "done" or the SQLSTATE. */
 static int cmd_identified(int argc, char **argv)
 {
@@ -580,6 +610,7 @@
 	{ "write-log", 4, cmd_write_log },
 	{ "check-log", 2, cmd_check_log },
 	{ "once", 2, cmd_once },
+	{ "late", 1, cmd_late },
 	{ "identified", 3, cmd_identified },
 	{ "hold", 3, cmd_hold },
 	{ "large-result", 2, cmd_large_result },
--- a/tests/path/path_replicas.sh
+++ b/tests/path/path_replicas.sh
@@ -34,4 +34,9 @@
 wait_for 50 serves_on || die "the other replica serves no reads"
 echo "caller statements on the leaving replica: $leaving then $(statements 2)"
 test "$leaving" = "$(statements 2)" || die "a leaving replica got work"
+
+# A replica that dies takes no request and no acknowledgement with it.
+direct 2 "SELECT standin_fault('leaving', 0)" >/dev/null
+kill -9 "$STANDIN_PID_3"
+"$CLIENT" roam 100 "$a" "$b" || die "requests fail after a replica's death"
 echo "path_replicas done"
