--- a/comfreywheeld/control_core.h
+++ b/comfreywheeld/control_core.h
@@ -121,6 +121,7 @@
 	int64_t next_budget_us;
 	uint64_t last_share_index;
 	int64_t next_bootstrap_us;
+	int64_t group_seen_us;
 	bool warned_wiped;
 };
 
@@ -147,6 +148,8 @@
 
 /* control_members.c */
 struct control_link *control_link(struct control *control, uint64_t id);
+/** control_leader_address() - "" if it is not known */
+const char *control_leader_address(struct control *control);
 void control_link_set(struct control *control, uint64_t id,
 		      const char *address);
 void control_link_free(void *link);
