--- a/tests/path/lib.sh
+++ b/tests/path/lib.sh
@@ -94,6 +94,7 @@
 		test "$1" -gt "$2" || echo "data_folder = $WORK/vm-$1"
 		echo "log_level = ${LOG_LEVEL:-info}"
 		echo "max_callers = ${MAX_CALLERS:-2500}"
+		echo "caller_write_timeout = ${CALLER_WRITE:-30s}"
 		echo "[control]"
 		if test "$1" -le "$2"
 		then
--- a/tests/path/path_client.c
+++ b/tests/path/path_client.c
@@ -476,6 +476,23 @@
 	return 0;
 }
 
+/* Asks for a result far larger than any buffer and reads none of it. */
+static int cmd_stall(int argc, char **argv)
+{
+	PGconn *conn = open_conn(argv[0]);
+
+	CHECK(conn);
+	CHECK(PQsendQuery(conn,
+			  "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT "
+			  "i + 1 FROM n WHERE i < 3000000) SELECT i, 'text "
+			  "that fills the buffers of the daemon' FROM n"));
+	printf("stalled\n");
+	fflush(stdout);
+	sleep(atoi(argv[1]));
+	PQfinish(conn);
+	return 0;
+}
+
 /* Reads a result far larger than any buffer, slowly at first. */
 static int cmd_large_result(int argc, char **argv)
 {
@@ -613,6 +630,7 @@
 	{ "late", 1, cmd_late },
 	{ "identified", 3, cmd_identified },
 	{ "hold", 3, cmd_hold },
+	{ "stall", 2, cmd_stall },
 	{ "large-result", 2, cmd_large_result },
 	{ "cancel", 2, cmd_cancel },
 	{ "drain", 2, cmd_drain },
