Rename the target of Describe and Close in one place

path_basic, caller_protocol and upstream_protocol pass. By hand with libpq a prepared statement is described and executed and an unknown one is refused with 26000; libpq 15 sends no Close for a statement, so that branch was read, not run.

--- a/comfreywheeld/caller_batch.c
+++ b/comfreywheeld/caller_batch.c
@@ -205,11 +205,15 @@
 	return true;
 }
 
-static bool take_describe(struct caller *caller, const struct pg_frame *frame,
-			  const uint8_t *data, struct pg_buffer *out)
+/*
+ * Describe and Close name a statement by the caller's name for it. A closed
+ * one stays prepared on upstream connections, for others.
+ */
+static bool take_target(struct caller *caller, const struct pg_frame *frame,
+			const uint8_t *data, struct pg_buffer *out)
 {
 	char renamed[STATEMENT_NAME_MAX];
-	const char *name;
+	const char *name, *target = renamed;
 	struct pg_reader r;
 	size_t begin;
 
@@ -221,35 +225,15 @@
 	name = pg_read_string(&r);
 	if (r.failed)
 		return malformed(caller);
-	if (!name_used(caller, name, renamed))
+	if (frame->type == 'C') {
+		drop_statement(caller, name);
+		target = STATEMENT_NAME_ABSENT;
+	} else if (!name_used(caller, name, renamed)) {
 		return false;
-	begin = pg_begin(out, 'D');
-	pg_put_u8(out, 'S');
-	pg_put_string(out, renamed);
-	pg_end(out, begin);
-	return true;
-}
-
-/* The statement stays prepared on upstream connections, for others. */
-static bool take_close(struct caller *caller, const struct pg_frame *frame,
-		       const uint8_t *data, struct pg_buffer *out)
-{
-	const char *name;
-	struct pg_reader r;
-	size_t begin;
-
-	pg_reader_init(&r, frame->payload, frame->payload_len);
-	if (pg_read_u8(&r) != 'S') {
-		pg_buffer_append(out, data, frame->frame_len);
-		return true;
 	}
-	name = pg_read_string(&r);
-	if (r.failed)
-		return malformed(caller);
-	drop_statement(caller, name);
-	begin = pg_begin(out, 'C');
+	begin = pg_begin(out, frame->type);
 	pg_put_u8(out, 'S');
-	pg_put_string(out, STATEMENT_NAME_ABSENT);
+	pg_put_string(out, target);
 	pg_end(out, begin);
 	return true;
 }
@@ -263,9 +247,8 @@
 	case 'B':
 		return take_bind(caller, frame, out);
 	case 'D':
-		return take_describe(caller, frame, data, out);
 	case 'C':
-		return take_close(caller, frame, data, out);
+		return take_target(caller, frame, data, out);
 	default:
 		pg_buffer_append(out, data, frame->frame_len);
 		return true;
