--- a/comfreywheeld/announce.c
+++ b/comfreywheeld/announce.c
@@ -29,7 +29,7 @@
  */
 struct announce {
 	struct proxy *proxy;
-	struct http *http;
+	struct http_server *http;
 	GArray *peers;
 	GArray *news;
 	int timer;
@@ -140,7 +140,7 @@
 
 struct announce *announce_new(struct proxy *proxy, GError **error)
 {
-	struct http *http = http_new(proxy, error);
+	struct http_server *http = http_new(proxy, error);
 	struct announce *announce;
 
 	if (!http)
@@ -157,7 +157,7 @@
 void announce_free(struct announce *announce)
 {
 	timer_cancel(&announce->proxy->timers, &announce->timer);
-	http_free(announce->http);
+	http_server_free(announce->http);
 	clear_news(announce->news);
 	g_array_free(announce->news, TRUE);
 	g_array_free(announce->peers, TRUE);
--- a/comfreywheeld/caller_startup.c
+++ b/comfreywheeld/caller_startup.c
@@ -211,7 +211,7 @@
 {
 	struct stream *s = &caller->stream;
 
-	if (!caller->proxy->tls || s->tls) {
+	if (!caller->proxy->tls || s->layer) {
 		pg_put_u8(caller_out(caller), 'N');
 		return;
 	}
--- a/comfreywheeld/control_raft.c
+++ b/comfreywheeld/control_raft.c
@@ -16,10 +16,10 @@
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__ControlAddress address[RAFT_NODES_MAX + 1];
 	Wire__ControlAddress *pointers[RAFT_NODES_MAX + 1];
-	struct control_wire wire;
+	struct raft_wire wire;
 	guint i;
 
-	control_wire_init(&wire, msg);
+	raft_wire_init(&wire, msg);
 	wire__control_address__init(&address[0]);
 	address[0].id = c->settings->control_id;
 	address[0].address = c->settings->control_listen;
@@ -41,7 +41,7 @@
 	envelope.body_case = WIRE__ENVELOPE__BODY_RAFT;
 	envelope.raft = &wire.message;
 	bus_send(c->bus, link->handle, &envelope);
-	control_wire_finish(&wire);
+	raft_wire_finish(&wire);
 }
 
 static void on_send(const struct raft_message *msg, void *data)
@@ -193,7 +193,7 @@
 	struct raft_message msg;
 	size_t i;
 
-	if (!control_wire_read(wire, &msg))
+	if (!raft_wire_read(wire, &msg))
 		return;
 	for (i = 0; i < wire->n_addresses; i++) {
 		const Wire__ControlAddress *a = wire->addresses[i];
--- a/comfreywheeld/control_view.h
+++ b/comfreywheeld/control_view.h
@@ -6,7 +6,7 @@
 #include "control_state.h"
 #include "failover.h"
 #include "lease.h"
-#include "raft.h"
+#include "raft_wire.h"
 
 /**
  * DOC: What the control leader derives from heartbeats and the agreed state.
@@ -142,24 +142,4 @@
 bool pg_position_parse(const uint8_t *payload, size_t len,
 		       struct pg_position *position);
 
-/**
- * struct control_wire - a Raft message in its wire form
- *
- * Bytes stay owned by the struct raft_message it was made of.
- */
-struct control_wire {
-	Wire__RaftMessage message;
-	Wire__RaftEntry *entries;
-	Wire__RaftEntry **pointers;
-};
-
-void control_wire_init(struct control_wire *wire,
-		       const struct raft_message *msg);
-void control_wire_finish(struct control_wire *wire);
-/**
- * control_wire_read() - the message of a wire form; its bytes stay @wire's
- * Return: false if a type or kind is unknown; else free @msg->entries
- */
-bool control_wire_read(const Wire__RaftMessage *wire, struct raft_message *msg);
-
 #endif
--- a/comfreywheeld/http.h
+++ b/comfreywheeld/http.h
@@ -1,18 +1,14 @@
 #ifndef HTTP_H
 #define HTTP_H
 
+#include "http_server.h"
 #include "proxy.h"
 
 /**
  * DOC: HTTP on admin_listen: POST /announce and GET /metrics.
- *
- * libmicrohttpd runs inside the task's loop through its epoll descriptor.
  */
 
-struct http;
-
-struct http *http_new(struct proxy *proxy, GError **error);
-void http_free(struct http *http);
+struct http_server *http_new(struct proxy *proxy, GError **error);
 
 /** metrics_print() - all counters in the text exposition format */
 void metrics_print(struct proxy *proxy, GString *out);
--- a/comfreywheeld/tls.c
+++ b/comfreywheeld/tls.c
@@ -47,21 +47,11 @@
 	SSL_CTX_free(context);
 }
 
-bool tls_start(struct stream *s, SSL_CTX *context)
+static void finish(struct stream *s)
 {
-	s->tls = SSL_new(context);
-	if (!s->tls || SSL_set_fd(s->tls, s->fd) != 1) {
-		ERR_clear_error();
-		return false;
-	}
-	SSL_set_accept_state(s->tls);
-	return true;
-}
-
-void tls_finish(struct stream *s)
-{
-	SSL_free(s->tls);
-	s->tls = NULL;
+	SSL_free(s->layer_state);
+	s->layer_state = NULL;
+	s->layer = NULL;
 }
 
 /* Return: as recv() and send() do, from the result of an SSL call. */
@@ -71,7 +61,7 @@
 
 	if (n > 0)
 		return n;
-	switch (SSL_get_error(s->tls, n)) {
+	switch (SSL_get_error(s->layer_state, n)) {
 	case SSL_ERROR_ZERO_RETURN:
 		return 0;
 	case SSL_ERROR_WANT_WRITE:
@@ -92,25 +82,48 @@
 	return -1;
 }
 
-ssize_t tls_recv(struct stream *s, void *data, size_t len)
+static ssize_t receive(struct stream *s, void *data, size_t len)
 {
 	errno = 0;
-	return result_of(s, SSL_read(s->tls, data, MIN(len, INT_MAX)));
+	return result_of(s, SSL_read(s->layer_state, data, MIN(len, INT_MAX)));
 }
 
-ssize_t tls_send(struct stream *s, const void *data, size_t len)
+static ssize_t transmit(struct stream *s, const void *data, size_t len)
 {
 	errno = 0;
-	return result_of(s, SSL_write(s->tls, data, MIN(len, INT_MAX)));
+	return result_of(s, SSL_write(s->layer_state, data, MIN(len, INT_MAX)));
 }
 
-void tls_end_output(struct stream *s)
+static void end_output(struct stream *s)
 {
-	SSL_shutdown(s->tls);
+	SSL_shutdown(s->layer_state);
 	ERR_clear_error();
 }
 
-bool tls_pending(const struct stream *s)
+static bool pending(const struct stream *s)
+{
+	return SSL_pending(s->layer_state) > 0;
+}
+
+static const struct stream_layer layer = {
+	.receive = receive,
+	.transmit = transmit,
+	.end_output = end_output,
+	.pending = pending,
+	.finish = finish,
+};
+
+bool tls_start(struct stream *s, SSL_CTX *context)
 {
-	return s->tls && SSL_pending(s->tls) > 0;
+	SSL *ssl = SSL_new(context);
+
+	if (!ssl || SSL_set_fd(ssl, s->fd) != 1) {
+		SSL_free(ssl);
+		ERR_clear_error();
+		return false;
+	}
+	SSL_set_accept_state(ssl);
+	s->layer_state = ssl;
+	s->layer = &layer;
+	return true;
 }
--- /dev/null
+++ b/control/internal.h
@@ -0,0 +1,186 @@
+#ifndef CONTROL_INTERNAL_H
+#define CONTROL_INTERNAL_H
+
+#include "group_policy.h"
+#include "node.h"
+#include "position.h"
+
+#include <ev.h>
+
+/** Least election timeout, microseconds: several round trips and syncs. */
+#define CONTROL_ELECTION_US (700 * 1000ll)
+/** Time between the leader's empty appends, microseconds. */
+#define CONTROL_HEARTBEAT_US (160 * 1000ll)
+/** Time between ticks of the state machine, microseconds. */
+#define CONTROL_TICK_US (40 * 1000ll)
+/** Applied entries between snapshots: a document may be 256 KiB. */
+#define CONTROL_SNAPSHOT_ENTRIES 32
+/** Time between attempts to open a store that failed, microseconds. */
+#define CONTROL_STORE_RETRY_US (500 * 1000ll)
+/** Time a put may wait for a majority, microseconds. */
+#define CONTROL_PUT_US (2500 * 1000ll)
+/** A watcher that is silent for so long is gone, microseconds. */
+#define CONTROL_WATCHER_US (2500 * 1000ll)
+
+enum control_counter {
+	CONTROL_COUNT_ELECTIONS,
+	CONTROL_COUNT_MEMBER_CHANGES,
+	CONTROL_COUNT_CONFIGS,
+	CONTROL_COUNT_PUTS,
+	CONTROL_COUNT_PUTS_UNCLEAR,
+	CONTROL_COUNT_SIGHTINGS,
+	CONTROL_COUNT_PROMOTIONS,
+	CONTROL_COUNT_PROMOTIONS_REFUSED,
+	CONTROL_COUNT_PROMOTIONS_UNCLEAR,
+	CONTROL_COUNT_VIEWS,
+	CONTROL_COUNT_STORE_FAILURES,
+	CONTROL_COUNT_TERM,
+	CONTROL_COUNT_VERSION,
+	CONTROL_COUNT_WATCHERS,
+	CONTROL_NR_COUNTERS,
+};
+
+/**
+ * struct control_peer - the connection to another control VM
+ * @waiting_id: identity under which it asked in, 0 if it did not
+ * @waiting_us: when it last asked
+ */
+struct control_peer {
+	struct control_node *node;
+	uint32_t ip;
+	struct channel channel;
+	int64_t retry_us;
+	uint64_t waiting_id;
+	int64_t waiting_us;
+};
+
+/**
+ * struct control_watcher - a connection that was accepted
+ * @name: entry daemon at the other end, NULL until it says so
+ * @reports: upstream id to struct control_report
+ */
+struct control_watcher {
+	struct control_node *node;
+	struct channel channel;
+	char *name;
+	char *availability_zone;
+	int64_t heard_us;
+	uint64_t config_version;
+	uint64_t sent_revision;
+	GHashTable *reports;
+};
+
+struct control_report {
+	int64_t failing_us;
+	struct position position;
+	int64_t at_us;
+};
+
+/** struct control_put - a configuration that waits for a majority */
+struct control_put {
+	uint64_t version;
+	int64_t until_us;
+	config_done done;
+	void *data;
+};
+
+/** struct control_order - the last order of this leader for a service */
+struct control_order {
+	char *service;
+	char *id;
+	int64_t at_us;
+	unsigned unclear;
+	bool pending;
+};
+
+/**
+ * struct control_node - state of a control VM
+ * @raft: NULL while the store cannot be used
+ * @appended: last entry handed to the store
+ * @dirty: whether entries wait for a sync
+ * @lead_term: term in which this VM leads, 0 otherwise
+ * @settled: whether an entry of @lead_term was applied
+ * @packed: deflated document of @packed_version
+ * @orders: service to struct control_order
+ * @views_due: whether watchers are to be told
+ */
+struct control_node {
+	struct ev_loop *loop;
+	struct timer_service *timers;
+	struct control_config config;
+	const struct control_ops *ops;
+	void *data;
+	char *folder;
+	uint64_t id;
+	struct store *store;
+	struct raft *raft;
+	bool store_failed;
+	int64_t store_retry_us;
+	uint64_t appended;
+	bool dirty;
+	uint64_t lead_term;
+	bool settled;
+	uint64_t leader_seen;
+	struct config_register reg;
+	GBytes *packed;
+	uint64_t packed_version;
+	struct sightings sightings;
+	GPtrArray *peers;
+	GPtrArray *watchers;
+	GPtrArray *puts;
+	GHashTable *orders;
+	bool views_due;
+	bool stopping;
+	ev_io listener;
+	ev_prepare prepare;
+	int tick_timer;
+	int slow_timer;
+	struct counter_set counters;
+	int counter[CONTROL_NR_COUNTERS];
+};
+
+static inline void control_count(struct control_node *node,
+				 enum control_counter which, int64_t n)
+{
+	counter_add(&node->counters, node->counter[which], n);
+}
+
+/* storage.c */
+bool control_storage_open(struct control_node *node, GError **error);
+void control_storage_close(struct control_node *node);
+void control_storage_failed(struct control_node *node, GError *error);
+void control_storage_flush(struct control_node *node);
+void control_lead_update(struct control_node *node);
+
+/* peers.c */
+struct control_peer *control_peer(struct control_node *node, uint32_t ip);
+void control_peers_tick(struct control_node *node, int64_t now_us);
+void control_peers_free(struct control_node *node);
+void control_send_raft(struct control_node *node,
+		       const struct raft_message *msg);
+void control_fill_sighting(Wire__Sighting *out, const struct sighting *one,
+			   int64_t now_us);
+void control_tell_peers(struct control_node *node, const struct sighting *one);
+/** control_message() - a message that any process may send */
+void control_message(struct control_node *node, struct channel *from,
+		     const Wire__Envelope *envelope);
+
+/* group.c */
+void control_group_tick(struct control_node *node, int64_t now_us);
+/** control_fresh() - whether a leader with a majority was heard of late */
+bool control_fresh(const struct control_node *node);
+
+/* watchers.c */
+void control_watchers_accept(struct control_node *node, int fd);
+void control_watchers_tick(struct control_node *node, int64_t now_us);
+void control_watchers_tell(struct control_node *node);
+void control_watchers_free(struct control_node *node);
+
+/* configs.c */
+void control_puts_settle(struct control_node *node, int64_t now_us);
+
+/* promotions.c */
+void control_promotions_tick(struct control_node *node, int64_t now_us);
+void control_order_free(void *data);
+
+#endif
--- /dev/null
+++ b/control/node.c
@@ -0,0 +1,227 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+#include "net.h"
+
+#include <jansson.h>
+#include <unistd.h>
+
+/* Time between looks at members, watchers and primaries, microseconds. */
+#define SLOW_US (100 * 1000ll)
+
+static const struct {
+	const char *name;
+	const char *help;
+	bool gauge;
+} counter_names[CONTROL_NR_COUNTERS] = {
+	{ "control_elections_total", "Elections won by this VM" },
+	{ "control_member_changes_total", "Changes of the group begun here" },
+	{ "control_configs_total", "Configurations that came into force" },
+	{ "control_puts_total", "Configurations offered" },
+	{ "control_puts_unclear_total", "Offers that got no clear answer" },
+	{ "control_sightings_total", "Announcements of upstreams taken" },
+	{ "control_promotions_total", "Orders to lead a service" },
+	{ "control_promotions_refused_total", "Orders refused" },
+	{ "control_promotions_unclear_total", "Orders without an answer" },
+	{ "control_views_total", "Views sent to entry daemons" },
+	{ "control_store_failures_total", "Failures of the store" },
+	{ "control_term", "Raft term", true },
+	{ "control_config_version", "Version held", true },
+	{ "control_watchers", "Entry daemons heard of late", true },
+};
+
+static void register_counters(struct control_node *node)
+{
+	unsigned i;
+
+	counter_set_init(&node->counters);
+	for (i = 0; i < CONTROL_NR_COUNTERS; i++)
+		node->counter[i] = (counter_names[i].gauge ?
+					    counter_register_gauge :
+					    counter_register)(
+			&node->counters, counter_names[i].name,
+			counter_names[i].help);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct control_node *node = w->data;
+	int fd;
+
+	while ((fd = net_accept(w->fd)) >= 0)
+		control_watchers_accept(node, fd);
+}
+
+/* Syncs and answers once for all that a turn of the loop has brought. */
+static void on_prepare(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	struct control_node *node = w->data;
+
+	control_storage_flush(node);
+	if (node->puts->len)
+		control_puts_settle(node, clock_now_us());
+	if (node->views_due)
+		control_watchers_tell(node);
+}
+
+static void reopen_store(struct control_node *node, int64_t now_us)
+{
+	GError *error = NULL;
+
+	if (node->raft || now_us < node->store_retry_us)
+		return;
+	node->store_retry_us = now_us + CONTROL_STORE_RETRY_US;
+	if (!control_storage_open(node, &error))
+		control_storage_failed(node, error);
+}
+
+static void on_tick(int64_t now_us, void *data)
+{
+	struct control_node *node = data;
+
+	reopen_store(node, now_us);
+	if (!node->raft)
+		return;
+	raft_tick(node->raft, now_us);
+	control_lead_update(node);
+}
+
+static void on_slow(int64_t now_us, void *data)
+{
+	struct control_node *node = data;
+
+	control_peers_tick(node, now_us);
+	control_watchers_tick(node, now_us);
+	control_group_tick(node, now_us);
+	control_promotions_tick(node, now_us);
+	sightings_expire(&node->sightings, now_us);
+	counter_assign(&node->counters, node->counter[CONTROL_COUNT_VERSION],
+		       (int64_t)node->reg.version);
+	if (node->raft)
+		counter_assign(&node->counters,
+			       node->counter[CONTROL_COUNT_TERM],
+			       (int64_t)raft_term(node->raft));
+}
+
+void control_seeds(struct control_node *node, const GArray *seeds)
+{
+	guint i;
+
+	for (i = 0; i < seeds->len; i++)
+		control_peer(node, g_array_index(seeds, uint32_t, i));
+}
+
+static bool listen_for_peers(struct control_node *node, GError **error)
+{
+	g_autofree char *address = g_strdup_printf(
+		"%u.%u.%u.%u:%u", node->config.ip >> 24,
+		node->config.ip >> 16 & 255, node->config.ip >> 8 & 255,
+		node->config.ip & 255, node->config.port);
+	int fd = net_listen(address, error);
+
+	if (fd < 0)
+		return false;
+	ev_io_init(&node->listener, on_accept, fd, EV_READ);
+	node->listener.data = node;
+	ev_io_start(node->loop, &node->listener);
+	return true;
+}
+
+struct control_node *control_node_new(struct ev_loop *loop,
+				      struct timer_service *timers,
+				      const struct control_config *config,
+				      const struct control_ops *ops, void *data,
+				      GError **error)
+{
+	struct control_node *node = g_new0(struct control_node, 1);
+	int64_t now_us = clock_now_us();
+
+	node->loop = loop;
+	node->timers = timers;
+	node->config = *config;
+	node->config.seeds = g_array_copy(config->seeds);
+	node->folder = g_strdup(config->folder);
+	node->ops = ops;
+	node->data = data;
+	node->peers = g_ptr_array_new();
+	node->watchers = g_ptr_array_new();
+	node->puts = g_ptr_array_new();
+	node->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     control_order_free);
+	sightings_init(&node->sightings);
+	config_register_init(&node->reg);
+	register_counters(node);
+	if (!listen_for_peers(node, error)) {
+		control_node_free(node);
+		return NULL;
+	}
+	ev_prepare_init(&node->prepare, on_prepare);
+	node->prepare.data = node;
+	ev_prepare_start(loop, &node->prepare);
+	reopen_store(node, now_us);
+	control_seeds(node, config->seeds);
+	node->tick_timer =
+		timer_subscribe(timers, now_us, CONTROL_TICK_US, on_tick, node);
+	node->slow_timer =
+		timer_subscribe(timers, now_us, SLOW_US, on_slow, node);
+	return node;
+}
+
+void control_node_free(struct control_node *node)
+{
+	if (node->listener.data) {
+		ev_io_stop(node->loop, &node->listener);
+		close(node->listener.fd);
+		ev_prepare_stop(node->loop, &node->prepare);
+		timer_cancel(node->timers, &node->tick_timer);
+		timer_cancel(node->timers, &node->slow_timer);
+	}
+	control_storage_close(node);
+	control_peers_free(node);
+	control_watchers_free(node);
+	g_ptr_array_free(node->puts, TRUE);
+	g_hash_table_destroy(node->orders);
+	sightings_finish(&node->sightings);
+	config_register_finish(&node->reg);
+	counter_set_finish(&node->counters);
+	g_clear_pointer(&node->packed, g_bytes_unref);
+	g_array_free(node->config.seeds, TRUE);
+	g_free(node->folder);
+	g_free(node);
+}
+
+void control_sighting(struct control_node *node, const struct sighting *one)
+{
+	enum sighting_news news = sightings_merge(&node->sightings, one);
+	const struct sighting *held = sightings_find(&node->sightings, one->id);
+
+	control_count(node, CONTROL_COUNT_SIGHTINGS, 1);
+	if (news == SIGHTING_OLD)
+		return;
+	control_tell_peers(node, held);
+	if (news != SIGHTING_CHANGED)
+		return;
+	node->views_due = true;
+	event_log("upstream_changed", "{s:s, s:s, s:s, s:b, s:b, s:b, s:I}",
+		  "upstream", held->id, "service", held->service, "address",
+		  held->address, "primary", (int)held->primary, "leaving",
+		  (int)held->leaving, "gone", (int)held->gone, "sequence",
+		  (json_int_t)held->sequence);
+}
+
+const struct sightings *control_sightings(const struct control_node *node)
+{
+	return &node->sightings;
+}
+
+bool control_stop(struct control_node *node)
+{
+	node->stopping = true;
+	return node->puts->len > 0;
+}
+
+void control_print_counters(struct control_node *node, GString *out)
+{
+	counter_set_print(&node->counters, out);
+}
--- /dev/null
+++ b/control/promotions.c
@@ -0,0 +1,205 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+#include "promotion_policy.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Unclear orders before another upstream is tried: an order that got no
+ * answer may be carried out late and would then undo a newer one. */
+#define UNCLEAR_MAX 4
+/* Pause after an order that failed, microseconds. */
+#define RETRY_US (300 * 1000ll)
+
+void control_order_free(void *data)
+{
+	struct control_order *order = data;
+
+	g_free(order->service);
+	g_free(order->id);
+	g_free(order);
+}
+
+static void count_reports(const struct control_node *node, const char *id,
+			  struct promotion_upstream *out, int64_t now_us)
+{
+	guint i;
+
+	for (i = 0; i < node->watchers->len; i++) {
+		const struct control_watcher *watcher =
+			node->watchers->pdata[i];
+		const struct control_report *report =
+			g_hash_table_lookup(watcher->reports, id);
+
+		if (!report || now_us - watcher->heard_us > CONTROL_WATCHER_US)
+			continue;
+		if (report->failing_us > PROMOTION_FAILING_US)
+			out->failing++;
+		else if (!report->failing_us)
+			out->answered++;
+		out->position = position_max(out->position, report->position);
+	}
+}
+
+/* Return: struct promotion_upstream of one service. */
+static GArray *upstreams_of(const struct control_node *node,
+			    const char *service, int *primary, int64_t now_us)
+{
+	const struct sighting *lead =
+		sightings_primary(&node->sightings, service);
+	GArray *out =
+		g_array_new(FALSE, TRUE, sizeof(struct promotion_upstream));
+	struct sighting *one;
+	GHashTableIter it;
+
+	*primary = -1;
+	g_hash_table_iter_init(&it, node->sightings.by_id);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
+		struct promotion_upstream up = {
+			.id = one->id,
+			.leaving = one->leaving,
+			.silent_us = now_us - one->heard_us,
+		};
+
+		if (one->gone || strcmp(one->service, service))
+			continue;
+		if (one == lead)
+			*primary = (int)out->len;
+		count_reports(node, one->id, &up, now_us);
+		g_array_append_val(out, up);
+	}
+	return out;
+}
+
+static void order(struct control_node *node, const char *service,
+		  const char *id, enum promotion_reason reason,
+		  const struct promotion_view *view)
+{
+	const struct promotion_upstream *p =
+		view->primary >= 0 ? &view->upstreams[view->primary] : NULL;
+	struct control_order *o = g_hash_table_lookup(node->orders, service);
+
+	if (!o) {
+		o = g_new0(struct control_order, 1);
+		o->service = g_strdup(service);
+		g_hash_table_insert(node->orders, o->service, o);
+	}
+	if (!o->id || strcmp(o->id, id)) {
+		g_free(o->id);
+		o->id = g_strdup(id);
+		o->unclear = 0;
+	}
+	o->at_us = clock_now_us();
+	o->pending = true;
+	event_log_always("promotion_ordered",
+			 "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:I}", "service",
+			 service, "upstream", id, "was", p ? p->id : "", "why",
+			 promotion_reason_text(reason), "silent_us",
+			 (json_int_t)(p ? p->silent_us : -1), "answered",
+			 p ? (int)p->answered : 0, "failing",
+			 p ? (int)p->failing : 0, "token",
+			 (json_int_t)node->lead_term);
+	control_count(node, CONTROL_COUNT_PROMOTIONS, 1);
+	node->ops->promote(service, id, node->lead_term, node->data);
+}
+
+static bool repeats(const struct control_order *o,
+		    const struct promotion_view *view)
+{
+	unsigned i;
+
+	if (!o || !o->unclear || o->unclear >= UNCLEAR_MAX)
+		return false;
+	for (i = 0; i < view->nr; i++)
+		if (!strcmp(view->upstreams[i].id, o->id))
+			return !view->upstreams[i].leaving;
+	return false;
+}
+
+static void consider(struct control_node *node, const char *service,
+		     int64_t now_us)
+{
+	struct control_order *o = g_hash_table_lookup(node->orders, service);
+	struct promotion_view view = { .since_order_us = INT64_MAX };
+	enum promotion_reason reason;
+	GArray *upstreams;
+	int chosen;
+
+	if (o && o->pending)
+		return;
+	upstreams = upstreams_of(node, service, &view.primary, now_us);
+	view.upstreams = (struct promotion_upstream *)(void *)upstreams->data;
+	view.nr = upstreams->len;
+	view.sync_replicas =
+		node->reg.document ?
+			node->ops->sync_replicas(node->reg.document, service,
+						 node->data) :
+			0;
+	if (o)
+		view.since_order_us = now_us - o->at_us;
+	reason = promotion_needed(&view);
+	if (reason != PROMOTION_NOT_NEEDED) {
+		chosen = promotion_candidate(&view);
+		if (repeats(o, &view))
+			order(node, service, o->id, reason, &view);
+		else if (chosen >= 0)
+			order(node, service, view.upstreams[chosen].id, reason,
+			      &view);
+	}
+	g_array_free(upstreams, TRUE);
+}
+
+void control_promotions_tick(struct control_node *node, int64_t now_us)
+{
+	GHashTable *services;
+	struct sighting *one;
+	GHashTableIter it;
+	char *service;
+
+	/* A new leader first hears what the daemons and upstreams say. */
+	if (!node->lead_term || !node->settled || node->stopping ||
+	    now_us - raft_became_leader_us(node->raft) < CONTROL_ELECTION_US ||
+	    raft_lease_until_us(node->raft) < now_us)
+		return;
+	services = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_iter_init(&it, node->sightings.by_id);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one))
+		if (!one->gone)
+			g_hash_table_add(services, one->service);
+	g_hash_table_iter_init(&it, services);
+	while (g_hash_table_iter_next(&it, (void **)&service, NULL))
+		consider(node, service, now_us);
+	g_hash_table_destroy(services);
+}
+
+void control_promoted(struct control_node *node, const char *service,
+		      const char *id, enum promotion_result result)
+{
+	struct control_order *o = g_hash_table_lookup(node->orders, service);
+	int64_t now_us = clock_now_us();
+
+	event_log_always("promotion_answered", "{s:s, s:s, s:i}", "service",
+			 service, "upstream", id, "result", (int)result);
+	if (result == PROMOTION_DONE &&
+	    sightings_appoint(&node->sightings, service, id, now_us))
+		node->views_due = true;
+	/* Leadership may have ended since: the order is of another term. */
+	if (!o || !o->pending || strcmp(o->id, id))
+		return;
+	o->pending = false;
+	if (result == PROMOTION_DONE) {
+		o->at_us = now_us;
+		o->unclear = 0;
+		return;
+	}
+	o->at_us = now_us - PROMOTION_SETTLE_US + RETRY_US;
+	if (result == PROMOTION_UNCLEAR) {
+		o->unclear++;
+		control_count(node, CONTROL_COUNT_PROMOTIONS_UNCLEAR, 1);
+	} else {
+		o->unclear = 0;
+		control_count(node, CONTROL_COUNT_PROMOTIONS_REFUSED, 1);
+	}
+}
--- /dev/null
+++ b/control/storage.c
@@ -0,0 +1,341 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "error.h"
+#include "event_log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+/* Syncs in one turn of the loop; committed entries may cause new ones. */
+#define SYNCS_MAX 8
+/* Number of the identities that the first start gives to the seeds. */
+#define FOUNDER 1u
+
+static uint64_t identity_of(uint32_t ip, uint32_t number)
+{
+	return (uint64_t)ip << 32 | number;
+}
+
+void control_storage_failed(struct control_node *node, GError *error)
+{
+	event_log_always("store_failed", "{s:s}", "why", error->message);
+	g_error_free(error);
+	control_count(node, CONTROL_COUNT_STORE_FAILURES, 1);
+	node->store_failed = true;
+}
+
+static void on_send(const struct raft_message *msg, void *data)
+{
+	struct control_node *node = data;
+
+	if (!node->store_failed)
+		control_send_raft(node, msg);
+}
+
+static void on_save_hard_state(const struct raft_hard_state *hs, void *data)
+{
+	struct control_node *node = data;
+	GError *error = NULL;
+
+	if (!node->store_failed &&
+	    !store_save_hard_state(node->store, hs, &error))
+		control_storage_failed(node, error);
+}
+
+static void on_append(const struct raft_entry *entries, size_t nr, void *data)
+{
+	struct control_node *node = data;
+	GError *error = NULL;
+
+	if (node->store_failed)
+		return;
+	if (!store_append(node->store, entries, nr, &error)) {
+		control_storage_failed(node, error);
+		return;
+	}
+	node->appended = entries[nr - 1].index;
+	node->dirty = true;
+}
+
+static void on_apply(const struct raft_entry *entry, void *data)
+{
+	struct control_node *node = data;
+	uint64_t version = node->reg.version;
+
+	if (entry->kind == RAFT_ENTRY_DATA &&
+	    !config_register_apply(&node->reg, entry->data, entry->len))
+		event_log_always("entry_unreadable", "{s:I}", "index",
+				 (json_int_t)entry->index);
+	if (node->lead_term && entry->term == node->lead_term)
+		node->settled = true;
+	if (node->reg.version == version)
+		return;
+	event_log("config_in_force", "{s:I, s:I, s:I}", "version",
+		  (json_int_t)node->reg.version, "index",
+		  (json_int_t)entry->index, "term", (json_int_t)entry->term);
+	control_count(node, CONTROL_COUNT_CONFIGS, 1);
+	node->views_due = true;
+}
+
+static uint8_t *on_take_snapshot(size_t *len, void *data)
+{
+	struct control_node *node = data;
+
+	return config_change_pack(node->reg.version, node->reg.document, len);
+}
+
+static void on_save_snapshot(uint64_t index, uint64_t term,
+			     const struct raft_members *members,
+			     const uint8_t *bytes, size_t len, void *data)
+{
+	struct control_node *node = data;
+	GError *error = NULL;
+
+	if (!node->store_failed &&
+	    !store_save_snapshot(node->store, index, term, members, bytes, len,
+				 &error))
+		control_storage_failed(node, error);
+}
+
+static void on_restore_snapshot(const uint8_t *bytes, size_t len, void *data)
+{
+	struct control_node *node = data;
+
+	if (!config_register_apply(&node->reg, bytes, len))
+		event_log_always("snapshot_unreadable", "");
+	node->views_due = true;
+}
+
+static const struct raft_ops raft_ops = {
+	.send = on_send,
+	.save_hard_state = on_save_hard_state,
+	.append = on_append,
+	.apply = on_apply,
+	.take_snapshot = on_take_snapshot,
+	.save_snapshot = on_save_snapshot,
+	.restore_snapshot = on_restore_snapshot,
+};
+
+static bool sync_folder(const char *folder)
+{
+	int fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	bool ok = fd >= 0 && !fsync(fd);
+
+	if (fd >= 0)
+		close(fd);
+	return ok;
+}
+
+static bool is_founder(const struct control_node *node)
+{
+	guint i;
+
+	for (i = 0; node->config.bootstrap && i < node->config.seeds->len; i++)
+		if (g_array_index(node->config.seeds, uint32_t, i) ==
+		    node->config.ip)
+			return true;
+	return false;
+}
+
+/* An empty disk gets an identity that no other disk ever had. */
+static uint32_t new_number(const struct control_node *node)
+{
+	uint32_t number;
+
+	if (is_founder(node))
+		return FOUNDER;
+	do
+		number = g_random_int();
+	while (number <= FOUNDER);
+	return number;
+}
+
+static bool save_identity(struct control_node *node, const char *path,
+			  GError **error)
+{
+	uint32_t number = new_number(node);
+	char text[16];
+	int len = g_snprintf(text, sizeof(text), "%" PRIu32 "\n", number);
+	g_autofree char *fresh = g_strdup_printf("%s.new", path);
+	int fd = open(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+	bool ok = fd >= 0 && write(fd, text, len) == len && !fsync(fd);
+
+	if (fd >= 0)
+		close(fd);
+	ok = ok && !rename(fresh, path) && sync_folder(node->folder);
+	if (!ok) {
+		g_set_error(error, CW_ERROR, CW_ERROR_IO,
+			    "%s cannot be written: %s; free space in the data "
+			    "folder",
+			    path, g_strerror(errno));
+		return false;
+	}
+	node->id = identity_of(node->config.ip, number);
+	return true;
+}
+
+/* An identity of another address is that of a disk moved here. */
+static bool load_identity(struct control_node *node, GError **error)
+{
+	g_autofree char *path =
+		g_build_filename(node->folder, "identity", NULL);
+	char text[16] = "";
+	int fd = open(path, O_RDONLY | O_CLOEXEC);
+	ssize_t len = fd >= 0 ? read(fd, text, sizeof(text) - 1) : -1;
+
+	if (fd >= 0)
+		close(fd);
+	if (len <= 0 || !strchr(text, '\n'))
+		return save_identity(node, path, error);
+	node->id = identity_of(node->config.ip,
+			       (uint32_t)g_ascii_strtoull(text, NULL, 10));
+	return true;
+}
+
+/* The seeds of the first start are the first voters, all from one state. */
+static bool found_group(struct control_node *node, struct raft_recovered *rec,
+			uint8_t **bytes, GError **error)
+{
+	size_t len;
+	guint i;
+
+	memset(rec, 0, sizeof(*rec));
+	rec->hard_state.term = 1;
+	rec->snapshot_index = 1;
+	rec->snapshot_term = 1;
+	for (i = 0; i < node->config.seeds->len && i < RAFT_NODES_MAX; i++)
+		rec->members.member[rec->members.nr++] = (struct raft_member){
+			identity_of(g_array_index(node->config.seeds, uint32_t,
+						  i),
+				    FOUNDER),
+			true
+		};
+	*bytes = config_change_pack(0, NULL, &len);
+	rec->snapshot = *bytes;
+	rec->snapshot_len = len;
+	event_log_always("group_founded", "{s:i}", "voters",
+			 (int)rec->members.nr);
+	return store_save_hard_state(node->store, &rec->hard_state, error) &&
+	       store_save_snapshot(node->store, 1, 1, &rec->members, *bytes,
+				   len, error);
+}
+
+static bool open_store(struct control_node *node, GError **error)
+{
+	g_autofree char *folder = g_build_filename(node->folder, "log", NULL);
+	g_autofree uint8_t *bytes = NULL;
+	struct raft_recovered rec;
+	struct raft_config config = {
+		.election_us = CONTROL_ELECTION_US,
+		.heartbeat_us = CONTROL_HEARTBEAT_US,
+		.snapshot_entries = CONTROL_SNAPSHOT_ENTRIES,
+		.seed = (uint64_t)g_random_int() << 32 | g_random_int(),
+	};
+
+	if (g_mkdir_with_parents(node->folder, 0700) ||
+	    !load_identity(node, error)) {
+		if (error && !*error)
+			g_set_error(error, CW_ERROR, CW_ERROR_IO,
+				    "%s cannot be made: %s; correct the data "
+				    "folder",
+				    node->folder, g_strerror(errno));
+		return false;
+	}
+	node->store = store_open(folder, &store_posix_file_ops, NULL, node->id,
+				 &rec, error);
+	if (!node->store)
+		return false;
+	if (!rec.members.nr && (node->id & UINT32_MAX) == FOUNDER &&
+	    !found_group(node, &rec, &bytes, error))
+		return false;
+	config.id = node->id;
+	node->store_failed = false;
+	node->dirty = false;
+	node->raft = raft_new(&config, &rec, &raft_ops, node, clock_now_us());
+	event_log_always("store_opened", "{s:I, s:I, s:I, s:i, s:I}", "id",
+			 (json_int_t)node->id, "term",
+			 (json_int_t)rec.hard_state.term, "index",
+			 (json_int_t)(rec.snapshot_index + rec.nr_entries),
+			 "members", (int)rec.members.nr, "config",
+			 (json_int_t)node->reg.version);
+	return !node->store_failed;
+}
+
+bool control_storage_open(struct control_node *node, GError **error)
+{
+	if (open_store(node, error))
+		return true;
+	control_storage_close(node);
+	return false;
+}
+
+void control_storage_close(struct control_node *node)
+{
+	g_clear_pointer(&node->raft, raft_free);
+	g_clear_pointer(&node->store, store_close);
+	node->dirty = false;
+	node->lead_term = 0;
+	node->settled = false;
+}
+
+static void begin_lead(struct control_node *node)
+{
+	node->lead_term = raft_term(node->raft);
+	node->settled = false;
+	g_hash_table_remove_all(node->orders);
+	control_count(node, CONTROL_COUNT_ELECTIONS, 1);
+	event_log_always("leads", "{s:I, s:I}", "term",
+			 (json_int_t)node->lead_term, "id",
+			 (json_int_t)node->id);
+}
+
+void control_lead_update(struct control_node *node)
+{
+	bool leads = node->raft && raft_is_leader(node->raft);
+
+	if (node->lead_term &&
+	    (!leads || raft_term(node->raft) != node->lead_term)) {
+		event_log_always("leads_no_more", "{s:I}", "term",
+				 (json_int_t)node->lead_term);
+		node->lead_term = 0;
+		node->settled = false;
+	}
+	if (leads && !node->lead_term)
+		begin_lead(node);
+	if (node->raft && raft_leader(node->raft) != node->leader_seen) {
+		node->leader_seen = raft_leader(node->raft);
+		node->views_due = true;
+		event_log("leader_changed", "{s:I, s:I}", "leader",
+			  (json_int_t)node->leader_seen, "term",
+			  (json_int_t)raft_term(node->raft));
+	}
+}
+
+void control_storage_flush(struct control_node *node)
+{
+	unsigned i;
+
+	for (i = 0; node->raft && node->dirty && i < SYNCS_MAX; i++) {
+		uint64_t until = node->appended;
+		GError *error = NULL;
+
+		if (node->store_failed)
+			break;
+		node->dirty = false;
+		if (!store_sync(node->store, &error)) {
+			control_storage_failed(node, error);
+			break;
+		}
+		raft_persisted(node->raft, until);
+		control_lead_update(node);
+	}
+	if (node->store_failed && node->raft)
+		control_storage_close(node);
+}
--- /dev/null
+++ b/control/watchers.c
@@ -0,0 +1,262 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <zlib.h>
+
+static void watcher_free(struct control_watcher *watcher)
+{
+	channel_close(&watcher->channel);
+	g_hash_table_destroy(watcher->reports);
+	g_free(watcher->name);
+	g_free(watcher->availability_zone);
+	g_free(watcher);
+}
+
+static unsigned count_daemons(const struct control_node *node)
+{
+	unsigned nr = 0;
+	guint i;
+
+	for (i = 0; i < node->watchers->len; i++)
+		nr += ((struct control_watcher *)node->watchers->pdata[i])
+			      ->name != NULL;
+	return nr;
+}
+
+/* The document in force, deflated once for all watchers. */
+static GBytes *packed_config(struct control_node *node)
+{
+	const uint8_t *plain;
+	uint8_t *deflated;
+	uLongf size;
+	gsize len;
+
+	if (node->packed && node->packed_version == node->reg.version)
+		return node->packed;
+	plain = g_bytes_get_data(node->reg.document, &len);
+	size = compressBound(len);
+	deflated = g_malloc(size);
+	if (compress2(deflated, &size, plain, len, Z_BEST_SPEED) != Z_OK)
+		size = 0;
+	g_clear_pointer(&node->packed, g_bytes_unref);
+	node->packed = g_bytes_new_take(deflated, size);
+	node->packed_version = node->reg.version;
+	return node->packed;
+}
+
+static void add_config(struct control_watcher *watcher, Wire__View *view)
+{
+	struct control_node *node = watcher->node;
+	GBytes *packed;
+
+	view->config_version = node->reg.version;
+	if (!node->reg.document || watcher->config_version >= node->reg.version)
+		return;
+	packed = packed_config(node);
+	view->config.data =
+		(uint8_t *)g_bytes_get_data(packed, &view->config.len);
+	view->config_len = (uint32_t)g_bytes_get_size(node->reg.document);
+	/* What is sent on an open connection arrives or ends it. */
+	watcher->config_version = node->reg.version;
+}
+
+static void add_sightings(struct control_watcher *watcher, Wire__View *view)
+{
+	const struct sightings *s = &watcher->node->sightings;
+	int64_t now_us = clock_now_us();
+	struct sighting *one;
+	GHashTableIter it;
+
+	view->sightings =
+		g_new(Wire__Sighting *, g_hash_table_size(s->by_id) + 1);
+	g_hash_table_iter_init(&it, s->by_id);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
+		Wire__Sighting *out;
+
+		if (one->revision <= watcher->sent_revision)
+			continue;
+		out = g_new(Wire__Sighting, 1);
+		control_fill_sighting(out, one, now_us);
+		view->sightings[view->n_sightings++] = out;
+	}
+}
+
+static void add_primaries(struct control_watcher *watcher, Wire__View *view)
+{
+	const struct sightings *s = &watcher->node->sightings;
+	int64_t now_us = clock_now_us();
+	struct appointment *a;
+	GHashTableIter it;
+
+	view->primaries = g_new(Wire__ServicePrimary *,
+				g_hash_table_size(s->appointments) + 1);
+	g_hash_table_iter_init(&it, s->appointments);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&a)) {
+		Wire__ServicePrimary *out = g_new(Wire__ServicePrimary, 1);
+
+		wire__service_primary__init(out);
+		out->service = a->service;
+		out->id = a->id;
+		out->age_us = (uint64_t)MAX(now_us - a->at_us, 0);
+		view->primaries[view->n_primaries++] = out;
+	}
+}
+
+static void send_view(struct control_watcher *watcher)
+{
+	struct control_node *node = watcher->node;
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__View view = WIRE__VIEW__INIT;
+	uint64_t control[RAFT_NODES_MAX + 1];
+	size_t i;
+
+	view.fresh = control_fresh(node);
+	view.daemons = count_daemons(node);
+	view.control = control;
+	control[view.n_control++] = node->id;
+	if (node->raft) {
+		const struct raft_members *m = raft_current_members(node->raft);
+
+		view.leader = raft_leader(node->raft);
+		for (i = 0; i < m->nr; i++)
+			control[view.n_control++] = m->member[i].id;
+	}
+	add_config(watcher, &view);
+	add_sightings(watcher, &view);
+	add_primaries(watcher, &view);
+	watcher->sent_revision = node->sightings.revision;
+	envelope.body_case = WIRE__ENVELOPE__BODY_VIEW;
+	envelope.view = &view;
+	channel_send(&watcher->channel, &envelope);
+	control_count(node, CONTROL_COUNT_VIEWS, 1);
+	for (i = 0; i < view.n_sightings; i++)
+		g_free(view.sightings[i]);
+	for (i = 0; i < view.n_primaries; i++)
+		g_free(view.primaries[i]);
+	g_free(view.sightings);
+	g_free(view.primaries);
+}
+
+static void take_reports(struct control_watcher *watcher,
+			 const Wire__Watch *watch)
+{
+	int64_t now_us = clock_now_us();
+	size_t i;
+
+	g_hash_table_remove_all(watcher->reports);
+	for (i = 0; i < watch->n_upstreams; i++) {
+		const Wire__UpstreamHealth *in = watch->upstreams[i];
+		struct control_report *report =
+			g_new0(struct control_report, 1);
+
+		report->failing_us = (int64_t)in->failing_us;
+		report->at_us = now_us;
+		if (in->position)
+			report->position =
+				(struct position){ in->position->term,
+						   in->position->lsn };
+		g_hash_table_insert(watcher->reports, g_strdup(in->id), report);
+	}
+}
+
+static void take_watch(struct control_watcher *watcher,
+		       const Wire__Watch *watch)
+{
+	if (!watcher->name) {
+		watcher->name = g_strdup(watch->daemon);
+		watcher->availability_zone = g_strdup(watch->availability_zone);
+		event_log("watcher_joined", "{s:s}", "daemon", watcher->name);
+	}
+	watcher->heard_us = clock_now_us();
+	/* A newer one may be held already, from another control VM. */
+	watcher->config_version =
+		MAX(watcher->config_version, watch->config_version);
+	take_reports(watcher, watch);
+	send_view(watcher);
+}
+
+static void on_message(struct channel *ch, const Wire__Envelope *envelope)
+{
+	struct control_watcher *watcher = ch->data;
+
+	watcher->heard_us = clock_now_us();
+	if (envelope->body_case == WIRE__ENVELOPE__BODY_WATCH)
+		take_watch(watcher, envelope->watch);
+	else
+		control_message(watcher->node, ch, envelope);
+}
+
+static void on_closed(struct channel *ch)
+{
+	struct control_watcher *watcher = ch->data;
+
+	/* Freed by the next tick: the channel may still be in use. */
+	watcher->heard_us = INT64_MIN / 2;
+	if (watcher->name)
+		event_log("watcher_left", "{s:s}", "daemon", watcher->name);
+}
+
+static const struct channel_events watcher_events = {
+	.message = on_message,
+	.closed = on_closed,
+};
+
+void control_watchers_accept(struct control_node *node, int fd)
+{
+	struct control_watcher *watcher = g_new0(struct control_watcher, 1);
+
+	watcher->node = node;
+	watcher->heard_us = clock_now_us();
+	watcher->reports =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_ptr_array_add(node->watchers, watcher);
+	channel_accept(&watcher->channel, node->loop, fd, &watcher_events,
+		       watcher);
+}
+
+void control_watchers_tick(struct control_node *node, int64_t now_us)
+{
+	guint i = 0;
+
+	while (i < node->watchers->len) {
+		struct control_watcher *watcher = node->watchers->pdata[i];
+		bool is_daemon = watcher->name != NULL;
+
+		if (now_us - watcher->heard_us <
+		    (is_daemon ? CONTROL_WATCHER_US : 4 * CONTROL_WATCHER_US)) {
+			i++;
+			continue;
+		}
+		g_ptr_array_remove_index_fast(node->watchers, i);
+		watcher_free(watcher);
+		node->views_due = node->views_due || is_daemon;
+	}
+	counter_assign(&node->counters, node->counter[CONTROL_COUNT_WATCHERS],
+		       count_daemons(node));
+}
+
+void control_watchers_tell(struct control_node *node)
+{
+	guint i;
+
+	node->views_due = false;
+	for (i = 0; i < node->watchers->len; i++) {
+		struct control_watcher *watcher = node->watchers->pdata[i];
+
+		if (watcher->name && channel_is_open(&watcher->channel))
+			send_view(watcher);
+	}
+}
+
+void control_watchers_free(struct control_node *node)
+{
+	guint i;
+
+	for (i = 0; i < node->watchers->len; i++)
+		watcher_free(node->watchers->pdata[i]);
+	g_ptr_array_free(node->watchers, TRUE);
+}
--- /dev/null
+++ b/coordination/placement.c
@@ -0,0 +1,33 @@
+#include "placement.h"
+
+static int64_t expected_us(const struct placement_option *o)
+{
+	int64_t us = o->latency_us * (1 + (int64_t)o->busy);
+
+	if (o->primary)
+		us = us * PLACEMENT_PRIMARY_PERCENT / 100;
+	if (!o->idle)
+		us += PLACEMENT_OPEN_US;
+	return us;
+}
+
+int placement_choose(const struct placement_option *options, unsigned nr,
+		     uint32_t random)
+{
+	int64_t best_us = INT64_MAX;
+	int best = -1;
+	unsigned i;
+
+	for (i = 0; i < nr; i++) {
+		unsigned at = (i + random % nr) % nr;
+		const struct placement_option *o = &options[at];
+
+		if (!o->usable || (!o->idle && !o->room))
+			continue;
+		if (expected_us(o) < best_us) {
+			best_us = expected_us(o);
+			best = (int)at;
+		}
+	}
+	return best;
+}
--- /dev/null
+++ b/coordination/promotion_policy.c
@@ -0,0 +1,87 @@
+#include "promotion_policy.h"
+
+static bool is_cut_off(const struct promotion_upstream *p)
+{
+	unsigned heard = p->answered + p->failing;
+
+	if (!p->failing || p->failing * PROMOTION_QUORUM_DIVISOR < heard)
+		return false;
+	return p->failing > 1 || heard == 1 ||
+	       p->silent_us > PROMOTION_DOUBT_US;
+}
+
+enum promotion_reason promotion_needed(const struct promotion_view *view)
+{
+	const struct promotion_upstream *p;
+
+	if (view->since_order_us < PROMOTION_SETTLE_US)
+		return PROMOTION_NOT_NEEDED;
+	if (view->primary < 0)
+		return PROMOTION_NO_PRIMARY;
+	p = &view->upstreams[view->primary];
+	if (p->leaving)
+		return PROMOTION_LEAVING;
+	if (is_cut_off(p))
+		return PROMOTION_UNREACHABLE;
+	if (p->silent_us > PROMOTION_SILENT_US && !p->answered)
+		return PROMOTION_SILENT;
+	return PROMOTION_NOT_NEEDED;
+}
+
+static bool is_fit(const struct promotion_view *view, unsigned i)
+{
+	const struct promotion_upstream *p = &view->upstreams[i];
+
+	if ((int)i == view->primary || p->leaving)
+		return false;
+	if (p->silent_us > PROMOTION_CANDIDATE_US)
+		return false;
+	return !p->failing || p->answered > p->failing;
+}
+
+static bool better(const struct promotion_upstream *a,
+		   const struct promotion_upstream *b)
+{
+	if (a->failing != b->failing)
+		return a->failing < b->failing;
+	return position_compare(a->position, b->position) > 0;
+}
+
+int promotion_candidate(const struct promotion_view *view)
+{
+	int best = -1;
+	unsigned unknown = 0;
+	unsigned i;
+
+	for (i = 0; i < view->nr; i++) {
+		if ((int)i == view->primary)
+			continue;
+		if (!view->upstreams[i].position.term)
+			unknown++;
+		if (!is_fit(view, i))
+			continue;
+		if (best < 0 ||
+		    better(&view->upstreams[i], &view->upstreams[best]))
+			best = (int)i;
+	}
+	if (view->sync_replicas && unknown >= view->sync_replicas)
+		return -1;
+	return best;
+}
+
+const char *promotion_reason_text(enum promotion_reason reason)
+{
+	switch (reason) {
+	case PROMOTION_LEAVING:
+		return "leaving";
+	case PROMOTION_UNREACHABLE:
+		return "unreachable";
+	case PROMOTION_SILENT:
+		return "silent";
+	case PROMOTION_NO_PRIMARY:
+		return "no primary";
+	case PROMOTION_NOT_NEEDED:
+		break;
+	}
+	return "not needed";
+}
--- a/comfreywheeld/control_wire.c
+++ b/coordination/raft_wire.c
@@ -1,7 +1,6 @@
-#include "control_view.h"
+#include "raft_wire.h"
 
-void control_wire_init(struct control_wire *wire,
-		       const struct raft_message *msg)
+void raft_wire_init(struct raft_wire *wire, const struct raft_message *msg)
 {
 	Wire__RaftMessage *w = &wire->message;
 	size_t i;
@@ -38,13 +37,13 @@
 	w->entries = wire->pointers;
 }
 
-void control_wire_finish(struct control_wire *wire)
+void raft_wire_finish(struct raft_wire *wire)
 {
 	g_free(wire->entries);
 	g_free(wire->pointers);
 }
 
-bool control_wire_read(const Wire__RaftMessage *wire, struct raft_message *msg)
+bool raft_wire_read(const Wire__RaftMessage *wire, struct raft_message *msg)
 {
 	size_t i;
 
--- /dev/null
+++ b/coordination/read_bound.c
@@ -0,0 +1,64 @@
+#include "read_bound.h"
+
+#include <string.h>
+
+void read_samples_init(struct read_samples *samples)
+{
+	memset(samples, 0, sizeof(*samples));
+}
+
+static struct read_sample *at(const struct read_samples *samples, unsigned i)
+{
+	return (struct read_sample *)&samples
+		->sample[(samples->first + i) % READ_SAMPLES];
+}
+
+int64_t read_samples_newest_us(const struct read_samples *samples)
+{
+	if (!samples->nr)
+		return INT64_MIN;
+	return at(samples, samples->nr - 1)->asked_us;
+}
+
+void read_samples_add(struct read_samples *samples, int64_t asked_us,
+		      struct position position)
+{
+	struct read_sample *last;
+
+	if (samples->nr) {
+		last = at(samples, samples->nr - 1);
+		if (asked_us < last->asked_us + READ_SAMPLE_GAP_US &&
+		    position.term == last->position.term)
+			return;
+		if (asked_us < last->asked_us ||
+		    position.term < last->position.term)
+			return;
+	}
+	if (samples->nr == READ_SAMPLES) {
+		samples->first = (samples->first + 1) % READ_SAMPLES;
+		samples->nr--;
+	}
+	*at(samples, samples->nr++) =
+		(struct read_sample){ asked_us, position };
+}
+
+bool read_bound(const struct read_samples *samples, int64_t arrived_us,
+		int64_t max_staleness_us, struct position own,
+		struct position *needed)
+{
+	unsigned i;
+
+	for (i = 0; i < samples->nr; i++) {
+		const struct read_sample *s = at(samples, i);
+
+		if (s->asked_us < arrived_us - max_staleness_us)
+			continue;
+		/*
+		 * Of an older term than the sample, the session's commits that
+		 * survived the change of primary are part of its log.
+		 */
+		*needed = position_max(s->position, own);
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,165 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+
+/* Time after the order to stop until no connection is taken any more. */
+#define STOP_LISTEN_US (3000 * 1000ll)
+/* Part of the grace after which the process ends in any case, percent. */
+#define STOP_END_PERCENT 92
+
+static const struct {
+	const char *name;
+	const char *help;
+	bool gauge;
+} counter_names[ENTRY_NR_COUNTERS] = {
+	{ "entry_sessions_total", "Callers that connected" },
+	{ "entry_statements_total", "Statements for an upstream" },
+	{ "entry_done_total", "Statements answered with success" },
+	{ "entry_refused_total", "Statements refused that did not run" },
+	{ "entry_failed_total", "Statements that ran and failed" },
+	{ "entry_unknown_total", "Statements of unknown outcome" },
+	{ "entry_retries_total", "Further attempts" },
+	{ "entry_primary_reads_total", "Single reads that the primary ran" },
+	{ "entry_replica_reads_total", "Single reads that any upstream ran" },
+	{ "entry_behind_total", "Reads refused by a replica that lags" },
+	{ "entry_not_primary_total", "Work refused as only the primary does" },
+	{ "entry_links_opened_total", "Connections opened to upstreams" },
+	{ "entry_links_refused_total", "Log-ins that upstreams refused" },
+	{ "entry_links_broken_total", "Connections that broke" },
+	{ "entry_samples_total", "Positions asked of primaries" },
+	{ "entry_views_total", "Views received from control VMs" },
+	{ "entry_waiting", "Statements that wait for a connection", true },
+	{ "entry_open_sessions", "Callers connected", true },
+	{ "entry_config_version", "Version in force", true },
+};
+
+uint32_t entry_random(struct entry *entry)
+{
+	entry->random = entry->random * 1664525u + 1013904223u;
+	return entry->random >> 8;
+}
+
+static void on_tick(int64_t now_us, void *data)
+{
+	struct entry *entry = data;
+
+	hosts_tick(entry, now_us);
+	sessions_tick(entry, now_us);
+	sightings_expire(&entry->sightings, now_us);
+	if (!entry->was_ready && entry_ready(entry)) {
+		entry->was_ready = true;
+		event_log_always("ready", "");
+	}
+}
+
+struct entry *entry_new(struct ev_loop *loop, struct timer_service *timers,
+			const struct entry_config *config)
+{
+	struct entry *entry = g_new0(struct entry, 1);
+	int64_t now_us = clock_now_us();
+	unsigned i;
+
+	entry->loop = loop;
+	entry->timers = timers;
+	entry->config = *config;
+	entry->daemons = 1;
+	entry->random = g_random_int();
+	entry->control = g_ptr_array_new();
+	entry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						service_free);
+	entry->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     (GDestroyNotify)host_free);
+	g_queue_init(&entry->sessions);
+	sightings_init(&entry->sightings);
+	counter_set_init(&entry->counters);
+	for (i = 0; i < ENTRY_NR_COUNTERS; i++)
+		entry->counter[i] = (counter_names[i].gauge ?
+					     counter_register_gauge :
+					     counter_register)(
+			&entry->counters, counter_names[i].name,
+			counter_names[i].help);
+	entry_seeds(entry, config->seeds);
+	entry->tick_timer =
+		timer_subscribe(timers, now_us, ENTRY_TICK_US, on_tick, entry);
+	entry->watch_timer = timer_subscribe(timers, now_us, ENTRY_WATCH_US,
+					     watch_tick, entry);
+	return entry;
+}
+
+void entry_free(struct entry *entry)
+{
+	timer_cancel(entry->timers, &entry->tick_timer);
+	timer_cancel(entry->timers, &entry->watch_timer);
+	watch_stop(entry);
+	g_hash_table_destroy(entry->hosts);
+	g_hash_table_destroy(entry->services);
+	sightings_finish(&entry->sightings);
+	entry_table_unref(entry->table);
+	counter_set_finish(&entry->counters);
+	g_free(entry);
+}
+
+bool entry_ready(const struct entry *entry)
+{
+	return entry->table && entry->fresh && !entry->drain_us &&
+	       g_hash_table_size(entry->hosts) > 0;
+}
+
+void entry_drain(struct entry *entry)
+{
+	if (entry->drain_us)
+		return;
+	entry->drain_us = clock_now_us();
+	event_log_always("draining", "");
+}
+
+bool entry_listens(const struct entry *entry)
+{
+	return !entry->drain_us ||
+	       clock_now_us() - entry->drain_us < STOP_LISTEN_US;
+}
+
+bool entry_drained(const struct entry *entry)
+{
+	int64_t since_us = clock_now_us() - entry->drain_us;
+
+	if (!entry->drain_us)
+		return false;
+	if (since_us > entry->config.grace_us * STOP_END_PERCENT / 100)
+		return true;
+	return !entry_listens(entry) && !entry->sessions.length;
+}
+
+static void print_gauges(struct entry *entry)
+{
+	struct service *svc;
+	GHashTableIter it;
+	int64_t waiting = 0;
+
+	g_hash_table_iter_init(&it, entry->services);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&svc))
+		waiting += svc->waiting.length;
+	counter_assign(&entry->counters, entry->counter[ENTRY_COUNT_WAITING],
+		       waiting);
+	counter_assign(&entry->counters,
+		       entry->counter[ENTRY_COUNT_OPEN_SESSIONS],
+		       entry->sessions.length);
+}
+
+void entry_print_metrics(struct entry *entry, GString *out)
+{
+	print_gauges(entry);
+	counter_set_print(&entry->counters, out);
+	histogram_print(&entry->wait_times, "entry_wait_seconds", "", out);
+	histogram_print(&entry->upstream_times, "entry_upstream_seconds", "",
+			out);
+	histogram_print(&entry->answer_times[READ_AT_PRIMARY],
+			"entry_answer_seconds", "route=\"primary\"", out);
+	histogram_print(&entry->answer_times[READ_OWN_WRITES],
+			"entry_answer_seconds", "route=\"own_writes\"", out);
+	histogram_print(&entry->answer_times[READ_BOUNDED],
+			"entry_answer_seconds", "route=\"bounded\"", out);
+	g_string_append_printf(out, "log_lines_left_out_total %lu\n",
+			       (unsigned long)event_log_left_out());
+}
--- /dev/null
+++ b/entry/host.c
@@ -0,0 +1,305 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Time of a statement at an upstream that was not used yet, microseconds. */
+#define LATENCY_FIRST_US (10 * 1000ll)
+/* Part of a new observation in the smoothed time, one in so many. */
+#define LATENCY_PARTS 8
+/* First and longest pause before another attempt to connect, microseconds. */
+#define CONNECT_PAUSE_US (50 * 1000ll)
+#define CONNECT_PAUSE_MAX_US (800 * 1000ll)
+/* A connection above this daemon's share is closed after resting so long. */
+#define SPARE_IDLE_US (1000 * 1000ll)
+/* A daemon may open this multiple of its share while others rest. */
+#define SHARE_STRETCH 2
+/* A service that no session asked for in this time is not sampled. */
+#define SERVICE_IDLE_US (5000 * 1000ll)
+
+struct service *service_get(struct entry *entry, const char *name)
+{
+	struct service *svc = g_hash_table_lookup(entry->services, name);
+
+	if (svc)
+		return svc;
+	svc = g_new0(struct service, 1);
+	svc->entry = entry;
+	svc->name = g_strdup(name);
+	svc->hosts = g_ptr_array_new();
+	svc->used_us = INT64_MIN / 2;
+	read_samples_init(&svc->samples);
+	g_queue_init(&svc->waiting);
+	g_hash_table_insert(entry->services, svc->name, svc);
+	return svc;
+}
+
+void service_free(void *data)
+{
+	struct service *svc = data;
+
+	g_ptr_array_free(svc->hosts, TRUE);
+	g_free(svc->name);
+	g_free(svc);
+}
+
+static struct host *host_new(struct entry *entry, const struct sighting *one)
+{
+	struct host *host = g_new0(struct host, 1);
+
+	host->entry = entry;
+	host->id = g_strdup(one->id);
+	host->address = g_strdup(one->address);
+	host->service = service_get(entry, one->service);
+	host->links = g_ptr_array_new();
+	host->latency_us = LATENCY_FIRST_US;
+	host->answered_us = INT64_MIN / 2;
+	host->seen_us = INT64_MIN / 2;
+	g_ptr_array_add(host->service->hosts, host);
+	g_hash_table_insert(entry->hosts, host->id, host);
+	return host;
+}
+
+static void close_links(struct host *host)
+{
+	while (host->links->len)
+		link_close(host->links->pdata[0]);
+}
+
+void host_free(struct host *host)
+{
+	close_links(host);
+	g_ptr_array_remove(host->service->hosts, host);
+	g_ptr_array_free(host->links, TRUE);
+	g_free(host->id);
+	g_free(host->address);
+	g_free(host);
+}
+
+static void follow(struct host *host, const struct sighting *one)
+{
+	if (host->revision == one->revision)
+		return;
+	host->revision = one->revision;
+	if (one->leaving && !host->leaving)
+		event_log("upstream_leaving", "{s:s}", "upstream", host->id);
+	host->leaving = one->leaving;
+	host->gone = one->gone || strcmp(host->service->name, one->service);
+	host->connect_after_us = 0;
+	if (!strcmp(host->address, one->address))
+		return;
+	close_links(host);
+	g_free(host->address);
+	host->address = g_strdup(one->address);
+}
+
+void hosts_update(struct entry *entry)
+{
+	struct sighting *one;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, entry->sightings.by_id);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
+		struct host *host = g_hash_table_lookup(entry->hosts, one->id);
+
+		if (!host && !one->gone)
+			host = host_new(entry, one);
+		if (host)
+			follow(host, one);
+	}
+}
+
+struct host *host_primary(struct service *svc, int64_t now_us)
+{
+	const struct sighting *one =
+		sightings_primary(&svc->entry->sightings, svc->name);
+	struct host *host =
+		one ? g_hash_table_lookup(svc->entry->hosts, one->id) : NULL;
+
+	if (!host || host->gone || host->not_primary_until_us > now_us)
+		return NULL;
+	return host;
+}
+
+static unsigned share_of(const struct host *host)
+{
+	const struct entry *entry = host->entry;
+	const struct entry_pool *pool =
+		entry->table ? g_hash_table_lookup(entry->table->pools,
+						   host->service->name) :
+			       NULL;
+
+	if (!pool)
+		return 1;
+	return MAX(pool->max_connections / MAX(entry->daemons, 1), 1);
+}
+
+unsigned host_room(const struct host *host, int64_t now_us)
+{
+	unsigned most = share_of(host) * SHARE_STRETCH;
+
+	if (host->gone || host->leaving || now_us < host->connect_after_us)
+		return 0;
+	return host->links->len < most ? most - host->links->len : 0;
+}
+
+static bool same_values(const struct link *link, const struct session *s)
+{
+	const char *name, *value;
+	GHashTableIter it;
+
+	if (g_hash_table_size(link->values) != g_hash_table_size(s->values))
+		return false;
+	g_hash_table_iter_init(&it, s->values);
+	while (g_hash_table_iter_next(&it, (void **)&name, (void **)&value))
+		if (g_strcmp0(g_hash_table_lookup(link->values, name), value))
+			return false;
+	return true;
+}
+
+struct link *host_idle_link(const struct host *host, const struct session *s)
+{
+	struct link *found = NULL;
+	guint i;
+
+	for (i = 0; i < host->links->len; i++) {
+		struct link *link = host->links->pdata[i];
+
+		if (!link_is_idle(link))
+			continue;
+		if (!s || same_values(link, s))
+			return link;
+		if (!found || link->since_us > found->since_us)
+			found = link;
+	}
+	return found;
+}
+
+unsigned host_busy(const struct host *host)
+{
+	unsigned nr = 0;
+	guint i;
+
+	for (i = 0; i < host->links->len; i++)
+		nr += !link_is_idle(host->links->pdata[i]);
+	return nr;
+}
+
+void host_answered(struct host *host, const struct statement_answer *answer,
+		   int64_t now_us)
+{
+	if (host->failing_us)
+		event_log("upstream_regained", "{s:s, s:I}", "upstream",
+			  host->id, "after_us",
+			  (json_int_t)(now_us - host->failing_us));
+	host->answered_us = now_us;
+	host->failing_us = 0;
+	host->failures = 0;
+	if (!answer || !answer->position.term)
+		return;
+	host->seen = answer->position;
+	host->seen_us = now_us;
+}
+
+void host_failed(struct host *host, int64_t now_us)
+{
+	int64_t pause = CONNECT_PAUSE_US << MIN(host->failures, 4);
+
+	if (!host->failing_us) {
+		host->failing_us = now_us;
+		event_log("upstream_lost", "{s:s, s:s, s:I}", "upstream",
+			  host->id, "service", host->service->name, "silent_us",
+			  (json_int_t)(now_us - host->answered_us));
+	}
+	host->failures++;
+	host->connect_after_us = now_us + MIN(pause, CONNECT_PAUSE_MAX_US);
+}
+
+void host_note_latency(struct host *host, int64_t us)
+{
+	host->latency_us += (us - host->latency_us) / LATENCY_PARTS;
+}
+
+/* Asks the primary where its log stands when no caller has of late. */
+static void keep_sampled(struct service *svc, int64_t now_us)
+{
+	struct host *host;
+	struct link *link;
+
+	if (now_us - svc->used_us > SERVICE_IDLE_US ||
+	    now_us - read_samples_newest_us(&svc->samples) < ENTRY_SAMPLE_US)
+		return;
+	host = host_primary(svc, now_us);
+	if (!host)
+		return;
+	link = host_idle_link(host, NULL);
+	if (link)
+		link_sample(link);
+	else if (!host->links->len && host_room(host, now_us))
+		link_open(host);
+}
+
+static void check_link(struct link *link, int64_t now_us)
+{
+	struct host *host = link->host;
+	int64_t waited_us = now_us - link->sent_us;
+
+	if (link->state == LINK_OPENING) {
+		if (now_us - link->since_us > ENTRY_LOGIN_US) {
+			host_failed(host, now_us);
+			link_close(link);
+		}
+		return;
+	}
+	if (!link->session && waited_us > ENTRY_ABANDON_US) {
+		host_failed(host, now_us);
+		link_close(link);
+		return;
+	}
+	if (link->steps->len && link->session && waited_us > ENTRY_SILENT_US &&
+	    host->answered_us < link->sent_us)
+		request_silent(link->session);
+}
+
+static void check_host(struct host *host, int64_t now_us)
+{
+	unsigned share = share_of(host);
+	guint i;
+
+	for (i = host->links->len; i-- > 0;) {
+		struct link *link;
+
+		if (i >= host->links->len)
+			continue;
+		link = host->links->pdata[i];
+		if (!link_is_idle(link))
+			check_link(link, now_us);
+		else if (host->gone || host->leaving ||
+			 (host->links->len > share &&
+			  now_us - link->since_us > SPARE_IDLE_US))
+			link_close(link);
+	}
+}
+
+void hosts_tick(struct entry *entry, int64_t now_us)
+{
+	struct service *svc;
+	struct host *host;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, entry->hosts);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&host)) {
+		check_host(host, now_us);
+		if (!host->gone || host->links->len)
+			continue;
+		g_hash_table_iter_remove(&it);
+	}
+	g_hash_table_iter_init(&it, entry->services);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&svc)) {
+		keep_sampled(svc, now_us);
+		service_dispatch(svc);
+	}
+}
--- /dev/null
+++ b/entry/internal.h
@@ -0,0 +1,308 @@
+#ifndef ENTRY_INTERNAL_H
+#define ENTRY_INTERNAL_H
+
+#include "channel.h"
+#include "counters.h"
+#include "entry.h"
+#include "histogram.h"
+#include "read_bound.h"
+
+/** Time between looks at timers of links, hosts and sessions, microseconds. */
+#define ENTRY_TICK_US (50 * 1000ll)
+/** Time between reports to control, microseconds. */
+#define ENTRY_WATCH_US (400 * 1000ll)
+/** Time to connect to an upstream, microseconds: some round trips. */
+#define ENTRY_CONNECT_US (400 * 1000ll)
+/** Time to connect and log in, microseconds: log-ins queue for a slot. */
+#define ENTRY_LOGIN_US (1500 * 1000ll)
+/** A host that answered nothing for so long is tried elsewhere. */
+#define ENTRY_SILENT_US (300 * 1000ll)
+/** An answer that nobody waits for any more is awaited so long. */
+#define ENTRY_ABANDON_US (2000 * 1000ll)
+/** Age of the newest sample at which the primary is asked for one. */
+#define ENTRY_SAMPLE_US (400 * 1000ll)
+/** Attempts of one statement, the first included. */
+#define ENTRY_ATTEMPTS 6
+
+enum entry_counter {
+	ENTRY_COUNT_SESSIONS,
+	ENTRY_COUNT_STATEMENTS,
+	ENTRY_COUNT_DONE,
+	ENTRY_COUNT_REFUSED,
+	ENTRY_COUNT_FAILED,
+	ENTRY_COUNT_UNKNOWN,
+	ENTRY_COUNT_RETRIES,
+	ENTRY_COUNT_PRIMARY_READS,
+	ENTRY_COUNT_REPLICA_READS,
+	ENTRY_COUNT_BEHIND,
+	ENTRY_COUNT_NOT_PRIMARY,
+	ENTRY_COUNT_LINKS_OPENED,
+	ENTRY_COUNT_LINKS_REFUSED,
+	ENTRY_COUNT_LINKS_BROKEN,
+	ENTRY_COUNT_SAMPLES,
+	ENTRY_COUNT_VIEWS,
+	ENTRY_COUNT_WAITING,
+	ENTRY_COUNT_OPEN_SESSIONS,
+	ENTRY_COUNT_CONFIG_VERSION,
+	ENTRY_NR_COUNTERS,
+};
+
+/**
+ * struct host - one upstream
+ * @revision: of the sighting that was last followed
+ * @links: struct link, open or being opened
+ * @latency_us: time of a statement there of late, smoothed
+ * @seen: newest log position seen there, at @seen_us
+ * @answered_us: when it last answered anything
+ * @failing_us: first failure since then, 0 if none
+ * @connect_after_us: earliest next attempt to connect
+ * @busy_until_us: refused work for lack of room
+ * @behind_until_us: refused a read for a position it lacks
+ * @not_primary_until_us: refused work that only the primary does
+ */
+struct host {
+	struct entry *entry;
+	struct service *service;
+	char *id;
+	char *address;
+	uint64_t revision;
+	bool leaving;
+	bool gone;
+	GPtrArray *links;
+	int64_t latency_us;
+	struct position seen;
+	int64_t seen_us;
+	int64_t answered_us;
+	int64_t failing_us;
+	unsigned failures;
+	int64_t connect_after_us;
+	int64_t busy_until_us;
+	int64_t behind_until_us;
+	int64_t not_primary_until_us;
+};
+
+/**
+ * struct service - the upstreams of one service and who waits for them
+ * @waiting: struct session, in order of service
+ * @used_us: when a session last asked for it
+ */
+struct service {
+	struct entry *entry;
+	char *name;
+	GPtrArray *hosts;
+	struct read_samples samples;
+	GQueue waiting;
+	int64_t used_us;
+	bool dispatching;
+};
+
+enum link_state {
+	LINK_OPENING,
+	LINK_READY,
+};
+
+enum link_step {
+	STEP_SETUP,
+	STEP_BEGIN,
+	STEP_STATEMENT,
+	STEP_ROLLBACK,
+	STEP_SAMPLE,
+	/** its session has been answered already */
+	STEP_ABANDONED,
+};
+
+/**
+ * struct link - one connection to an upstream
+ * @session: the session that holds it, NULL if none
+ * @steps: enum link_step of commands without an answer, oldest first
+ * @values: session values that are set there
+ * @prepared: names that are prepared there
+ * @in_transaction: whether a transaction is open there
+ * @sent_us: when the oldest command without an answer was sent
+ * @since_us: when it was opened or last used
+ */
+struct link {
+	struct host *host;
+	void *wire;
+	enum link_state state;
+	struct session *session;
+	GArray *steps;
+	GHashTable *values;
+	GHashTable *prepared;
+	bool in_transaction;
+	int64_t sent_us;
+	int64_t since_us;
+};
+
+enum transaction {
+	TX_NONE,
+	TX_OPEN,
+	TX_FAILED,
+};
+
+enum request_phase {
+	REQUEST_NONE,
+	REQUEST_WAITING,
+	REQUEST_SETUP,
+	REQUEST_RUNNING,
+	/** in a transaction, to be sent again on the same link */
+	REQUEST_PAUSED,
+};
+
+/**
+ * struct session - one caller
+ * @values: name to value, as acknowledged
+ * @prepared: name to struct prepared
+ * @own: newest position that it committed, term 0 for none
+ * @table: held while a transaction or request uses @route
+ * @tx_arrived_us: when the transaction began
+ * @tx_plain: whether the transaction may write
+ * @tx_ran: whether a statement of the transaction was answered
+ * @tx_wrote: whether a statement of the transaction wrote
+ * @arrived_us: when the outstanding statement came
+ * @needs_primary: whether only the primary can run it
+ * @proof: whether a single read is wrapped in a transaction that only the
+ *         primary grants
+ * @needed: position that the upstream must hold, term 0 for none
+ * @avoid: upstream that failed it, NULL for none
+ */
+struct session {
+	struct entry *entry;
+	const struct caller_ops *ops;
+	void *wire;
+	GList member;
+	char *database;
+	GHashTable *values;
+	GHashTable *prepared;
+	struct position own;
+	int64_t active_us;
+	bool closing;
+
+	struct entry_table *table;
+	const struct entry_route *route;
+	struct service *service;
+	enum transaction tx;
+	int64_t tx_arrived_us;
+	bool tx_plain;
+	bool tx_ran;
+	bool tx_wrote;
+
+	struct statement statement;
+	enum request_phase phase;
+	int64_t arrived_us;
+	int64_t placed_us;
+	int timer;
+	struct link *link;
+	GList waiting;
+	bool needs_primary;
+	bool proof;
+	struct position needed;
+	const struct host *avoid;
+	unsigned attempts;
+	unsigned setup;
+	enum refusal last_refusal;
+};
+
+struct prepared {
+	bool writes;
+	char *shape;
+	char *alias;
+};
+
+/** struct control_link - the connection to one control VM */
+struct control_link {
+	struct entry *entry;
+	uint32_t ip;
+	struct channel channel;
+	int64_t retry_us;
+	int64_t named_us;
+	bool fresh;
+};
+
+struct entry {
+	struct ev_loop *loop;
+	struct timer_service *timers;
+	struct entry_config config;
+	struct entry_table *table;
+	struct sightings sightings;
+	GPtrArray *control;
+	GHashTable *services;
+	GHashTable *hosts;
+	GQueue sessions;
+	unsigned daemons;
+	bool fresh;
+	bool was_ready;
+	int64_t drain_us;
+	int tick_timer;
+	int watch_timer;
+	uint32_t random;
+	struct counter_set counters;
+	int counter[ENTRY_NR_COUNTERS];
+	struct histogram wait_times;
+	struct histogram upstream_times;
+	struct histogram answer_times[3];
+};
+
+static inline void entry_count(struct entry *entry, enum entry_counter which,
+			       int64_t n)
+{
+	counter_add(&entry->counters, entry->counter[which], n);
+}
+
+uint32_t entry_random(struct entry *entry);
+
+/* host.c */
+struct service *service_get(struct entry *entry, const char *name);
+void service_free(void *data);
+void hosts_update(struct entry *entry);
+struct host *host_primary(struct service *svc, int64_t now_us);
+/** host_room() - connections that may still be opened there */
+unsigned host_room(const struct host *host, int64_t now_us);
+struct link *host_idle_link(const struct host *host, const struct session *s);
+unsigned host_busy(const struct host *host);
+void host_answered(struct host *host, const struct statement_answer *answer,
+		   int64_t now_us);
+void host_failed(struct host *host, int64_t now_us);
+void host_note_latency(struct host *host, int64_t us);
+void hosts_tick(struct entry *entry, int64_t now_us);
+void host_free(struct host *host);
+
+/* link.c */
+struct link *link_open(struct host *host);
+void link_close(struct link *link);
+/** link_bind() - give an idle link to a session */
+void link_bind(struct link *link, struct session *s);
+/** link_setup() - bring values and names there up to the session's */
+unsigned link_setup(struct link *link, struct session *s);
+void link_send(struct link *link, enum link_step step,
+	       const struct link_command *command);
+void link_flush(struct link *link);
+/** link_release() - the session needs it no more; cleans it for the next */
+void link_release(struct link *link);
+/** link_abandon() - the session was answered while a command is out */
+void link_abandon(struct link *link);
+void link_sample(struct link *link);
+bool link_is_idle(const struct link *link);
+
+/* request.c */
+void request_start(struct session *s);
+void request_cancel(struct session *s);
+void request_step(struct session *s, enum link_step step,
+		  const struct statement_answer *answer);
+void request_link_lost(struct session *s);
+void request_resume(struct session *s);
+void service_dispatch(struct service *svc);
+void request_silent(struct session *s);
+
+/* session.c */
+void session_answer(struct session *s, const struct statement_answer *answer);
+void session_end_transaction(struct session *s, enum transaction to);
+enum session_state session_state(const struct session *s);
+void sessions_tick(struct entry *entry, int64_t now_us);
+
+/* watch.c */
+void watch_start(struct entry *entry);
+void watch_tick(int64_t now_us, void *data);
+void watch_stop(struct entry *entry);
+
+#endif
--- /dev/null
+++ b/entry/link.c
@@ -0,0 +1,309 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Names prepared on one connection before it is cleared. */
+#define PREPARED_MAX 256
+/* Pause after an upstream said that it takes no more connections. */
+#define FULL_PAUSE_US (150 * 1000ll)
+/* Pause after another upstream answered at an address. */
+#define REPLACED_PAUSE_US (1000 * 1000ll)
+
+struct link *link_open(struct host *host)
+{
+	struct entry *entry = host->entry;
+	struct link *link = g_new0(struct link, 1);
+
+	link->host = host;
+	link->since_us = clock_now_us();
+	link->steps = g_array_new(FALSE, FALSE, sizeof(enum link_step));
+	link->values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	link->prepared =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_ptr_array_add(host->links, link);
+	link->wire = entry->config.upstream_ops->open(link, host->address,
+						      host->service->name,
+						      host->id,
+						      entry->config.data);
+	entry_count(entry, ENTRY_COUNT_LINKS_OPENED, 1);
+	if (link->wire)
+		return link;
+	host_failed(host, link->since_us);
+	link_close(link);
+	return NULL;
+}
+
+static void link_free(struct link *link)
+{
+	g_ptr_array_remove(link->host->links, link);
+	g_array_free(link->steps, TRUE);
+	g_hash_table_destroy(link->values);
+	g_hash_table_destroy(link->prepared);
+	g_free(link);
+}
+
+void link_close(struct link *link)
+{
+	struct session *s = link->session;
+
+	link->session = NULL;
+	if (link->wire)
+		link->host->entry->config.upstream_ops->close(link->wire);
+	link_free(link);
+	if (s) {
+		s->link = NULL;
+		request_link_lost(s);
+	}
+}
+
+bool link_is_idle(const struct link *link)
+{
+	return link->state == LINK_READY && !link->session &&
+	       !link->steps->len && !link->in_transaction;
+}
+
+void link_bind(struct link *link, struct session *s)
+{
+	link->session = s;
+	s->link = link;
+}
+
+void link_send(struct link *link, enum link_step step,
+	       const struct link_command *command)
+{
+	if (!link->steps->len)
+		link->sent_us = clock_now_us();
+	g_array_append_val(link->steps, step);
+	link->host->entry->config.upstream_ops->send(link->wire, command);
+}
+
+void link_flush(struct link *link)
+{
+	link->host->entry->config.upstream_ops->flush(link->wire);
+}
+
+static unsigned clear(struct link *link)
+{
+	struct link_command reset = { .verb = LINK_RESET };
+
+	g_hash_table_remove_all(link->values);
+	g_hash_table_remove_all(link->prepared);
+	link_send(link, STEP_SETUP, &reset);
+	return 1;
+}
+
+/* A value that the session does not have can only go with all the others. */
+static bool has_foreign_value(const struct link *link, const struct session *s)
+{
+	const char *name;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, link->values);
+	while (g_hash_table_iter_next(&it, (void **)&name, NULL))
+		if (!g_hash_table_contains(s->values, name))
+			return true;
+	return false;
+}
+
+static unsigned set_values(struct link *link, const struct session *s)
+{
+	const char *name, *value;
+	GHashTableIter it;
+	unsigned nr = 0;
+
+	g_hash_table_iter_init(&it, s->values);
+	while (g_hash_table_iter_next(&it, (void **)&name, (void **)&value)) {
+		struct link_command set = { .verb = LINK_SET,
+					    .name = name,
+					    .value = value };
+
+		if (!g_strcmp0(g_hash_table_lookup(link->values, name), value))
+			continue;
+		link_send(link, STEP_SETUP, &set);
+		g_hash_table_replace(link->values, g_strdup(name),
+				     g_strdup(value));
+		nr++;
+	}
+	return nr;
+}
+
+static unsigned prepare(struct link *link, const struct session *s)
+{
+	const struct prepared *p =
+		g_hash_table_lookup(s->prepared, s->statement.name);
+	struct link_command command = { .verb = LINK_PREPARE };
+
+	if (g_hash_table_contains(link->prepared, p->alias))
+		return 0;
+	command.name = p->alias;
+	command.value = p->shape;
+	command.writes = p->writes;
+	link_send(link, STEP_SETUP, &command);
+	g_hash_table_add(link->prepared, g_strdup(p->alias));
+	return 1;
+}
+
+unsigned link_setup(struct link *link, struct session *s)
+{
+	unsigned nr = 0;
+
+	if (!link->in_transaction &&
+	    (has_foreign_value(link, s) ||
+	     g_hash_table_size(link->prepared) > PREPARED_MAX))
+		nr += clear(link);
+	nr += set_values(link, s);
+	if (s->statement.verb == STATEMENT_EXECUTE)
+		nr += prepare(link, s);
+	return nr;
+}
+
+static void roll_back(struct link *link)
+{
+	struct link_command command = { .verb = LINK_ROLLBACK };
+
+	link_send(link, STEP_ROLLBACK, &command);
+	link_flush(link);
+}
+
+void link_release(struct link *link)
+{
+	link->session = NULL;
+	link->since_us = clock_now_us();
+	if (link->in_transaction)
+		roll_back(link);
+}
+
+void link_abandon(struct link *link)
+{
+	guint i;
+
+	for (i = 0; i < link->steps->len; i++)
+		if (g_array_index(link->steps, enum link_step, i) ==
+		    STEP_STATEMENT)
+			g_array_index(link->steps, enum link_step, i) =
+				STEP_ABANDONED;
+	link_release(link);
+}
+
+void link_sample(struct link *link)
+{
+	struct link_command begin = { .verb = LINK_BEGIN };
+
+	link_send(link, STEP_SAMPLE, &begin);
+	link_flush(link);
+}
+
+void link_opened(struct link *link, struct position position)
+{
+	struct statement_answer answer = { .position = position };
+	struct host *host = link->host;
+
+	link->state = LINK_READY;
+	link->since_us = clock_now_us();
+	host_answered(host, &answer, link->since_us);
+	service_dispatch(host->service);
+}
+
+static void sampled(struct link *link, const struct statement_answer *answer,
+		    int64_t now_us)
+{
+	struct host *host = link->host;
+
+	if (answer->refusal == REFUSAL_NOT_PRIMARY)
+		host->not_primary_until_us = now_us + ENTRY_SAMPLE_US / 2;
+	if (answer->refusal)
+		return;
+	link->in_transaction = true;
+	read_samples_add(&host->service->samples, link->sent_us,
+			 answer->position);
+	entry_count(host->entry, ENTRY_COUNT_SAMPLES, 1);
+	if (!link->session)
+		roll_back(link);
+}
+
+static void note_transaction(struct link *link, enum link_step step,
+			     const struct statement_answer *answer)
+{
+	link->in_transaction = answer->state != SESSION_IDLE;
+	if (step == STEP_ROLLBACK && answer->refusal)
+		link->in_transaction = true;
+}
+
+void link_replied(struct link *link, const struct statement_answer *answer)
+{
+	struct host *host = link->host;
+	struct service *svc = host->service;
+	int64_t now_us = clock_now_us();
+	enum link_step step;
+
+	if (!link->steps->len) {
+		/* An answer to nothing: the connection cannot be trusted. */
+		event_log("answer_to_nothing", "{s:s}", "upstream", host->id);
+		link_close(link);
+		return;
+	}
+	step = g_array_index(link->steps, enum link_step, 0);
+	host_answered(host, answer, now_us);
+	if (step == STEP_SAMPLE) {
+		g_array_remove_index(link->steps, 0);
+		sampled(link, answer, now_us);
+		service_dispatch(host->service);
+		return;
+	}
+	g_array_remove_index(link->steps, 0);
+	note_transaction(link, step, answer);
+	if (step == STEP_ROLLBACK && answer->refusal) {
+		link_close(link);
+		service_dispatch(host->service);
+		return;
+	}
+	if (link->session && step != STEP_ROLLBACK && step != STEP_ABANDONED) {
+		request_step(link->session, step, answer);
+		service_dispatch(svc);
+		return;
+	}
+	if (step == STEP_SETUP && answer->refusal) {
+		link_close(link);
+		return;
+	}
+	if (link->steps->len)
+		return;
+	if (link->in_transaction)
+		roll_back(link);
+	else
+		service_dispatch(host->service);
+}
+
+void link_closed(struct link *link, enum refusal refusal)
+{
+	struct host *host = link->host;
+	int64_t now_us = clock_now_us();
+	bool opening = link->state == LINK_OPENING;
+
+	link->wire = NULL;
+	if (opening && refusal)
+		entry_count(host->entry, ENTRY_COUNT_LINKS_REFUSED, 1);
+	else
+		entry_count(host->entry, ENTRY_COUNT_LINKS_BROKEN, 1);
+	switch (refusal) {
+	case REFUSAL_TOO_MANY:
+	case REFUSAL_BUSY:
+		host->connect_after_us = now_us + FULL_PAUSE_US;
+		break;
+	case REFUSAL_WRONG_UPSTREAM:
+		event_log("upstream_replaced", "{s:s, s:s}", "upstream",
+			  host->id, "address", host->address);
+		host->connect_after_us = now_us + REPLACED_PAUSE_US;
+		break;
+	default:
+		host_failed(host, now_us);
+		break;
+	}
+	link_close(link);
+	service_dispatch(host->service);
+}
--- /dev/null
+++ b/entry/request.c
@@ -0,0 +1,639 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+#include "placement.h"
+
+#include <jansson.h>
+
+/* Upstreams of one service that are looked at. */
+#define OPTIONS_MAX 32
+/* Pause before a statement that found no room is sent again, microseconds. */
+#define BUSY_PAUSE_US (15 * 1000ll)
+/* Pause before a replica that lacked a position is asked again. */
+#define BEHIND_PAUSE_US (60 * 1000ll)
+/* Pause before an upstream that does not lead is asked again. */
+#define NOT_PRIMARY_PAUSE_US (120 * 1000ll)
+/* Part of a statement's time that it may wait for a connection, percent. */
+#define WAIT_PERCENT 60
+
+static bool is_write(const struct session *s)
+{
+	const struct prepared *p;
+
+	switch (s->statement.verb) {
+	case STATEMENT_WRITE:
+		return true;
+	case STATEMENT_EXECUTE:
+		p = g_hash_table_lookup(s->prepared, s->statement.name);
+		return p && p->writes;
+	default:
+		return false;
+	}
+}
+
+static bool is_bound(const struct session *s)
+{
+	return s->tx == TX_OPEN && s->link && s->link->in_transaction;
+}
+
+static void stop_timer(struct session *s)
+{
+	if (s->timer != TIMER_NONE)
+		timer_cancel(s->entry->timers, &s->timer);
+}
+
+static void leave_queue(struct session *s)
+{
+	if (s->phase == REQUEST_WAITING)
+		g_queue_unlink(&s->service->waiting, &s->waiting);
+}
+
+/* Ends the request and answers it. */
+static void conclude(struct session *s, const struct statement_answer *answer)
+{
+	struct entry *entry = s->entry;
+	int64_t now_us = clock_now_us();
+
+	stop_timer(s);
+	leave_queue(s);
+	s->phase = REQUEST_NONE;
+	if (!answer->refusal) {
+		entry_count(entry, ENTRY_COUNT_DONE, 1);
+		histogram_add(&entry->answer_times[s->route->rule],
+			      now_us - s->arrived_us);
+	} else {
+		entry_count(
+			entry,
+			refusal_not_run(answer->refusal) ? ENTRY_COUNT_REFUSED :
+			answer->refusal == REFUSAL_FAILED ? ENTRY_COUNT_FAILED :
+							    ENTRY_COUNT_UNKNOWN,
+			1);
+		event_log("request_not_done",
+			  "{s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}", "id",
+			  s->statement.id, "outcome",
+			  refusal_text(answer->refusal), "last",
+			  refusal_text(s->last_refusal), "service",
+			  s->service->name, "attempts", (int)s->attempts,
+			  "after_us", (json_int_t)(now_us - s->arrived_us),
+			  "in_transaction", (int)s->tx, "config",
+			  (json_int_t)s->table->version);
+	}
+	session_answer(s, answer);
+}
+
+static void refuse(struct session *s, enum refusal refusal, const char *detail)
+{
+	struct statement_answer answer = { .refusal = refusal,
+					   .detail = detail };
+
+	conclude(s, &answer);
+}
+
+/* The transaction cannot go on; nothing of it is kept. */
+static void abort_transaction(struct session *s, const char *detail)
+{
+	if (s->tx == TX_OPEN)
+		session_end_transaction(s, TX_FAILED);
+	refuse(s, REFUSAL_ABORTED, detail);
+}
+
+static void drop_link(struct session *s)
+{
+	struct link *link = s->link;
+
+	s->link = NULL;
+	if (link)
+		link_release(link);
+}
+
+/* Leaves the link to its outstanding command. */
+static void leave_link(struct session *s)
+{
+	struct link *link = s->link;
+
+	s->link = NULL;
+	if (link)
+		link_abandon(link);
+}
+
+static void close_link(struct session *s)
+{
+	struct link *link = s->link;
+
+	s->link = NULL;
+	if (!link)
+		return;
+	link->session = NULL;
+	link_close(link);
+}
+
+static void on_time_out(int64_t now_us, void *data);
+
+static void arm(struct session *s, int64_t at_us)
+{
+	stop_timer(s);
+	s->timer = timer_subscribe(s->entry->timers, at_us, 0, on_time_out, s);
+}
+
+static void enqueue(struct session *s, bool first)
+{
+	GQueue *queue = &s->service->waiting;
+	GList *at = queue->head;
+
+	s->phase = REQUEST_WAITING;
+	while (at) {
+		const struct session *other = at->data;
+
+		if (other->route->priority > s->route->priority ||
+		    (other->route->priority == s->route->priority &&
+		     (first || other->arrived_us > s->arrived_us)))
+			break;
+		at = at->next;
+	}
+	g_queue_insert_before_link(queue, at, &s->waiting);
+}
+
+static int64_t wait_until_us(const struct session *s)
+{
+	return s->arrived_us + s->route->statement_us * WAIT_PERCENT / 100;
+}
+
+/* Another attempt, elsewhere if possible. */
+static void again(struct session *s, enum refusal refusal)
+{
+	int64_t now_us = clock_now_us();
+
+	s->last_refusal = refusal;
+	if (s->attempts >= ENTRY_ATTEMPTS || now_us >= wait_until_us(s)) {
+		refuse(s, refusal_not_run(refusal) ? REFUSAL_BUSY : refusal,
+		       "no upstream could run it in time");
+		return;
+	}
+	entry_count(s->entry, ENTRY_COUNT_RETRIES, 1);
+	arm(s, wait_until_us(s));
+	enqueue(s, true);
+	service_dispatch(s->service);
+}
+
+/* What the statement, or its transaction, asks of the upstream. */
+static void classify(struct session *s)
+{
+	bool in_tx = s->tx == TX_OPEN;
+	bool reads = in_tx ? !s->tx_plain : !is_write(s);
+
+	s->needed = (struct position){ 0 };
+	s->proof = false;
+	s->needs_primary = true;
+	if (!reads)
+		return;
+	if (s->route->rule != READ_AT_PRIMARY && s->route->staleness_us > 0 &&
+	    read_bound(&s->service->samples,
+		       in_tx ? s->tx_arrived_us : s->arrived_us,
+		       s->route->staleness_us, s->own, &s->needed)) {
+		s->needs_primary = false;
+		return;
+	}
+	/* Only the primary can tell that it has not been replaced. */
+	s->proof = true;
+}
+
+void request_start(struct session *s)
+{
+	int64_t now_us = clock_now_us();
+
+	entry_count(s->entry, ENTRY_COUNT_STATEMENTS, 1);
+	s->arrived_us = now_us;
+	s->attempts = 0;
+	s->avoid = NULL;
+	s->last_refusal = REFUSAL_NONE;
+	s->service->used_us = now_us;
+	if (is_bound(s)) {
+		request_resume(s);
+		return;
+	}
+	classify(s);
+	arm(s, wait_until_us(s));
+	enqueue(s, false);
+	service_dispatch(s->service);
+}
+
+static void send_statement(struct session *s)
+{
+	struct link_command command = { .verb = LINK_FORWARD,
+					.statement = &s->statement };
+	struct prepared *p;
+
+	if (s->statement.verb == STATEMENT_EXECUTE) {
+		p = g_hash_table_lookup(s->prepared, s->statement.name);
+		command.name = p->alias;
+	}
+	if (!s->link->in_transaction)
+		command.after = s->needed;
+	s->phase = REQUEST_RUNNING;
+	s->placed_us = clock_now_us();
+	link_send(s->link, STEP_STATEMENT, &command);
+	link_flush(s->link);
+}
+
+static void send_begin(struct session *s)
+{
+	struct link_command begin = { .verb = LINK_BEGIN };
+
+	if (!s->needs_primary) {
+		begin.verb = LINK_BEGIN_READ;
+		begin.after = s->needed;
+	}
+	link_send(s->link, STEP_BEGIN, &begin);
+	s->setup++;
+}
+
+/* Runs the statement on the session's link. */
+void request_resume(struct session *s)
+{
+	arm(s, s->arrived_us + s->route->statement_us);
+	s->setup = link_setup(s->link, s);
+	if (!s->link->in_transaction && (s->tx == TX_OPEN || s->proof))
+		send_begin(s);
+	if (!s->setup) {
+		send_statement(s);
+		return;
+	}
+	s->phase = REQUEST_SETUP;
+	link_flush(s->link);
+}
+
+static unsigned fill_options(struct session *s, struct host **hosts,
+			     struct placement_option *options, int64_t now_us)
+{
+	struct service *svc = s->service;
+	struct host *primary = host_primary(svc, now_us);
+	unsigned nr = 0;
+	guint i;
+
+	for (i = 0; i < svc->hosts->len && nr < OPTIONS_MAX; i++) {
+		struct host *host = svc->hosts->pdata[i];
+		struct placement_option *o = &options[nr];
+
+		if (host->gone || host->leaving ||
+		    (s->needs_primary && host != primary))
+			continue;
+		*o = (struct placement_option){
+			.primary = host == primary,
+			.usable = host->busy_until_us <= now_us &&
+				  (s->needs_primary || host == primary ||
+				   host->behind_until_us <= now_us) &&
+				  (!host->failing_us ||
+				   host->connect_after_us <= now_us),
+			.idle = host_idle_link(host, NULL) != NULL,
+			.busy = host_busy(host),
+			.room = host_room(host, now_us),
+			.latency_us = host->latency_us,
+		};
+		if (host == s->avoid && !s->needs_primary)
+			o->usable = false;
+		hosts[nr++] = host;
+	}
+	return nr;
+}
+
+static unsigned opening(const struct host *host)
+{
+	unsigned nr = 0;
+	guint i;
+
+	for (i = 0; i < host->links->len; i++)
+		nr += ((struct link *)host->links->pdata[i])->state ==
+		      LINK_OPENING;
+	return nr;
+}
+
+/* Return: whether the request got a link. */
+static bool place(struct session *s, int64_t now_us)
+{
+	struct placement_option options[OPTIONS_MAX];
+	struct host *hosts[OPTIONS_MAX];
+	unsigned nr = fill_options(s, hosts, options, now_us);
+	struct link *link;
+	int chosen;
+
+	chosen = nr ? placement_choose(options, nr, entry_random(s->entry)) :
+		      -1;
+	/* The only upstream that is left may be the one that failed it. */
+	if (chosen < 0 && s->avoid) {
+		s->avoid = NULL;
+		return place(s, now_us);
+	}
+	if (chosen < 0)
+		return false;
+	link = host_idle_link(hosts[chosen], s);
+	if (!link) {
+		if (opening(hosts[chosen]) < s->service->waiting.length)
+			link_open(hosts[chosen]);
+		return false;
+	}
+	g_queue_unlink(&s->service->waiting, &s->waiting);
+	histogram_add(&s->entry->wait_times, now_us - s->arrived_us);
+	s->attempts++;
+	link_bind(link, s);
+	request_resume(s);
+	return true;
+}
+
+/* Gives free connections to those who wait, in their order. */
+void service_dispatch(struct service *svc)
+{
+	int64_t now_us = clock_now_us();
+	GList *at, *next;
+
+	if (svc->dispatching)
+		return;
+	svc->dispatching = true;
+	for (at = svc->waiting.head; at; at = next) {
+		next = at->next;
+		place(at->data, now_us);
+	}
+	svc->dispatching = false;
+}
+
+static void on_time_out(int64_t now_us, void *data)
+{
+	struct session *s = data;
+
+	s->timer = TIMER_NONE;
+	switch (s->phase) {
+	case REQUEST_NONE:
+		return;
+	case REQUEST_WAITING:
+		if (s->tx == TX_OPEN)
+			session_end_transaction(s, TX_FAILED);
+		refuse(s, REFUSAL_BUSY, "no upstream was free in time");
+		return;
+	case REQUEST_SETUP:
+		leave_link(s);
+		if (s->tx == TX_OPEN)
+			abort_transaction(s, "the upstream did not answer");
+		else
+			refuse(s, REFUSAL_BUSY, "the upstream did not answer");
+		return;
+	case REQUEST_PAUSED:
+		/* Paused for a while or out of time. */
+		if (now_us < s->arrived_us + s->route->statement_us) {
+			request_resume(s);
+			return;
+		}
+		abort_transaction(s, "the upstream had no room");
+		return;
+	case REQUEST_RUNNING:
+		break;
+	}
+	if (s->tx != TX_OPEN) {
+		leave_link(s);
+		refuse(s, REFUSAL_TIMEOUT, "the upstream did not answer");
+	} else if (s->statement.verb == STATEMENT_COMMIT) {
+		leave_link(s);
+		session_end_transaction(s, TX_NONE);
+		refuse(s, REFUSAL_IN_DOUBT, "the commit was not answered");
+	} else {
+		close_link(s);
+		abort_transaction(s, "the upstream did not answer");
+	}
+}
+
+static void note_refusal(struct session *s, enum refusal refusal,
+			 int64_t now_us)
+{
+	struct host *host = s->link->host;
+
+	switch (refusal) {
+	case REFUSAL_BUSY:
+		host->busy_until_us = now_us + BUSY_PAUSE_US;
+		break;
+	case REFUSAL_BEHIND:
+		host->behind_until_us = now_us + BEHIND_PAUSE_US;
+		entry_count(s->entry, ENTRY_COUNT_BEHIND, 1);
+		break;
+	case REFUSAL_NOT_PRIMARY:
+		host->not_primary_until_us = now_us + NOT_PRIMARY_PAUSE_US;
+		entry_count(s->entry, ENTRY_COUNT_NOT_PRIMARY, 1);
+		event_log("not_primary", "{s:s, s:s, s:I}", "upstream",
+			  host->id, "service", s->service->name, "term",
+			  (json_int_t)host->seen.term);
+		break;
+	case REFUSAL_NO_STATEMENT:
+		g_hash_table_remove_all(s->link->prepared);
+		break;
+	default:
+		break;
+	}
+}
+
+/* A plain transaction's answers and commits come from the present primary. */
+static void note_sample(struct session *s, bool proven,
+			const struct statement_answer *answer)
+{
+	if (!proven || !answer->position.term)
+		return;
+	read_samples_add(&s->service->samples, s->link->sent_us,
+			 answer->position);
+}
+
+static void begun(struct session *s, const struct statement_answer *answer)
+{
+	struct host *host = s->link->host;
+
+	if (!answer->refusal) {
+		note_sample(s, s->needs_primary, answer);
+		return;
+	}
+	note_refusal(s, answer->refusal, clock_now_us());
+	s->avoid = host;
+	drop_link(s);
+	if (answer->refusal == REFUSAL_BEHIND) {
+		/* The session's own commit may have been rolled back. */
+		s->needs_primary = true;
+		s->proof = true;
+	}
+	again(s, answer->refusal);
+}
+
+static void finish_single(struct session *s,
+			  const struct statement_answer *answer)
+{
+	struct statement_answer out = *answer;
+	bool write = is_write(s);
+
+	note_sample(s, write || s->proof, answer);
+	if (write)
+		s->own = position_max(s->own, answer->position);
+	entry_count(s->entry,
+		    s->needs_primary ? ENTRY_COUNT_PRIMARY_READS :
+				       ENTRY_COUNT_REPLICA_READS,
+		    !write);
+	drop_link(s);
+	conclude(s, &out);
+}
+
+static void refused_single(struct session *s,
+			   const struct statement_answer *answer)
+{
+	enum refusal refusal = answer->refusal;
+	bool write = is_write(s);
+
+	note_refusal(s, refusal, clock_now_us());
+	s->avoid = s->link->host;
+	drop_link(s);
+	if (refusal == REFUSAL_BEHIND) {
+		s->needs_primary = true;
+		s->proof = true;
+	}
+	if (refusal_not_run(refusal) && refusal != REFUSAL_MALFORMED)
+		again(s, refusal);
+	else if (!write && refusal != REFUSAL_MALFORMED)
+		again(s, REFUSAL_FAILED);
+	else
+		refuse(s, refusal, answer->detail);
+}
+
+static void finish_commit(struct session *s,
+			  const struct statement_answer *answer)
+{
+	struct statement_answer out = *answer;
+
+	if (!answer->refusal) {
+		note_sample(s, s->tx_plain && s->tx_wrote, answer);
+		if (s->tx_wrote)
+			s->own = position_max(s->own, answer->position);
+	}
+	session_end_transaction(s, TX_NONE);
+	conclude(s, &out);
+}
+
+static void pause_statement(struct session *s)
+{
+	s->phase = REQUEST_PAUSED;
+	arm(s, clock_now_us() + BUSY_PAUSE_US);
+}
+
+static void refused_in_transaction(struct session *s,
+				   const struct statement_answer *answer)
+{
+	enum refusal refusal = answer->refusal;
+	bool open = answer->state == SESSION_IN_TRANSACTION;
+
+	s->last_refusal = refusal;
+	note_refusal(s, refusal, clock_now_us());
+	if ((refusal == REFUSAL_BUSY || refusal == REFUSAL_NO_STATEMENT) &&
+	    open) {
+		s->attempts++;
+		pause_statement(s);
+		return;
+	}
+	if (s->statement.verb == STATEMENT_COMMIT) {
+		finish_commit(s, answer);
+		return;
+	}
+	abort_transaction(s, refusal_text(refusal));
+}
+
+static void finish_in_transaction(struct session *s,
+				  const struct statement_answer *answer)
+{
+	struct statement_answer out = *answer;
+
+	s->tx_ran = true;
+	s->tx_wrote = s->tx_wrote || is_write(s);
+	note_sample(s, s->tx_plain || s->needs_primary, answer);
+	conclude(s, &out);
+}
+
+void request_step(struct session *s, enum link_step step,
+		  const struct statement_answer *answer)
+{
+	int64_t now_us = clock_now_us();
+
+	if (step == STEP_BEGIN)
+		begun(s, answer);
+	if (step == STEP_SETUP && answer->refusal) {
+		event_log("setup_refused", "{s:s, s:s}", "upstream",
+			  s->link->host->id, "why",
+			  refusal_text(answer->refusal));
+		close_link(s);
+		request_link_lost(s);
+		return;
+	}
+	if (step == STEP_SETUP || step == STEP_BEGIN) {
+		if (s->phase == REQUEST_SETUP && s->link && !--s->setup)
+			send_statement(s);
+		return;
+	}
+	if (s->phase != REQUEST_RUNNING)
+		return;
+	histogram_add(&s->entry->upstream_times, now_us - s->placed_us);
+	if (!answer->refusal && s->statement.verb != STATEMENT_COMMIT)
+		host_note_latency(s->link->host, now_us - s->placed_us);
+	if (s->tx == TX_OPEN && answer->refusal)
+		refused_in_transaction(s, answer);
+	else if (s->tx == TX_OPEN && s->statement.verb == STATEMENT_COMMIT)
+		finish_commit(s, answer);
+	else if (s->tx == TX_OPEN)
+		finish_in_transaction(s, answer);
+	else if (answer->refusal)
+		refused_single(s, answer);
+	else
+		finish_single(s, answer);
+}
+
+/* The connection broke while the session held it. */
+void request_link_lost(struct session *s)
+{
+	bool sent = s->phase == REQUEST_RUNNING;
+
+	s->last_refusal = REFUSAL_FAILED;
+	if (s->phase == REQUEST_NONE) {
+		if (s->tx == TX_OPEN)
+			session_end_transaction(s, TX_FAILED);
+		return;
+	}
+	if (s->tx == TX_OPEN) {
+		if (sent && s->statement.verb == STATEMENT_COMMIT) {
+			session_end_transaction(s, TX_NONE);
+			refuse(s, REFUSAL_IN_DOUBT, "the upstream was lost");
+		} else if (s->tx_ran || sent) {
+			abort_transaction(s, "the upstream was lost");
+		} else {
+			again(s, REFUSAL_BUSY);
+		}
+		return;
+	}
+	if (!sent)
+		again(s, REFUSAL_BUSY);
+	else if (is_write(s))
+		refuse(s, REFUSAL_IN_DOUBT, "the upstream was lost");
+	else
+		again(s, REFUSAL_FAILED);
+}
+
+/* An upstream that says nothing at all: a read is safe to run elsewhere. */
+void request_silent(struct session *s)
+{
+	struct host *host = s->link->host;
+
+	if (s->tx == TX_OPEN || (s->phase == REQUEST_RUNNING && is_write(s)))
+		return;
+	host_failed(host, clock_now_us());
+	s->avoid = host;
+	leave_link(s);
+	again(s, REFUSAL_FAILED);
+}
+
+void request_cancel(struct session *s)
+{
+	stop_timer(s);
+	leave_queue(s);
+	if (s->link && s->phase != REQUEST_NONE && s->phase != REQUEST_PAUSED)
+		leave_link(s);
+	else
+		drop_link(s);
+	s->phase = REQUEST_NONE;
+}
--- /dev/null
+++ b/entry/session.c
@@ -0,0 +1,332 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+
+#include <string.h>
+
+/* A session that rests for so long may be closed when the daemon stops. */
+#define STOP_IDLE_US (150 * 1000ll)
+/* Time for the balancer to send new callers elsewhere: two of its checks. */
+#define STOP_TURN_AWAY_US (2200 * 1000ll)
+/* Part of the grace in which an open transaction may end, percent. */
+#define STOP_TRANSACTION_PERCENT 55
+
+static void prepared_free(void *data)
+{
+	struct prepared *p = data;
+
+	g_free(p->shape);
+	g_free(p->alias);
+	g_free(p);
+}
+
+struct session *entry_session_new(struct entry *entry,
+				  const struct caller_ops *ops, void *wire)
+{
+	struct session *s = g_new0(struct session, 1);
+
+	s->entry = entry;
+	s->ops = ops;
+	s->wire = wire;
+	s->timer = TIMER_NONE;
+	s->active_us = clock_now_us();
+	s->member.data = s;
+	s->waiting.data = s;
+	s->values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    prepared_free);
+	g_queue_push_tail_link(&entry->sessions, &s->member);
+	entry_count(entry, ENTRY_COUNT_SESSIONS, 1);
+	return s;
+}
+
+void session_closed(struct session *s)
+{
+	request_cancel(s);
+	entry_table_unref(s->table);
+	g_queue_unlink(&s->entry->sessions, &s->member);
+	statement_clear(&s->statement);
+	g_hash_table_destroy(s->values);
+	g_hash_table_destroy(s->prepared);
+	g_free(s->database);
+	g_free(s);
+}
+
+void session_start(struct session *s, const char *database)
+{
+	struct entry *entry = s->entry;
+
+	s->active_us = clock_now_us();
+	if (!entry->table) {
+		s->closing = true;
+		s->ops->refused(s->wire, REFUSAL_BUSY,
+				"the routes are not known yet");
+		return;
+	}
+	if (!g_hash_table_contains(entry->table->routes, database)) {
+		s->closing = true;
+		s->ops->refused(s->wire, REFUSAL_NO_DATABASE,
+				"no route has this name");
+		return;
+	}
+	s->database = g_strdup(database);
+	s->ops->started(s->wire);
+}
+
+enum session_state session_state(const struct session *s)
+{
+	static const enum session_state states[] = {
+		[TX_NONE] = SESSION_IDLE,
+		[TX_OPEN] = SESSION_IN_TRANSACTION,
+		[TX_FAILED] = SESSION_FAILED_TRANSACTION,
+	};
+
+	return states[s->tx];
+}
+
+static void forget_route(struct session *s)
+{
+	if (s->tx != TX_NONE)
+		return;
+	g_clear_pointer(&s->table, entry_table_unref);
+	s->route = NULL;
+	s->service = NULL;
+}
+
+void session_answer(struct session *s, const struct statement_answer *answer)
+{
+	struct statement_answer out = *answer;
+
+	out.state = session_state(s);
+	s->active_us = clock_now_us();
+	forget_route(s);
+	statement_clear(&s->statement);
+	s->ops->answer(s->wire, &out);
+}
+
+static void answer_here(struct session *s, enum refusal refusal,
+			const char *detail)
+{
+	struct statement_answer answer = { .refusal = refusal,
+					   .detail = detail };
+
+	session_answer(s, &answer);
+}
+
+void session_end_transaction(struct session *s, enum transaction to)
+{
+	struct link *link = s->link;
+
+	s->tx = to;
+	s->link = NULL;
+	if (link)
+		link_release(link);
+}
+
+/* The route applies to a whole transaction, whatever changes meanwhile. */
+static bool take_route(struct session *s)
+{
+	struct entry_table *table = s->entry->table;
+
+	if (s->tx != TX_NONE)
+		return true;
+	s->route = g_hash_table_lookup(table->routes, s->database);
+	if (!s->route)
+		return false;
+	s->table = entry_table_ref(table);
+	s->service = service_get(s->entry, s->route->service);
+	return true;
+}
+
+static void begin(struct session *s, bool plain)
+{
+	if (s->tx != TX_NONE) {
+		answer_here(s, REFUSAL_MALFORMED, "a transaction is open");
+		return;
+	}
+	if (!take_route(s)) {
+		answer_here(s, REFUSAL_NO_DATABASE, "no route has this name");
+		return;
+	}
+	s->tx = TX_OPEN;
+	s->tx_plain = plain;
+	s->tx_ran = false;
+	s->tx_wrote = false;
+	s->tx_arrived_us = clock_now_us();
+	answer_here(s, REFUSAL_NONE, NULL);
+}
+
+static void roll_back(struct session *s)
+{
+	if (s->tx == TX_NONE) {
+		answer_here(s, REFUSAL_MALFORMED, "no transaction is open");
+		return;
+	}
+	session_end_transaction(s, TX_NONE);
+	answer_here(s, REFUSAL_NONE, NULL);
+}
+
+static void set(struct session *s)
+{
+	g_hash_table_replace(s->values, g_strdup(s->statement.name),
+			     g_strdup(s->statement.value));
+	answer_here(s, REFUSAL_NONE, NULL);
+}
+
+/* Callers choose the same names; a name made of the content is shared. */
+static char *alias_of(bool writes, const char *shape)
+{
+	g_autofree char *digest =
+		g_compute_checksum_for_string(G_CHECKSUM_MD5, shape, -1);
+
+	return g_strdup_printf("%c%.16s", writes ? 'w' : 'r', digest);
+}
+
+static void prepare(struct session *s)
+{
+	struct prepared *p = g_new0(struct prepared, 1);
+
+	p->writes = s->statement.writes;
+	p->shape = g_strdup(s->statement.value);
+	p->alias = alias_of(p->writes, p->shape);
+	g_hash_table_replace(s->prepared, g_strdup(s->statement.name), p);
+	answer_here(s, REFUSAL_NONE, NULL);
+}
+
+static void deallocate(struct session *s)
+{
+	if (g_hash_table_remove(s->prepared, s->statement.name))
+		answer_here(s, REFUSAL_NONE, NULL);
+	else
+		answer_here(s, REFUSAL_NO_STATEMENT, "no such statement");
+}
+
+static void run(struct session *s)
+{
+	if (s->statement.verb == STATEMENT_EXECUTE &&
+	    !g_hash_table_contains(s->prepared, s->statement.name)) {
+		answer_here(s, REFUSAL_NO_STATEMENT, "no such statement");
+		return;
+	}
+	if (!take_route(s)) {
+		answer_here(s, REFUSAL_NO_DATABASE, "no route has this name");
+		return;
+	}
+	request_start(s);
+}
+
+static void commit(struct session *s)
+{
+	if (s->tx == TX_NONE)
+		answer_here(s, REFUSAL_MALFORMED, "no transaction is open");
+	else
+		run(s);
+}
+
+/* Ending a failed transaction rolls it back. */
+static void statement_after_failure(struct session *s)
+{
+	switch (s->statement.verb) {
+	case STATEMENT_ROLLBACK:
+		roll_back(s);
+		return;
+	case STATEMENT_COMMIT:
+		session_end_transaction(s, TX_NONE);
+		answer_here(s, REFUSAL_ABORTED, "the transaction had failed");
+		return;
+	default:
+		answer_here(s, REFUSAL_MALFORMED, "the transaction has failed");
+		return;
+	}
+}
+
+void session_statement(struct session *s, struct statement *statement)
+{
+	s->statement = *statement;
+	*statement = (struct statement){ 0 };
+	s->active_us = clock_now_us();
+	if (s->tx == TX_FAILED) {
+		statement_after_failure(s);
+		return;
+	}
+	switch (s->statement.verb) {
+	case STATEMENT_BEGIN:
+		begin(s, true);
+		return;
+	case STATEMENT_BEGIN_READ:
+		begin(s, false);
+		return;
+	case STATEMENT_COMMIT:
+		commit(s);
+		return;
+	case STATEMENT_ROLLBACK:
+		roll_back(s);
+		return;
+	case STATEMENT_SET:
+		set(s);
+		return;
+	case STATEMENT_PREPARE:
+		prepare(s);
+		return;
+	case STATEMENT_DEALLOCATE:
+		deallocate(s);
+		return;
+	case STATEMENT_READ:
+	case STATEMENT_WRITE:
+	case STATEMENT_EXECUTE:
+		run(s);
+		return;
+	case STATEMENT_UNKNOWN:
+		break;
+	}
+	answer_here(s, REFUSAL_MALFORMED, "no such statement is known");
+}
+
+static void end_idle_transaction(struct session *s, int64_t now_us)
+{
+	if (s->tx != TX_OPEN || s->phase != REQUEST_NONE ||
+	    !s->table->transaction_idle_us ||
+	    now_us - s->active_us < s->table->transaction_idle_us)
+		return;
+	event_log("transaction_idle", "{s:s}", "database", s->database);
+	session_end_transaction(s, TX_FAILED);
+}
+
+static void close_session(struct session *s)
+{
+	s->closing = true;
+	s->ops->close(s->wire);
+}
+
+/* When the daemon stops: first those who rest, at the end everyone. */
+static void stop_session(struct session *s, int64_t now_us)
+{
+	struct entry *entry = s->entry;
+	int64_t since_us = now_us - entry->drain_us;
+	int64_t limit_us =
+		entry->config.grace_us * STOP_TRANSACTION_PERCENT / 100;
+
+	if (s->phase != REQUEST_NONE || s->closing)
+		return;
+	if (s->tx == TX_OPEN && since_us > limit_us)
+		session_end_transaction(s, TX_FAILED);
+	if (s->tx == TX_NONE && since_us > STOP_TURN_AWAY_US &&
+	    (now_us - s->active_us > STOP_IDLE_US || since_us > limit_us))
+		close_session(s);
+}
+
+void sessions_tick(struct entry *entry, int64_t now_us)
+{
+	GList *at, *next;
+
+	for (at = entry->sessions.head; at; at = next) {
+		struct session *s = at->data;
+
+		next = at->next;
+		end_idle_transaction(s, now_us);
+		if (entry->drain_us)
+			stop_session(s, now_us);
+	}
+}
--- /dev/null
+++ b/entry/watch.c
@@ -0,0 +1,284 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+
+#include <jansson.h>
+#include <zlib.h>
+
+/* Time between attempts to reach a control VM, microseconds. */
+#define RETRY_US (400 * 1000ll)
+/* A control VM that no view names is forgotten after this time. */
+#define FORGET_US (15 * 1000000ll)
+/* Control VMs that are watched at once. */
+#define LINKS_MAX 9
+/* Largest configuration document, bytes. */
+#define DOCUMENT_MAX (4u * 1024 * 1024)
+
+static void take_config(struct entry *entry, const Wire__View *view)
+{
+	struct entry_table *table;
+	uLongf len = view->config_len;
+	uint8_t *plain;
+	GBytes *document;
+
+	if (!view->config.len || len > DOCUMENT_MAX ||
+	    (entry->table && view->config_version <= entry->table->version))
+		return;
+	plain = g_malloc(MAX(len, 1));
+	if (uncompress(plain, &len, view->config.data, view->config.len) !=
+	    Z_OK) {
+		event_log("config_unreadable", "{s:I}", "version",
+			  (json_int_t)view->config_version);
+		g_free(plain);
+		return;
+	}
+	document = g_bytes_new_take(plain, len);
+	table = entry->config.decode(document, view->config_version);
+	g_bytes_unref(document);
+	if (!table) {
+		event_log("config_unreadable", "{s:I}", "version",
+			  (json_int_t)view->config_version);
+		return;
+	}
+	event_log("config_in_force", "{s:I, s:I, s:i}", "version",
+		  (json_int_t)table->version, "was",
+		  (json_int_t)(entry->table ? entry->table->version : 0),
+		  "routes", (int)g_hash_table_size(table->routes));
+	entry_table_unref(entry->table);
+	entry->table = table;
+	counter_assign(&entry->counters,
+		       entry->counter[ENTRY_COUNT_CONFIG_VERSION],
+		       (int64_t)table->version);
+}
+
+static void take_sighting(struct entry *entry, const Wire__Sighting *in,
+			  int64_t now_us)
+{
+	struct sighting one = {
+		.id = in->id,
+		.service = in->service,
+		.address = in->address,
+		.availability_zone = in->availability_zone,
+		.primary = in->primary,
+		.leaving = in->leaving,
+		.gone = in->gone,
+		.born_ms = in->born_ms,
+		.sequence = in->sequence,
+		.heard_us = now_us - (int64_t)in->age_us,
+		.claimed_us = now_us - (int64_t)in->claim_age_us,
+	};
+
+	sightings_merge(&entry->sightings, &one);
+}
+
+static void take_primary(struct entry *entry, const Wire__ServicePrimary *in,
+			 int64_t now_us)
+{
+	struct host *host;
+
+	if (!sightings_appoint(&entry->sightings, in->service, in->id,
+			       now_us - (int64_t)in->age_us))
+		return;
+	host = g_hash_table_lookup(entry->hosts, in->id);
+	if (host)
+		host->not_primary_until_us = 0;
+	event_log("primary_appointed", "{s:s, s:s, s:I}", "service",
+		  in->service, "upstream", in->id, "age_us",
+		  (json_int_t)in->age_us);
+}
+
+static struct control_link *control_link(struct entry *entry, uint32_t ip);
+
+static void take_view(struct control_link *link, const Wire__View *view)
+{
+	struct entry *entry = link->entry;
+	uint64_t revision = entry->sightings.revision;
+	int64_t now_us = clock_now_us();
+	size_t i;
+
+	entry_count(entry, ENTRY_COUNT_VIEWS, 1);
+	link->fresh = view->fresh;
+	for (i = 0; i < view->n_control; i++)
+		control_link(entry, (uint32_t)(view->control[i] >> 32));
+	if (view->fresh) {
+		entry->fresh = true;
+		entry->daemons = view->daemons;
+	}
+	take_config(entry, view);
+	for (i = 0; i < view->n_sightings; i++)
+		take_sighting(entry, view->sightings[i], now_us);
+	for (i = 0; i < view->n_primaries; i++)
+		take_primary(entry, view->primaries[i], now_us);
+	if (entry->sightings.revision != revision)
+		hosts_update(entry);
+}
+
+static void send_watch(struct control_link *link);
+
+static void on_opened(struct channel *ch)
+{
+	struct control_link *link = ch->data;
+
+	event_log("control_regained", "{s:I}", "ip", (json_int_t)link->ip);
+	send_watch(link);
+}
+
+static void on_message(struct channel *ch, const Wire__Envelope *envelope)
+{
+	struct control_link *link = ch->data;
+
+	if (envelope->body_case == WIRE__ENVELOPE__BODY_VIEW)
+		take_view(link, envelope->view);
+	else
+		ch->malformed++;
+}
+
+static void on_closed(struct channel *ch)
+{
+	struct control_link *link = ch->data;
+
+	link->retry_us = clock_now_us() + RETRY_US;
+	if (link->fresh)
+		event_log("control_lost", "{s:I}", "ip", (json_int_t)link->ip);
+	link->fresh = false;
+}
+
+static const struct channel_events control_events = {
+	.opened = on_opened,
+	.message = on_message,
+	.closed = on_closed,
+};
+
+static struct control_link *control_link(struct entry *entry, uint32_t ip)
+{
+	int64_t now_us = clock_now_us();
+	struct control_link *link;
+	guint i;
+
+	for (i = 0; i < entry->control->len; i++) {
+		link = entry->control->pdata[i];
+		if (link->ip != ip)
+			continue;
+		link->named_us = now_us;
+		return link;
+	}
+	if (!ip || entry->control->len >= LINKS_MAX)
+		return NULL;
+	link = g_new0(struct control_link, 1);
+	link->entry = entry;
+	link->ip = ip;
+	link->named_us = now_us;
+	link->channel.stream.fd = -1;
+	g_ptr_array_add(entry->control, link);
+	return link;
+}
+
+static void connect_control(struct control_link *link, int64_t now_us)
+{
+	char host[16];
+
+	if (stream_is_open(&link->channel.stream) || now_us < link->retry_us)
+		return;
+	link->retry_us = now_us + RETRY_US;
+	g_snprintf(host, sizeof(host), "%u.%u.%u.%u", link->ip >> 24,
+		   link->ip >> 16 & 255, link->ip >> 8 & 255, link->ip & 255);
+	if (!channel_connect(&link->channel, link->entry->loop, host,
+			     link->entry->config.control_port, &control_events,
+			     link))
+		event_log("control_unreachable", "{s:s}", "address", host);
+}
+
+/* What callers are served by: upstreams that were used of late. */
+static void fill_health(struct entry *entry, Wire__Watch *watch, int64_t now_us)
+{
+	struct host *host;
+	GHashTableIter it;
+
+	watch->upstreams = g_new(Wire__UpstreamHealth *,
+				 g_hash_table_size(entry->hosts) + 1);
+	g_hash_table_iter_init(&it, entry->hosts);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&host)) {
+		Wire__UpstreamHealth *out;
+
+		if (host->gone || (!host->failing_us &&
+				   now_us - host->answered_us >
+					   CHANNEL_USER_TIMEOUT_MS * 1000))
+			continue;
+		out = g_new(Wire__UpstreamHealth, 1);
+		wire__upstream_health__init(out);
+		out->id = host->id;
+		if (host->failing_us)
+			out->failing_us =
+				(uint64_t)(now_us - host->failing_us) + 1;
+		out->position = g_new(Wire__Position, 1);
+		wire__position__init(out->position);
+		out->position->term = host->seen.term;
+		out->position->lsn = host->seen.lsn;
+		watch->upstreams[watch->n_upstreams++] = out;
+	}
+}
+
+static void send_watch(struct control_link *link)
+{
+	struct entry *entry = link->entry;
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Watch watch = WIRE__WATCH__INIT;
+	size_t i;
+
+	watch.daemon = (char *)entry->config.name;
+	watch.availability_zone = (char *)entry->config.availability_zone;
+	watch.config_version = entry->table ? entry->table->version : 0;
+	fill_health(entry, &watch, clock_now_us());
+	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
+	envelope.watch = &watch;
+	channel_send(&link->channel, &envelope);
+	for (i = 0; i < watch.n_upstreams; i++) {
+		g_free(watch.upstreams[i]->position);
+		g_free(watch.upstreams[i]);
+	}
+	g_free(watch.upstreams);
+}
+
+void entry_seeds(struct entry *entry, const GArray *seeds)
+{
+	guint i;
+
+	for (i = 0; i < seeds->len; i++)
+		control_link(entry, g_array_index(seeds, uint32_t, i));
+}
+
+void watch_tick(int64_t now_us, void *data)
+{
+	struct entry *entry = data;
+	guint i = 0;
+
+	while (i < entry->control->len) {
+		struct control_link *link = entry->control->pdata[i];
+
+		if (now_us - link->named_us > FORGET_US && !link->fresh &&
+		    entry->control->len > 1) {
+			channel_close(&link->channel);
+			g_ptr_array_remove_index_fast(entry->control, i);
+			g_free(link);
+			continue;
+		}
+		connect_control(link, now_us);
+		if (channel_is_open(&link->channel))
+			send_watch(link);
+		i++;
+	}
+}
+
+void watch_stop(struct entry *entry)
+{
+	guint i;
+
+	for (i = 0; i < entry->control->len; i++) {
+		struct control_link *link = entry->control->pdata[i];
+
+		channel_close(&link->channel);
+		g_free(link);
+	}
+	g_ptr_array_free(entry->control, TRUE);
+}
--- /dev/null
+++ b/include/channel.h
@@ -0,0 +1,65 @@
+#ifndef CHANNEL_H
+#define CHANNEL_H
+
+#include "messages.pb-c.h"
+#include "stream.h"
+
+/**
+ * DOC: Messages between our processes over one TCP connection.
+ *
+ * A frame is its length, four bytes in network order, and one Envelope.
+ * Either side sends at any time. A peer that stops reading or answering is
+ * given up by the TCP user timeout; what was not sent is then lost.
+ */
+
+/** Largest frame, bytes: a log entry or snapshot chunk with its head. */
+#define CHANNEL_FRAME_MAX (2u * 1024 * 1024)
+/** Output that may wait for a slow peer, bytes; later messages are dropped. */
+#define CHANNEL_QUEUE_MAX (8u * 1024 * 1024)
+/** Unacknowledged data ends a connection after this time, milliseconds. */
+#define CHANNEL_USER_TIMEOUT_MS 1500
+
+struct channel;
+
+/**
+ * struct channel_events - what a channel reports
+ * @opened: the connection attempt succeeded; may be NULL
+ * @message: an envelope arrived; it is freed after the call
+ * @closed: the connection is over and already closed
+ */
+struct channel_events {
+	void (*opened)(struct channel *ch);
+	void (*message)(struct channel *ch, const Wire__Envelope *envelope);
+	void (*closed)(struct channel *ch);
+};
+
+/**
+ * struct channel - one connection
+ * @dropped: messages that were not sent
+ * @malformed: frames that could not be decoded
+ */
+struct channel {
+	struct stream stream;
+	const struct channel_events *events;
+	void *data;
+	uint64_t dropped;
+	uint64_t malformed;
+};
+
+/** channel_connect() - Return: false if no socket could be made */
+bool channel_connect(struct channel *ch, struct ev_loop *loop, const char *host,
+		     uint16_t port, const struct channel_events *events,
+		     void *data);
+void channel_accept(struct channel *ch, struct ev_loop *loop, int fd,
+		    const struct channel_events *events, void *data);
+/** channel_send() - send or queue; dropped when closed or full */
+void channel_send(struct channel *ch, const Wire__Envelope *envelope);
+/** channel_close() - without a report; idempotent */
+void channel_close(struct channel *ch);
+
+static inline bool channel_is_open(const struct channel *ch)
+{
+	return stream_is_open(&ch->stream) && !ch->stream.connecting;
+}
+
+#endif
--- /dev/null
+++ b/include/histogram.h
@@ -0,0 +1,26 @@
+#ifndef HISTOGRAM_H
+#define HISTOGRAM_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/**
+ * DOC: Latency histogram in the text exposition format.
+ */
+
+/** Buckets of 0.25 ms doubling to 8.192 s, and one without a bound. */
+#define HISTOGRAM_BUCKETS 17
+#define HISTOGRAM_FIRST_US 250
+
+struct histogram {
+	uint64_t bucket[HISTOGRAM_BUCKETS];
+	uint64_t sum_us;
+	uint64_t count;
+};
+
+void histogram_add(struct histogram *h, int64_t us);
+/** histogram_print() - @labels such as "type=\"read\"", or "" */
+void histogram_print(const struct histogram *h, const char *name,
+		     const char *labels, GString *out);
+
+#endif
--- a/include/net.h
+++ b/include/net.h
@@ -27,4 +27,11 @@
  */
 int net_connect(const char *host, uint16_t port);
 
+/**
+ * net_set_user_timeout() - give up a connection whose peer is silent
+ * @ms: how long sent data may stay unacknowledged; an idle connection is
+ *      probed after the same time
+ */
+void net_set_user_timeout(int fd, unsigned ms);
+
 #endif
--- /dev/null
+++ b/include/promotion_policy.h
@@ -0,0 +1,80 @@
+#ifndef PROMOTION_POLICY_H
+#define PROMOTION_POLICY_H
+
+#include "position.h"
+
+/**
+ * DOC: When to put another upstream in charge of a service, and which.
+ *
+ * Pure. The control leader asks on every change; what entry daemons report of
+ * the primary counts more than its own announcements, since callers are
+ * served through them.
+ */
+
+/** An entry daemon without an answer for so long counts as cut off. */
+#define PROMOTION_FAILING_US (500 * 1000ll)
+/** A primary that no daemon has asked of late is lost after this silence. */
+#define PROMOTION_SILENT_US (4000 * 1000ll)
+/** A silence that confirms a single daemon's report. */
+#define PROMOTION_DOUBT_US (2000 * 1000ll)
+/** A candidate was heard within this time. */
+#define PROMOTION_CANDIDATE_US (3000 * 1000ll)
+/** Time that an order has to take effect before another may follow. */
+#define PROMOTION_SETTLE_US (2500 * 1000ll)
+/** One daemon in so many that is cut off from the primary is enough. */
+#define PROMOTION_QUORUM_DIVISOR 3
+
+/**
+ * struct promotion_upstream - one upstream of the service
+ * @silent_us: time since its last announcement
+ * @answered: entry daemons that it answered of late
+ * @failing: entry daemons that it has not answered for PROMOTION_FAILING_US
+ * @position: newest position seen there
+ */
+struct promotion_upstream {
+	const char *id;
+	bool leaving;
+	int64_t silent_us;
+	unsigned answered;
+	unsigned failing;
+	struct position position;
+};
+
+/**
+ * struct promotion_view - one service
+ * @primary: index into @upstreams, -1 if none is known
+ * @since_order_us: time since the last order, INT64_MAX if there was none
+ * @sync_replicas: replicas that hold a commit before it is acknowledged
+ */
+struct promotion_view {
+	const struct promotion_upstream *upstreams;
+	unsigned nr;
+	int primary;
+	int64_t since_order_us;
+	unsigned sync_replicas;
+};
+
+enum promotion_reason {
+	PROMOTION_NOT_NEEDED,
+	PROMOTION_LEAVING,
+	PROMOTION_UNREACHABLE,
+	PROMOTION_SILENT,
+	PROMOTION_NO_PRIMARY,
+};
+
+/** promotion_needed() - why the primary is to be replaced now */
+enum promotion_reason promotion_needed(const struct promotion_view *view);
+
+/**
+ * promotion_candidate() - the upstream to put in charge
+ * Return: index, -1 if none is fit
+ *
+ * The one that fewest daemons miss, then the one that holds most of the log.
+ * With synchronous replicas an acknowledged commit is on one of them, so all
+ * that are not the primary must be known before one is chosen.
+ */
+int promotion_candidate(const struct promotion_view *view);
+
+const char *promotion_reason_text(enum promotion_reason reason);
+
+#endif
--- a/comfreywheeld/stream.h
+++ b/include/stream.h
@@ -3,6 +3,7 @@
 
 #include "pg_frame.h"
 #include <ev.h>
+#include <sys/types.h>
 
 /**
  * DOC: Buffered non-blocking socket in an event loop.
@@ -31,12 +32,28 @@
 	void (*closed)(int err, void *data);
 };
 
-struct ssl_ctx_st;
-struct ssl_st;
+struct stream;
+
+/**
+ * struct stream_layer - what stands between a stream and its socket
+ * @receive: as recv()
+ * @transmit: as send()
+ * @end_output: tell the peer that no more will come
+ * @pending: whether received bytes wait inside the layer
+ * @finish: free the layer's state
+ */
+struct stream_layer {
+	ssize_t (*receive)(struct stream *s, void *data, size_t len);
+	ssize_t (*transmit)(struct stream *s, const void *data, size_t len);
+	void (*end_output)(struct stream *s);
+	bool (*pending)(const struct stream *s);
+	void (*finish)(struct stream *s);
+};
 
 /**
  * struct stream - one socket
- * @tls: TLS session on it, NULL for none
+ * @layer: TLS, NULL for plain bytes
+ * @layer_state: owned by the layer
  * @stalled_since_us: when output last made progress while some is waiting,
  *                    0 if none waits
  */
@@ -45,7 +62,8 @@
 	int fd;
 	ev_io reader;
 	ev_io writer;
-	struct ssl_st *tls;
+	const struct stream_layer *layer;
+	void *layer_state;
 	struct pg_buffer in;
 	struct pg_buffer out;
 	const struct stream_events *events;
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -1132,6 +1132,366 @@
   assert(message->base.descriptor == &wire__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__sighting__init
+                     (Wire__Sighting         *message)
+{
+  static const Wire__Sighting init_value = WIRE__SIGHTING__INIT;
+  *message = init_value;
+}
+size_t wire__sighting__get_packed_size
+                     (const Wire__Sighting *message)
+{
+  assert(message->base.descriptor == &wire__sighting__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__sighting__pack
+                     (const Wire__Sighting *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__sighting__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__sighting__pack_to_buffer
+                     (const Wire__Sighting *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__sighting__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Sighting *
+       wire__sighting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Sighting *)
+     protobuf_c_message_unpack (&wire__sighting__descriptor,
+                                allocator, len, data);
+}
+void   wire__sighting__free_unpacked
+                     (Wire__Sighting *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__sighting__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__upstream_health__init
+                     (Wire__UpstreamHealth         *message)
+{
+  static const Wire__UpstreamHealth init_value = WIRE__UPSTREAM_HEALTH__INIT;
+  *message = init_value;
+}
+size_t wire__upstream_health__get_packed_size
+                     (const Wire__UpstreamHealth *message)
+{
+  assert(message->base.descriptor == &wire__upstream_health__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__upstream_health__pack
+                     (const Wire__UpstreamHealth *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__upstream_health__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__upstream_health__pack_to_buffer
+                     (const Wire__UpstreamHealth *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__upstream_health__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__UpstreamHealth *
+       wire__upstream_health__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__UpstreamHealth *)
+     protobuf_c_message_unpack (&wire__upstream_health__descriptor,
+                                allocator, len, data);
+}
+void   wire__upstream_health__free_unpacked
+                     (Wire__UpstreamHealth *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__upstream_health__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__watch__init
+                     (Wire__Watch         *message)
+{
+  static const Wire__Watch init_value = WIRE__WATCH__INIT;
+  *message = init_value;
+}
+size_t wire__watch__get_packed_size
+                     (const Wire__Watch *message)
+{
+  assert(message->base.descriptor == &wire__watch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__watch__pack
+                     (const Wire__Watch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__watch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__watch__pack_to_buffer
+                     (const Wire__Watch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__watch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Watch *
+       wire__watch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Watch *)
+     protobuf_c_message_unpack (&wire__watch__descriptor,
+                                allocator, len, data);
+}
+void   wire__watch__free_unpacked
+                     (Wire__Watch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__watch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__service_primary__init
+                     (Wire__ServicePrimary         *message)
+{
+  static const Wire__ServicePrimary init_value = WIRE__SERVICE_PRIMARY__INIT;
+  *message = init_value;
+}
+size_t wire__service_primary__get_packed_size
+                     (const Wire__ServicePrimary *message)
+{
+  assert(message->base.descriptor == &wire__service_primary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__service_primary__pack
+                     (const Wire__ServicePrimary *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__service_primary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__service_primary__pack_to_buffer
+                     (const Wire__ServicePrimary *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__service_primary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__ServicePrimary *
+       wire__service_primary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__ServicePrimary *)
+     protobuf_c_message_unpack (&wire__service_primary__descriptor,
+                                allocator, len, data);
+}
+void   wire__service_primary__free_unpacked
+                     (Wire__ServicePrimary *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__service_primary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__view__init
+                     (Wire__View         *message)
+{
+  static const Wire__View init_value = WIRE__VIEW__INIT;
+  *message = init_value;
+}
+size_t wire__view__get_packed_size
+                     (const Wire__View *message)
+{
+  assert(message->base.descriptor == &wire__view__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__view__pack
+                     (const Wire__View *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__view__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__view__pack_to_buffer
+                     (const Wire__View *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__view__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__View *
+       wire__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__View *)
+     protobuf_c_message_unpack (&wire__view__descriptor,
+                                allocator, len, data);
+}
+void   wire__view__free_unpacked
+                     (Wire__View *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__view__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__join__init
+                     (Wire__Join         *message)
+{
+  static const Wire__Join init_value = WIRE__JOIN__INIT;
+  *message = init_value;
+}
+size_t wire__join__get_packed_size
+                     (const Wire__Join *message)
+{
+  assert(message->base.descriptor == &wire__join__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__join__pack
+                     (const Wire__Join *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__join__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__join__pack_to_buffer
+                     (const Wire__Join *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__join__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Join *
+       wire__join__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Join *)
+     protobuf_c_message_unpack (&wire__join__descriptor,
+                                allocator, len, data);
+}
+void   wire__join__free_unpacked
+                     (Wire__Join *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__join__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__peers__init
+                     (Wire__Peers         *message)
+{
+  static const Wire__Peers init_value = WIRE__PEERS__INIT;
+  *message = init_value;
+}
+size_t wire__peers__get_packed_size
+                     (const Wire__Peers *message)
+{
+  assert(message->base.descriptor == &wire__peers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__peers__pack
+                     (const Wire__Peers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__peers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__peers__pack_to_buffer
+                     (const Wire__Peers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__peers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Peers *
+       wire__peers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Peers *)
+     protobuf_c_message_unpack (&wire__peers__descriptor,
+                                allocator, len, data);
+}
+void   wire__peers__free_unpacked
+                     (Wire__Peers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__peers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__config_change__init
+                     (Wire__ConfigChange         *message)
+{
+  static const Wire__ConfigChange init_value = WIRE__CONFIG_CHANGE__INIT;
+  *message = init_value;
+}
+size_t wire__config_change__get_packed_size
+                     (const Wire__ConfigChange *message)
+{
+  assert(message->base.descriptor == &wire__config_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__config_change__pack
+                     (const Wire__ConfigChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__config_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__config_change__pack_to_buffer
+                     (const Wire__ConfigChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__config_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__ConfigChange *
+       wire__config_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__ConfigChange *)
+     protobuf_c_message_unpack (&wire__config_change__descriptor,
+                                allocator, len, data);
+}
+void   wire__config_change__free_unpacked
+                     (Wire__ConfigChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__config_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__tables_change__init
                      (Wire__TablesChange         *message)
 {
@@ -3932,7 +4292,7 @@
   (ProtobufCMessageInit) wire__upstream_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[20] =
 {
   {
     "heartbeat",
@@ -4114,13 +4474,75 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sighting",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, sighting),
+    &wire__sighting__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watch",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, watch),
+    &wire__watch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, view),
+    &wire__view__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "join",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, join),
+    &wire__join__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peers",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, peers),
+    &wire__peers__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   6,   /* field[6] = apply_request */
   7,   /* field[7] = apply_verdict */
   4,   /* field[4] = fence */
   0,   /* field[0] = heartbeat */
+  18,   /* field[18] = join */
   1,   /* field[1] = lease_grant */
+  19,   /* field[19] = peers */
   8,   /* field[8] = query */
   9,   /* field[9] = query_reply */
   5,   /* field[5] = raft */
@@ -4129,13 +4551,16 @@
   13,   /* field[13] = session_position */
   10,   /* field[10] = session_store */
   11,   /* field[11] = session_stored */
+  15,   /* field[15] = sighting */
   3,   /* field[3] = tables_update */
   14,   /* field[14] = upstream_news */
+  17,   /* field[17] = view */
+  16,   /* field[16] = watch */
 };
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -4145,13 +4570,668 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  15,
+  20,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__sighting__field_descriptors[11] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "availability_zone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, availability_zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primary",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, primary),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_age_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Sighting, claim_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__sighting__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  9,   /* field[9] = age_us */
+  3,   /* field[3] = availability_zone */
+  7,   /* field[7] = born_ms */
+  10,   /* field[10] = claim_age_us */
+  6,   /* field[6] = gone */
+  0,   /* field[0] = id */
+  5,   /* field[5] = leaving */
+  4,   /* field[4] = primary */
+  8,   /* field[8] = sequence */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange wire__sighting__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor wire__sighting__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Sighting",
+  "Sighting",
+  "Wire__Sighting",
+  "wire",
+  sizeof(Wire__Sighting),
+  11,
+  wire__sighting__field_descriptors,
+  wire__sighting__field_indices_by_name,
+  1,  wire__sighting__number_ranges,
+  (ProtobufCMessageInit) wire__sighting__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__upstream_health__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamHealth, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failing_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamHealth, failing_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamHealth, position),
+    &wire__position__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__upstream_health__field_indices_by_name[] = {
+  1,   /* field[1] = failing_us */
+  0,   /* field[0] = id */
+  2,   /* field[2] = position */
+};
+static const ProtobufCIntRange wire__upstream_health__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__upstream_health__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.UpstreamHealth",
+  "UpstreamHealth",
+  "Wire__UpstreamHealth",
+  "wire",
+  sizeof(Wire__UpstreamHealth),
+  3,
+  wire__upstream_health__field_descriptors,
+  wire__upstream_health__field_indices_by_name,
+  1,  wire__upstream_health__number_ranges,
+  (ProtobufCMessageInit) wire__upstream_health__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__watch__field_descriptors[4] =
+{
+  {
+    "daemon",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, daemon),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "availability_zone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, availability_zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Watch, n_upstreams),
+    offsetof(Wire__Watch, upstreams),
+    &wire__upstream_health__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__watch__field_indices_by_name[] = {
+  1,   /* field[1] = availability_zone */
+  2,   /* field[2] = config_version */
+  0,   /* field[0] = daemon */
+  3,   /* field[3] = upstreams */
+};
+static const ProtobufCIntRange wire__watch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__watch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Watch",
+  "Watch",
+  "Wire__Watch",
+  "wire",
+  sizeof(Wire__Watch),
+  4,
+  wire__watch__field_descriptors,
+  wire__watch__field_indices_by_name,
+  1,  wire__watch__number_ranges,
+  (ProtobufCMessageInit) wire__watch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__service_primary__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ServicePrimary, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ServicePrimary, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ServicePrimary, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__service_primary__field_indices_by_name[] = {
+  2,   /* field[2] = age_us */
+  1,   /* field[1] = id */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange wire__service_primary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__service_primary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.ServicePrimary",
+  "ServicePrimary",
+  "Wire__ServicePrimary",
+  "wire",
+  sizeof(Wire__ServicePrimary),
+  3,
+  wire__service_primary__field_descriptors,
+  wire__service_primary__field_indices_by_name,
+  1,  wire__service_primary__number_ranges,
+  (ProtobufCMessageInit) wire__service_primary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__view__field_descriptors[9] =
+{
+  {
+    "fresh",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, config),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_len",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, config_len),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sightings",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__View, n_sightings),
+    offsetof(Wire__View, sightings),
+    &wire__sighting__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primaries",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__View, n_primaries),
+    offsetof(Wire__View, primaries),
+    &wire__service_primary__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "control",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__View, n_control),
+    offsetof(Wire__View, control),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "daemons",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, daemons),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__view__field_indices_by_name[] = {
+  2,   /* field[2] = config */
+  3,   /* field[3] = config_len */
+  1,   /* field[1] = config_version */
+  6,   /* field[6] = control */
+  8,   /* field[8] = daemons */
+  0,   /* field[0] = fresh */
+  7,   /* field[7] = leader */
+  5,   /* field[5] = primaries */
+  4,   /* field[4] = sightings */
+};
+static const ProtobufCIntRange wire__view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor wire__view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.View",
+  "View",
+  "Wire__View",
+  "wire",
+  sizeof(Wire__View),
+  9,
+  wire__view__field_descriptors,
+  wire__view__field_indices_by_name,
+  1,  wire__view__number_ranges,
+  (ProtobufCMessageInit) wire__view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__join__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Join, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__join__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange wire__join__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__join__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Join",
+  "Join",
+  "Wire__Join",
+  "wire",
+  sizeof(Wire__Join),
+  1,
+  wire__join__field_descriptors,
+  wire__join__field_indices_by_name,
+  1,  wire__join__number_ranges,
+  (ProtobufCMessageInit) wire__join__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__peers__field_descriptors[2] =
+{
+  {
+    "ids",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__Peers, n_ids),
+    offsetof(Wire__Peers, ids),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Peers, leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__peers__field_indices_by_name[] = {
+  0,   /* field[0] = ids */
+  1,   /* field[1] = leader */
+};
+static const ProtobufCIntRange wire__peers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__peers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Peers",
+  "Peers",
+  "Wire__Peers",
+  "wire",
+  sizeof(Wire__Peers),
+  2,
+  wire__peers__field_descriptors,
+  wire__peers__field_indices_by_name,
+  1,  wire__peers__number_ranges,
+  (ProtobufCMessageInit) wire__peers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__config_change__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ConfigChange, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ConfigChange, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__config_change__field_indices_by_name[] = {
+  1,   /* field[1] = document */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange wire__config_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__config_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.ConfigChange",
+  "ConfigChange",
+  "Wire__ConfigChange",
+  "wire",
+  sizeof(Wire__ConfigChange),
+  2,
+  wire__config_change__field_descriptors,
+  wire__config_change__field_indices_by_name,
+  1,  wire__config_change__number_ranges,
+  (ProtobufCMessageInit) wire__config_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__tables_change__field_descriptors[6] =
 {
   {
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -40,6 +40,14 @@
 typedef struct Wire__SessionPosition Wire__SessionPosition;
 typedef struct Wire__UpstreamNews Wire__UpstreamNews;
 typedef struct Wire__Envelope Wire__Envelope;
+typedef struct Wire__Sighting Wire__Sighting;
+typedef struct Wire__UpstreamHealth Wire__UpstreamHealth;
+typedef struct Wire__Watch Wire__Watch;
+typedef struct Wire__ServicePrimary Wire__ServicePrimary;
+typedef struct Wire__View Wire__View;
+typedef struct Wire__Join Wire__Join;
+typedef struct Wire__Peers Wire__Peers;
+typedef struct Wire__ConfigChange Wire__ConfigChange;
 typedef struct Wire__TablesChange Wire__TablesChange;
 typedef struct Wire__MemberChange Wire__MemberChange;
 typedef struct Wire__FailoverStep Wire__FailoverStep;
@@ -515,7 +523,12 @@
   WIRE__ENVELOPE__BODY_SESSION_STORED = 12,
   WIRE__ENVELOPE__BODY_SESSION_LOOKUP = 13,
   WIRE__ENVELOPE__BODY_SESSION_POSITION = 14,
-  WIRE__ENVELOPE__BODY_UPSTREAM_NEWS = 15
+  WIRE__ENVELOPE__BODY_UPSTREAM_NEWS = 15,
+  WIRE__ENVELOPE__BODY_SIGHTING = 16,
+  WIRE__ENVELOPE__BODY_WATCH = 17,
+  WIRE__ENVELOPE__BODY_VIEW = 18,
+  WIRE__ENVELOPE__BODY_JOIN = 19,
+  WIRE__ENVELOPE__BODY_PEERS = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -539,6 +552,11 @@
     Wire__SessionLookup *session_lookup;
     Wire__SessionPosition *session_position;
     Wire__UpstreamNews *upstream_news;
+    Wire__Sighting *sighting;
+    Wire__Watch *watch;
+    Wire__View *view;
+    Wire__Join *join;
+    Wire__Peers *peers;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -546,6 +564,166 @@
     , WIRE__ENVELOPE__BODY__NOT_SET, {0} }
 
 
+/*
+ * What an upstream said of itself, passed on between control VMs and to the
+ * entry daemons. The larger (born_ms, sequence) replaces the smaller.
+ */
+struct  Wire__Sighting
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *availability_zone;
+  protobuf_c_boolean primary;
+  protobuf_c_boolean leaving;
+  protobuf_c_boolean gone;
+  uint64_t born_ms;
+  uint64_t sequence;
+  /*
+   * Times since the upstream was heard, and since it first said that it is
+   * the primary.
+   */
+  uint64_t age_us;
+  uint64_t claim_age_us;
+};
+#define WIRE__SIGHTING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__sighting__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * How one upstream answers an entry daemon.
+ */
+struct  Wire__UpstreamHealth
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * Time since the first failure after the last answer, 0 if it answers.
+   */
+  uint64_t failing_us;
+  /*
+   * Newest log position seen there.
+   */
+  Wire__Position *position;
+};
+#define WIRE__UPSTREAM_HEALTH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__upstream_health__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, NULL }
+
+
+/*
+ * An entry daemon asks a control VM for what changed; repeated often, it also
+ * tells that the daemon is alive.
+ */
+struct  Wire__Watch
+{
+  ProtobufCMessage base;
+  char *daemon;
+  char *availability_zone;
+  uint64_t config_version;
+  size_t n_upstreams;
+  Wire__UpstreamHealth **upstreams;
+};
+#define WIRE__WATCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__watch__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+/*
+ * The upstream that the control leader has put in charge of a service.
+ */
+struct  Wire__ServicePrimary
+{
+  ProtobufCMessage base;
+  char *service;
+  char *id;
+  uint64_t age_us;
+};
+#define WIRE__SERVICE_PRIMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__service_primary__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Wire__View
+{
+  ProtobufCMessage base;
+  /*
+   * Whether the sender has heard of a leader with a majority of late.
+   */
+  protobuf_c_boolean fresh;
+  uint64_t config_version;
+  /*
+   * Only when the receiver holds an older version; deflated.
+   */
+  ProtobufCBinaryData config;
+  uint32_t config_len;
+  /*
+   * What changed since the last view on this connection.
+   */
+  size_t n_sightings;
+  Wire__Sighting **sightings;
+  size_t n_primaries;
+  Wire__ServicePrimary **primaries;
+  /*
+   * Identities of the control VMs; the address is the upper half of each.
+   */
+  size_t n_control;
+  uint64_t *control;
+  uint64_t leader;
+  /*
+   * Entry daemons that this control VM hears.
+   */
+  uint32_t daemons;
+};
+#define WIRE__VIEW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__view__descriptor) \
+    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
+/*
+ * A control VM that is not in the group, or hears no leader, asks in.
+ */
+struct  Wire__Join
+{
+  ProtobufCMessage base;
+  uint64_t id;
+};
+#define WIRE__JOIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__join__descriptor) \
+    , 0 }
+
+
+/*
+ * Answer to Join, and sent to learners: who is known.
+ */
+struct  Wire__Peers
+{
+  ProtobufCMessage base;
+  size_t n_ids;
+  uint64_t *ids;
+  uint64_t leader;
+};
+#define WIRE__PEERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__peers__descriptor) \
+    , 0,NULL, 0 }
+
+
+/*
+ * An accepted configuration in the agreed log.
+ */
+struct  Wire__ConfigChange
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  ProtobufCBinaryData document;
+};
+#define WIRE__CONFIG_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__config_change__descriptor) \
+    , 0, {0,NULL} }
+
+
 /*
  * Entries of the agreed log. Each is applied in order on every control VM.
  */
@@ -1195,6 +1373,158 @@
 void   wire__envelope__free_unpacked
                      (Wire__Envelope *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Sighting methods */
+void   wire__sighting__init
+                     (Wire__Sighting         *message);
+size_t wire__sighting__get_packed_size
+                     (const Wire__Sighting   *message);
+size_t wire__sighting__pack
+                     (const Wire__Sighting   *message,
+                      uint8_t             *out);
+size_t wire__sighting__pack_to_buffer
+                     (const Wire__Sighting   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Sighting *
+       wire__sighting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__sighting__free_unpacked
+                     (Wire__Sighting *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__UpstreamHealth methods */
+void   wire__upstream_health__init
+                     (Wire__UpstreamHealth         *message);
+size_t wire__upstream_health__get_packed_size
+                     (const Wire__UpstreamHealth   *message);
+size_t wire__upstream_health__pack
+                     (const Wire__UpstreamHealth   *message,
+                      uint8_t             *out);
+size_t wire__upstream_health__pack_to_buffer
+                     (const Wire__UpstreamHealth   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__UpstreamHealth *
+       wire__upstream_health__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__upstream_health__free_unpacked
+                     (Wire__UpstreamHealth *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Watch methods */
+void   wire__watch__init
+                     (Wire__Watch         *message);
+size_t wire__watch__get_packed_size
+                     (const Wire__Watch   *message);
+size_t wire__watch__pack
+                     (const Wire__Watch   *message,
+                      uint8_t             *out);
+size_t wire__watch__pack_to_buffer
+                     (const Wire__Watch   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Watch *
+       wire__watch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__watch__free_unpacked
+                     (Wire__Watch *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__ServicePrimary methods */
+void   wire__service_primary__init
+                     (Wire__ServicePrimary         *message);
+size_t wire__service_primary__get_packed_size
+                     (const Wire__ServicePrimary   *message);
+size_t wire__service_primary__pack
+                     (const Wire__ServicePrimary   *message,
+                      uint8_t             *out);
+size_t wire__service_primary__pack_to_buffer
+                     (const Wire__ServicePrimary   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__ServicePrimary *
+       wire__service_primary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__service_primary__free_unpacked
+                     (Wire__ServicePrimary *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__View methods */
+void   wire__view__init
+                     (Wire__View         *message);
+size_t wire__view__get_packed_size
+                     (const Wire__View   *message);
+size_t wire__view__pack
+                     (const Wire__View   *message,
+                      uint8_t             *out);
+size_t wire__view__pack_to_buffer
+                     (const Wire__View   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__View *
+       wire__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__view__free_unpacked
+                     (Wire__View *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Join methods */
+void   wire__join__init
+                     (Wire__Join         *message);
+size_t wire__join__get_packed_size
+                     (const Wire__Join   *message);
+size_t wire__join__pack
+                     (const Wire__Join   *message,
+                      uint8_t             *out);
+size_t wire__join__pack_to_buffer
+                     (const Wire__Join   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Join *
+       wire__join__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__join__free_unpacked
+                     (Wire__Join *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Peers methods */
+void   wire__peers__init
+                     (Wire__Peers         *message);
+size_t wire__peers__get_packed_size
+                     (const Wire__Peers   *message);
+size_t wire__peers__pack
+                     (const Wire__Peers   *message,
+                      uint8_t             *out);
+size_t wire__peers__pack_to_buffer
+                     (const Wire__Peers   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Peers *
+       wire__peers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__peers__free_unpacked
+                     (Wire__Peers *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__ConfigChange methods */
+void   wire__config_change__init
+                     (Wire__ConfigChange         *message);
+size_t wire__config_change__get_packed_size
+                     (const Wire__ConfigChange   *message);
+size_t wire__config_change__pack
+                     (const Wire__ConfigChange   *message,
+                      uint8_t             *out);
+size_t wire__config_change__pack_to_buffer
+                     (const Wire__ConfigChange   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__ConfigChange *
+       wire__config_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__config_change__free_unpacked
+                     (Wire__ConfigChange *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__TablesChange methods */
 void   wire__tables_change__init
                      (Wire__TablesChange         *message);
@@ -1462,6 +1792,30 @@
 typedef void (*Wire__Envelope_Closure)
                  (const Wire__Envelope *message,
                   void *closure_data);
+typedef void (*Wire__Sighting_Closure)
+                 (const Wire__Sighting *message,
+                  void *closure_data);
+typedef void (*Wire__UpstreamHealth_Closure)
+                 (const Wire__UpstreamHealth *message,
+                  void *closure_data);
+typedef void (*Wire__Watch_Closure)
+                 (const Wire__Watch *message,
+                  void *closure_data);
+typedef void (*Wire__ServicePrimary_Closure)
+                 (const Wire__ServicePrimary *message,
+                  void *closure_data);
+typedef void (*Wire__View_Closure)
+                 (const Wire__View *message,
+                  void *closure_data);
+typedef void (*Wire__Join_Closure)
+                 (const Wire__Join *message,
+                  void *closure_data);
+typedef void (*Wire__Peers_Closure)
+                 (const Wire__Peers *message,
+                  void *closure_data);
+typedef void (*Wire__ConfigChange_Closure)
+                 (const Wire__ConfigChange *message,
+                  void *closure_data);
 typedef void (*Wire__TablesChange_Closure)
                  (const Wire__TablesChange *message,
                   void *closure_data);
@@ -1524,6 +1878,14 @@
 extern const ProtobufCMessageDescriptor wire__session_position__descriptor;
 extern const ProtobufCMessageDescriptor wire__upstream_news__descriptor;
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
+extern const ProtobufCMessageDescriptor wire__sighting__descriptor;
+extern const ProtobufCMessageDescriptor wire__upstream_health__descriptor;
+extern const ProtobufCMessageDescriptor wire__watch__descriptor;
+extern const ProtobufCMessageDescriptor wire__service_primary__descriptor;
+extern const ProtobufCMessageDescriptor wire__view__descriptor;
+extern const ProtobufCMessageDescriptor wire__join__descriptor;
+extern const ProtobufCMessageDescriptor wire__peers__descriptor;
+extern const ProtobufCMessageDescriptor wire__config_change__descriptor;
 extern const ProtobufCMessageDescriptor wire__tables_change__descriptor;
 extern const ProtobufCMessageDescriptor wire__member_change__descriptor;
 extern const ProtobufCMessageDescriptor wire__failover_step__descriptor;
--- a/tests/test_control_task.c
+++ b/tests/test_control_task.c
@@ -150,11 +150,11 @@
 		.snapshot_done = true,
 	};
 	struct raft_message back;
-	struct control_wire wire;
+	struct raft_wire wire;
 	unsigned i;
 
-	control_wire_init(&wire, &msg);
-	ck_assert(control_wire_read(&wire.message, &back));
+	raft_wire_init(&wire, &msg);
+	ck_assert(raft_wire_read(&wire.message, &back));
 	ck_assert_uint_eq(back.nr_entries, 2);
 	for (i = 0; i < 2; i++) {
 		ck_assert_uint_eq(back.entries[i].index, e[i].index);
@@ -174,11 +174,11 @@
 	ck_assert(back.from == 1 && back.to == 2 && back.term == 4 &&
 		  back.log_index == 6 && back.log_term == 3);
 	wire.entries[1].kind = 3;
-	ck_assert(!control_wire_read(&wire.message, &back));
+	ck_assert(!raft_wire_read(&wire.message, &back));
 	wire.entries[1].kind = 0;
 	wire.message.type = 8;
-	ck_assert(!control_wire_read(&wire.message, &back));
-	control_wire_finish(&wire);
+	ck_assert(!raft_wire_read(&wire.message, &back));
+	raft_wire_finish(&wire);
 }
 END_TEST
 
--- /dev/null
+++ b/transport/channel.c
@@ -0,0 +1,126 @@
+#include "channel.h"
+
+#include "net.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define HEAD_LEN 4u
+
+static void end(struct channel *ch)
+{
+	stream_close(&ch->stream);
+	ch->events->closed(ch);
+}
+
+static void on_opened(void *data)
+{
+	struct channel *ch = data;
+
+	stream_flush(&ch->stream);
+	if (ch->events->opened)
+		ch->events->opened(ch);
+}
+
+/* Return: false when no whole frame is there or the channel is over. */
+static bool take_frame(struct channel *ch)
+{
+	struct pg_buffer *in = &ch->stream.in;
+	Wire__Envelope *envelope;
+	uint32_t len;
+
+	if (pg_buffer_length(in) < HEAD_LEN)
+		return false;
+	memcpy(&len, pg_buffer_head(in), HEAD_LEN);
+	len = ntohl(len);
+	if (!len || len > CHANNEL_FRAME_MAX) {
+		ch->malformed++;
+		end(ch);
+		return false;
+	}
+	if (pg_buffer_length(in) < HEAD_LEN + len)
+		return false;
+	envelope = wire__envelope__unpack(NULL, len,
+					  pg_buffer_head(in) + HEAD_LEN);
+	pg_buffer_consume(in, HEAD_LEN + len);
+	if (!envelope) {
+		ch->malformed++;
+		return true;
+	}
+	ch->events->message(ch, envelope);
+	wire__envelope__free_unpacked(envelope, NULL);
+	return stream_is_open(&ch->stream);
+}
+
+static void on_input(void *data)
+{
+	struct channel *ch = data;
+
+	while (take_frame(ch))
+		;
+}
+
+static void on_closed(int err, void *data)
+{
+	end(data);
+}
+
+static const struct stream_events stream_events = {
+	.opened = on_opened,
+	.input = on_input,
+	.closed = on_closed,
+};
+
+static void start(struct channel *ch, struct ev_loop *loop, int fd,
+		  bool connecting, const struct channel_events *events,
+		  void *data)
+{
+	net_set_user_timeout(fd, CHANNEL_USER_TIMEOUT_MS);
+	ch->events = events;
+	ch->data = data;
+	ch->dropped = 0;
+	ch->malformed = 0;
+	stream_init(&ch->stream, loop, fd, connecting, &stream_events, ch);
+}
+
+bool channel_connect(struct channel *ch, struct ev_loop *loop, const char *host,
+		     uint16_t port, const struct channel_events *events,
+		     void *data)
+{
+	int fd = net_connect(host, port);
+
+	if (fd < 0)
+		return false;
+	start(ch, loop, fd, true, events, data);
+	return true;
+}
+
+void channel_accept(struct channel *ch, struct ev_loop *loop, int fd,
+		    const struct channel_events *events, void *data)
+{
+	start(ch, loop, fd, false, events, data);
+}
+
+void channel_send(struct channel *ch, const Wire__Envelope *envelope)
+{
+	size_t len = wire__envelope__get_packed_size(envelope);
+	struct pg_buffer *out = &ch->stream.out;
+	uint32_t head = htonl((uint32_t)len);
+	uint8_t *room;
+
+	if (!stream_is_open(&ch->stream) || len > CHANNEL_FRAME_MAX ||
+	    pg_buffer_length(out) + len > CHANNEL_QUEUE_MAX) {
+		ch->dropped++;
+		return;
+	}
+	pg_buffer_append(out, &head, HEAD_LEN);
+	room = pg_buffer_reserve(out, len);
+	wire__envelope__pack(envelope, room);
+	pg_buffer_commit(out, len);
+	stream_flush(&ch->stream);
+}
+
+void channel_close(struct channel *ch)
+{
+	stream_close(&ch->stream);
+}
--- a/transport/net.c
+++ b/transport/net.c
@@ -129,3 +129,16 @@
 	}
 	return fd;
 }
+
+void net_set_user_timeout(int fd, unsigned ms)
+{
+	int on = 1;
+	int seconds = MAX(ms / 1000, 1);
+	int probes = 2;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
--- a/comfreywheeld/stream.c
+++ b/transport/stream.c
@@ -1,7 +1,6 @@
 #include "stream.h"
 
 #include "clock.h"
-#include "tls.h"
 
 #include <errno.h>
 #include <sys/socket.h>
@@ -14,8 +13,8 @@
 {
 	uint8_t *room = pg_buffer_reserve(&s->in, READ_SIZE);
 
-	if (s->tls)
-		return tls_recv(s, room, READ_SIZE);
+	if (s->layer)
+		return s->layer->receive(s, room, READ_SIZE);
 	return recv(s->fd, room, READ_SIZE, 0);
 }
 
@@ -24,15 +23,15 @@
 	const uint8_t *data = pg_buffer_head(&s->out);
 	size_t len = pg_buffer_length(&s->out);
 
-	if (s->tls)
-		return tls_send(s, data, len);
+	if (s->layer)
+		return s->layer->transmit(s, data, len);
 	return send(s->fd, data, len, MSG_NOSIGNAL);
 }
 
-/* The kernel does not report bytes that TLS has decrypted already. */
+/* The kernel does not report bytes that the layer has decrypted already. */
 static void read_on(struct stream *s)
 {
-	if (stream_is_open(s) && !s->paused && tls_pending(s))
+	if (stream_is_open(s) && !s->paused && s->layer && s->layer->pending(s))
 		ev_feed_event(s->loop, &s->reader, EV_READ);
 }
 
@@ -55,8 +54,8 @@
 
 static void end_output(struct stream *s)
 {
-	if (s->tls)
-		tls_end_output(s);
+	if (s->layer)
+		s->layer->end_output(s);
 	shutdown(s->fd, SHUT_WR);
 }
 
@@ -120,7 +119,7 @@
 	if (!pg_buffer_length(&s->out)) {
 		ev_io_stop(loop, w);
 		/* A handshake that waited to write goes on by reading. */
-		if (s->tls && !s->paused)
+		if (s->layer && !s->paused)
 			ev_feed_event(loop, &s->reader, EV_READ);
 	}
 	if (s->was_high && pg_buffer_length(&s->out) < STREAM_LOW) {
@@ -136,7 +135,8 @@
 {
 	s->loop = loop;
 	s->fd = fd;
-	s->tls = NULL;
+	s->layer = NULL;
+	s->layer_state = NULL;
 	s->events = events;
 	s->data = data;
 	s->connecting = connecting;
@@ -205,7 +205,8 @@
 		return;
 	ev_io_stop(s->loop, &s->reader);
 	ev_io_stop(s->loop, &s->writer);
-	tls_finish(s);
+	if (s->layer)
+		s->layer->finish(s);
 	close(s->fd);
 	s->fd = -1;
 	pg_buffer_finish(&s->in);
