Do not touch a stream that its owner freed while reading

Cause: after the input callback the stream looked at itself for bytes that TLS holds back.

Only a stream with a layer looks again; the header says what an owner may do.

--- a/include/stream.h
+++ b/include/stream.h
@@ -20,7 +20,8 @@
 /**
  * struct stream_events - what a stream reports
  * @opened: the connection attempt succeeded
- * @input: bytes were added to @in
+ * @input: bytes were added to @in; the owner may close and free the stream
+ *         if nothing is layered on it
  * @drained: output fell below STREAM_LOW after having been above STREAM_HIGH
  * @closed: the peer closed or the socket failed with errno @err; 0 at the
  *          end of the peer's output. The owner calls stream_close().
--- a/transport/stream.c
+++ b/transport/stream.c
@@ -39,6 +39,7 @@
 {
 	struct stream *s = w->data;
 	ssize_t n = receive(s);
+	bool layered;
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
@@ -48,8 +49,11 @@
 		return;
 	}
 	pg_buffer_commit(&s->in, n);
+	layered = s->layer;
 	s->events->input(s->data);
-	read_on(s);
+	/* The owner of a plain stream may have freed it by now. */
+	if (layered)
+		read_on(s);
 }
 
 static void end_output(struct stream *s)
