--- a/coordination/read_bound.c
+++ b/coordination/read_bound.c
@@ -16,7 +16,7 @@
 int64_t read_samples_newest_us(const struct read_samples *samples)
 {
 	if (!samples->nr)
-		return INT64_MIN;
+		return INT64_MIN / 2;
 	return at(samples, samples->nr - 1)->asked_us;
 }
 
--- a/include/read_bound.h
+++ b/include/read_bound.h
@@ -41,7 +41,7 @@
 void read_samples_add(struct read_samples *samples, int64_t asked_us,
 		      struct position position);
 
-/** read_samples_newest_us() - when the newest was asked for, INT64_MIN */
+/** read_samples_newest_us() - when the newest was asked for; long ago if none */
 int64_t read_samples_newest_us(const struct read_samples *samples);
 
 /**
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,598 @@
+#include "clock.h"
+#include "entry/internal.h"
+#include "test_main.h"
+
+#include <string.h>
+
+/*
+ * Sessions against upstreams that the test plays: it sees every command that
+ * was sent, in order, and gives the answers.
+ */
+
+struct sent {
+	struct link *link;
+	enum link_verb verb;
+	struct position after;
+	char text[64];
+};
+
+static struct timer_service timers;
+static struct entry *entry;
+static struct sent sent[256];
+static unsigned nr_sent, nr_done;
+static unsigned opens, closes;
+static struct statement_answer got;
+static char got_result[64];
+static unsigned answers, ends;
+
+static void *open_wire(struct link *link, const char *address,
+		       const char *service, const char *id, void *data)
+{
+	opens++;
+	return link;
+}
+
+static void send_command(void *wire, const struct link_command *c)
+{
+	struct sent *s = &sent[nr_sent++];
+
+	ck_assert_uint_lt(nr_sent, G_N_ELEMENTS(sent));
+	s->link = wire;
+	s->verb = c->verb;
+	s->after = c->after;
+	g_snprintf(s->text, sizeof(s->text), "%s",
+		   c->verb == LINK_FORWARD ? c->statement->text :
+		   c->name		   ? c->name :
+					     "");
+}
+
+static void flush(void *wire)
+{
+}
+
+static void close_wire(void *wire)
+{
+	closes++;
+}
+
+static const struct upstream_ops upstream_ops = { open_wire, send_command,
+						  flush, close_wire };
+
+static void on_started(void *wire)
+{
+}
+
+static void on_refused(void *wire, enum refusal refusal, const char *detail)
+{
+	got.refusal = refusal;
+	answers++;
+}
+
+static void on_answer(void *wire, const struct statement_answer *answer)
+{
+	got = *answer;
+	got_result[0] = 0;
+	if (answer->result)
+		memcpy(got_result, answer->result, answer->len);
+	got_result[answer->len] = 0;
+	answers++;
+}
+
+static void on_close(void *wire)
+{
+	ends++;
+}
+
+static const struct caller_ops caller_ops = { on_started, on_refused, on_answer,
+					      on_close };
+
+static void add_route(struct entry_table *table, const char *database,
+		      enum read_rule rule)
+{
+	struct entry_route route = { .database = g_strdup(database),
+				     .service = g_strdup("s"),
+				     .rule = rule,
+				     .statement_us = 400000,
+				     .target_us = 100000,
+				     .staleness_us = 1500000 };
+
+	entry_table_add_route(table, &route);
+}
+
+static struct entry_table *make_table(uint64_t version)
+{
+	struct entry_table *table = entry_table_new(version);
+	struct entry_pool pool = { g_strdup("s"), 4, 0 };
+
+	entry_table_add_pool(table, &pool);
+	add_route(table, "primary", READ_AT_PRIMARY);
+	add_route(table, "own", READ_OWN_WRITES);
+	add_route(table, "bounded", READ_BOUNDED);
+	return table;
+}
+
+static void see(const char *id, bool primary, bool leaving, uint64_t sequence)
+{
+	struct sighting one = { .id = (char *)id,
+				.service = "s",
+				.address = (char *)id,
+				.availability_zone = "z",
+				.primary = primary,
+				.leaving = leaving,
+				.born_ms = 1,
+				.sequence = sequence,
+				.heard_us = clock_now_us(),
+				.claimed_us = clock_now_us() };
+
+	sightings_merge(&entry->sightings, &one);
+	hosts_update(entry);
+}
+
+static void start(void)
+{
+	struct entry_config config = { .name = "e",
+				       .availability_zone = "z",
+				       .seeds = g_array_new(FALSE, FALSE, 4),
+				       .grace_us = 6000000,
+				       .upstream_ops = &upstream_ops };
+
+	nr_sent = nr_done = opens = closes = answers = ends = 0;
+	memset(&got, 0, sizeof(got));
+	timer_service_init(&timers);
+	entry = entry_new(NULL, &timers, &config);
+	g_array_free(config.seeds, TRUE);
+	entry->table = make_table(1);
+	entry->fresh = true;
+	see("p", true, false, 1);
+	see("r", false, false, 1);
+}
+
+static void finish(void)
+{
+	while (entry->sessions.head)
+		session_closed(entry->sessions.head->data);
+	entry_free(entry);
+	timer_service_finish(&timers);
+}
+
+static struct session *caller(const char *database)
+{
+	struct session *s = entry_session_new(entry, &caller_ops, NULL);
+
+	session_start(s, database);
+	return s;
+}
+
+static void say(struct session *s, enum statement_verb verb, const char *text,
+		const char *name, const char *value)
+{
+	struct statement st = { .verb = verb };
+	size_t len = strlen(text) + 1;
+
+	st.buffer = g_malloc(len + 64 + 64);
+	memcpy(st.buffer, text, len);
+	st.id = "id1";
+	st.text = st.buffer;
+	if (name)
+		st.name = strcpy(st.buffer + len, name);
+	if (value)
+		st.value = strcpy(st.buffer + len + 64 / 2, value);
+	st.writes = value && strstr(text, "WRITE");
+	session_statement(s, &st);
+}
+
+static void open_all(void)
+{
+	struct host *host;
+	GHashTableIter it;
+	guint i;
+
+	g_hash_table_iter_init(&it, entry->hosts);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&host))
+		for (i = 0; i < host->links->len; i++) {
+			struct link *link = host->links->pdata[i];
+
+			if (link->state == LINK_OPENING)
+				link_opened(link, (struct position){ 1, 5 });
+		}
+}
+
+/* Answers the oldest command without an answer. */
+static void reply(enum refusal refusal, enum session_state state,
+		  uint64_t number, const char *result)
+{
+	struct statement_answer answer = { .refusal = refusal,
+					   .state = state,
+					   .position = { 1, number } };
+
+	ck_assert_uint_lt(nr_done, nr_sent);
+	if (result) {
+		answer.result = (const uint8_t *)result;
+		answer.len = strlen(result);
+	}
+	link_replied(sent[nr_done++].link, &answer);
+}
+
+static void expect(enum link_verb verb, const char *text)
+{
+	ck_assert_uint_lt(nr_done, nr_sent);
+	ck_assert_int_eq(sent[nr_done].verb, verb);
+	if (text)
+		ck_assert_str_eq(sent[nr_done].text, text);
+}
+
+static void done(void)
+{
+	reply(REFUSAL_NONE, SESSION_IDLE, 9, NULL);
+}
+
+static void in_tx(void)
+{
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, NULL);
+}
+
+static void advance(int64_t us)
+{
+	timer_service_advance(&timers, clock_now_us() + us);
+}
+
+/* Guards against a read on a primary route that a replaced primary answers:
+ * it runs inside a transaction that only the present primary grants. */
+START_TEST(test_primary_read)
+{
+	struct session *s;
+
+	start();
+	s = caller("primary");
+	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	ck_assert_uint_eq(opens, 1);
+	open_all();
+	expect(LINK_BEGIN, NULL);
+	ck_assert_str_eq(sent[0].link->host->id, "p");
+	ck_assert_uint_eq(nr_sent, 1);
+	in_tx();
+	expect(LINK_FORWARD, "READ 1");
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, "ROW x");
+	ck_assert_str_eq(got_result, "ROW x");
+	ck_assert_int_eq(got.state, SESSION_IDLE);
+	expect(LINK_ROLLBACK, NULL);
+	done();
+	finish();
+}
+END_TEST
+
+/* Guards against a read that a replaced primary runs after it refused the
+ * transaction. */
+START_TEST(test_replaced_primary)
+{
+	struct session *s;
+
+	start();
+	s = caller("primary");
+	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	open_all();
+	reply(REFUSAL_NOT_PRIMARY, SESSION_IDLE, 9, NULL);
+	ck_assert_uint_eq(nr_sent, 1);
+	ck_assert_uint_eq(answers, 0);
+	see("r", true, false, 2);
+	service_dispatch(s->service);
+	open_all();
+	expect(LINK_BEGIN, NULL);
+	ck_assert_str_eq(sent[1].link->host->id, "r");
+	finish();
+}
+END_TEST
+
+/* Guards against a replica that answers without the session's own commit. */
+START_TEST(test_own_commit)
+{
+	struct session *s;
+
+	start();
+	s = caller("own");
+	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	expect(LINK_FORWARD, "WRITE 1 x");
+	ck_assert_str_eq(sent[0].link->host->id, "p");
+	reply(REFUSAL_NONE, SESSION_IDLE, 41, "DONE");
+	ck_assert_uint_eq(s->own.lsn, 41);
+	((struct host *)g_hash_table_lookup(entry->hosts, "p"))->latency_us =
+		10000000;
+	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	open_all();
+	expect(LINK_FORWARD, "READ 1");
+	ck_assert_str_eq(sent[1].link->host->id, "r");
+	ck_assert_uint_eq(sent[1].after.lsn, 41);
+	/* It lacks the commit: the primary answers, and proves that it leads. */
+	reply(REFUSAL_BEHIND, SESSION_IDLE, 40, NULL);
+	expect(LINK_BEGIN, NULL);
+	ck_assert_str_eq(sent[2].link->host->id, "p");
+	ck_assert_uint_eq(answers, 1);
+	finish();
+}
+END_TEST
+
+/* Guards against a bounded read without any proof of its age. */
+START_TEST(test_bounded_needs_sample)
+{
+	struct session *s;
+
+	start();
+	s = caller("bounded");
+	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	open_all();
+	expect(LINK_BEGIN, NULL);
+	ck_assert_str_eq(sent[0].link->host->id, "p");
+	in_tx();
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, "ROW x");
+	done();
+	/* The transaction was itself a sample. */
+	say(s, STATEMENT_READ, "READ 2", NULL, NULL);
+	open_all();
+	expect(LINK_FORWARD, "READ 2");
+	ck_assert_uint_eq(sent[nr_done].after.lsn, 9);
+	finish();
+}
+END_TEST
+
+/* Guards against a commit or single write that is repeated, or called not
+ * run, when its answer was lost. */
+START_TEST(test_lost_answers)
+{
+	struct session *s;
+
+	start();
+	s = caller("own");
+	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	link_closed(sent[0].link, REFUSAL_NONE);
+	ck_assert_int_eq(got.refusal, REFUSAL_IN_DOUBT);
+	ck_assert_uint_eq(nr_sent, 1);
+
+	say(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	say(s, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	advance(500000);
+	finish();
+
+	start();
+	s = caller("own");
+	say(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	say(s, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	open_all();
+	in_tx();
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, "DONE");
+	say(s, STATEMENT_COMMIT, "COMMIT", NULL, NULL);
+	expect(LINK_FORWARD, "COMMIT");
+	link_closed(sent[nr_done].link, REFUSAL_NONE);
+	ck_assert_int_eq(got.refusal, REFUSAL_IN_DOUBT);
+	ck_assert_int_eq(got.state, SESSION_IDLE);
+	finish();
+}
+END_TEST
+
+/* Guards against the rest of a transaction that runs elsewhere after its
+ * connection was lost, and against a commit that is then called done. */
+START_TEST(test_lost_transaction)
+{
+	struct session *s;
+
+	start();
+	s = caller("own");
+	say(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	say(s, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	open_all();
+	in_tx();
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, "DONE");
+	link_closed(sent[0].link, REFUSAL_NONE);
+	say(s, STATEMENT_WRITE, "WRITE 3 x", NULL, NULL);
+	ck_assert_int_eq(got.refusal, REFUSAL_MALFORMED);
+	ck_assert_int_eq(got.state, SESSION_FAILED_TRANSACTION);
+	say(s, STATEMENT_COMMIT, "COMMIT", NULL, NULL);
+	ck_assert_int_eq(got.refusal, REFUSAL_ABORTED);
+	ck_assert_int_eq(got.state, SESSION_IDLE);
+	ck_assert_uint_eq(nr_sent, 2);
+	finish();
+}
+END_TEST
+
+/* Guards against values or statements of one session that another sees. */
+START_TEST(test_values_are_cleaned)
+{
+	struct session *a, *b;
+
+	start();
+	a = caller("own");
+	b = caller("own");
+	say(a, STATEMENT_SET, "SET zone east", "zone", "east");
+	ck_assert_uint_eq(nr_sent, 0);
+	say(a, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	expect(LINK_SET, "zone");
+	ck_assert_uint_eq(nr_sent, 1);
+	done();
+	expect(LINK_FORWARD, "WRITE 1 x");
+	done();
+	/* The same session again: nothing to set. */
+	say(a, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	expect(LINK_FORWARD, "WRITE 2 x");
+	done();
+	say(b, STATEMENT_WRITE, "WRITE 3 x", NULL, NULL);
+	expect(LINK_RESET, NULL);
+	done();
+	expect(LINK_FORWARD, "WRITE 3 x");
+	done();
+	finish();
+}
+END_TEST
+
+/* Guards against two sessions whose statements of one name mix. */
+START_TEST(test_prepared)
+{
+	struct session *a, *b;
+	char first[64];
+
+	start();
+	a = caller("own");
+	b = caller("own");
+	say(a, STATEMENT_PREPARE, "PREPARE s WRITE q1", "s", "q1");
+	say(b, STATEMENT_PREPARE, "PREPARE s WRITE q2", "s", "q2");
+	say(a, STATEMENT_EXECUTE, "EXEC s 1 x", "s", "1 x");
+	open_all();
+	expect(LINK_PREPARE, NULL);
+	strcpy(first, sent[nr_done].text);
+	done();
+	expect(LINK_FORWARD, "EXEC s 1 x");
+	done();
+	say(b, STATEMENT_EXECUTE, "EXEC s 1 y", "s", "1 y");
+	expect(LINK_PREPARE, NULL);
+	ck_assert_str_ne(first, sent[nr_done].text);
+	done();
+	done();
+	say(b, STATEMENT_DEALLOCATE, "DEALLOC s", "s", NULL);
+	say(b, STATEMENT_EXECUTE, "EXEC s 1 y", "s", "1 y");
+	ck_assert_int_eq(got.refusal, REFUSAL_NO_STATEMENT);
+	/* It was forgotten there: it is prepared again, not failed. */
+	say(a, STATEMENT_EXECUTE, "EXEC s 1 z", "s", "1 z");
+	expect(LINK_FORWARD, "EXEC s 1 z");
+	reply(REFUSAL_NO_STATEMENT, SESSION_IDLE, 9, NULL);
+	expect(LINK_PREPARE, first);
+	finish();
+}
+END_TEST
+
+/* Guards against a connection that goes to the next caller while the last
+ * one's transaction is open there. */
+START_TEST(test_caller_leaves)
+{
+	struct session *a, *b;
+
+	start();
+	entry->daemons = 100;
+	a = caller("own");
+	b = caller("own");
+	say(a, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	say(a, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	in_tx();
+	session_closed(a);
+	/* The write of the first caller is still out. */
+	say(b, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	expect(LINK_FORWARD, "WRITE 1 x");
+	in_tx();
+	expect(LINK_ROLLBACK, NULL);
+	if (nr_sent > nr_done + 1)
+		ck_assert(sent[nr_done + 1].link != sent[nr_done].link);
+	done();
+	service_dispatch(b->service);
+	open_all();
+	expect(LINK_FORWARD, "WRITE 2 x");
+	finish();
+}
+END_TEST
+
+/* Guards against a caller that is told to have been refused although its
+ * statement is out, and against one that waits beyond its time. */
+START_TEST(test_time_outs)
+{
+	struct session *s;
+
+	start();
+	s = caller("own");
+	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	advance(300000);
+	ck_assert_int_eq(got.refusal, REFUSAL_BUSY);
+	say(s, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	open_all();
+	ck_assert_uint_eq(nr_sent, 1);
+	advance(500000);
+	ck_assert_int_eq(got.refusal, REFUSAL_TIMEOUT);
+	/* Its late answer belongs to nobody. */
+	answers = 0;
+	reply(REFUSAL_NONE, SESSION_IDLE, 9, "DONE");
+	ck_assert_uint_eq(answers, 0);
+	finish();
+}
+END_TEST
+
+/* Guards against new work at an upstream that leaves. */
+START_TEST(test_leaving)
+{
+	struct session *s;
+
+	start();
+	s = caller("own");
+	say(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	in_tx();
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, "DONE");
+	see("p", true, true, 2);
+	/* An open transaction may end there. */
+	say(s, STATEMENT_COMMIT, "COMMIT", NULL, NULL);
+	expect(LINK_FORWARD, "COMMIT");
+	done();
+	say(s, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	ck_assert_uint_eq(nr_sent, nr_done);
+	see("r", true, false, 2);
+	service_dispatch(s->service);
+	open_all();
+	expect(LINK_FORWARD, "WRITE 2 x");
+	ck_assert_str_eq(sent[nr_done].link->host->id, "r");
+	finish();
+}
+END_TEST
+
+/* Guards against a transaction that changes its route, and against the next
+ * one that does not. */
+START_TEST(test_route_removed)
+{
+	struct session *s;
+
+	start();
+	s = caller("own");
+	say(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	entry_table_unref(entry->table);
+	entry->table = entry_table_new(2);
+	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	in_tx();
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, "DONE");
+	ck_assert_int_eq(got.refusal, REFUSAL_NONE);
+	say(s, STATEMENT_ROLLBACK, "ROLLBACK", NULL, NULL);
+	ck_assert_int_eq(got.state, SESSION_IDLE);
+	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	ck_assert_int_eq(got.refusal, REFUSAL_NO_DATABASE);
+	finish();
+}
+END_TEST
+
+/* Guards against a stop that cuts statements or keeps callers for ever. */
+START_TEST(test_drain)
+{
+	struct session *busy, *resting;
+
+	start();
+	busy = caller("own");
+	resting = caller("own");
+	say(busy, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	ck_assert(entry_ready(entry));
+	entry_drain(entry);
+	ck_assert(!entry_ready(entry));
+	ck_assert(entry_listens(entry));
+	sessions_tick(entry, clock_now_us() + 1000000);
+	ck_assert_uint_eq(ends, 0);
+	sessions_tick(entry, clock_now_us() + 2500000);
+	ck_assert_uint_eq(ends, 1);
+	ck_assert(resting->closing);
+	done();
+	sessions_tick(entry, clock_now_us() + 4000000);
+	ck_assert_uint_eq(ends, 2);
+	finish();
+}
+END_TEST
+
+TEST_MAIN("entry", test_primary_read, test_replaced_primary, test_own_commit,
+	  test_bounded_needs_sample, test_lost_answers, test_lost_transaction,
+	  test_values_are_cleaned, test_prepared, test_caller_leaves,
+	  test_time_outs, test_leaving, test_route_removed, test_drain)
--- /dev/null
+++ b/tests/test_line.c
@@ -0,0 +1,241 @@
+#include "platform/line.h"
+#include "test_main.h"
+
+#include <string.h>
+
+static struct pg_buffer in;
+
+static void feed(const char *text)
+{
+	pg_buffer_append(&in, text, strlen(text));
+}
+
+static char *text_of(struct pg_buffer *out)
+{
+	char *text = g_strndup((const char *)pg_buffer_head(out),
+			       pg_buffer_length(out));
+
+	pg_buffer_consume(out, pg_buffer_length(out));
+	return text;
+}
+
+/* Guards against a line that one reader ends elsewhere than another. */
+START_TEST(test_lines)
+{
+	static const char *const invalid[] = { "A\n", "A\rB\r\n", "\n" };
+	size_t len, whole, i;
+
+	pg_buffer_init(&in);
+	feed("START a");
+	ck_assert_int_eq(line_next(&in, 0, &len, &whole), LINE_INCOMPLETE);
+	feed(" b\r\nX");
+	ck_assert_int_eq(line_next(&in, 0, &len, &whole), LINE_READY);
+	ck_assert_uint_eq(len, 9);
+	ck_assert_uint_eq(whole, 11);
+	for (i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		pg_buffer_consume(&in, pg_buffer_length(&in));
+		feed(invalid[i]);
+		ck_assert_int_eq(line_next(&in, 0, &len, &whole), LINE_INVALID);
+	}
+	pg_buffer_consume(&in, pg_buffer_length(&in));
+	pg_buffer_append(&in, "A\0B\r\n", 5);
+	ck_assert_int_eq(line_next(&in, 0, &len, &whole), LINE_INVALID);
+	pg_buffer_finish(&in);
+}
+END_TEST
+
+/* Guards against a line without an end that fills the memory. */
+START_TEST(test_endless_line)
+{
+	size_t len, whole;
+	uint8_t *room;
+
+	pg_buffer_init(&in);
+	room = pg_buffer_reserve(&in, LINE_MAX_BYTES + 1);
+	memset(room, 'x', LINE_MAX_BYTES + 1);
+	pg_buffer_commit(&in, LINE_MAX_BYTES + 1);
+	ck_assert_int_eq(line_next(&in, 0, &len, &whole), LINE_INVALID);
+	pg_buffer_finish(&in);
+}
+END_TEST
+
+/* Guards against a text that is taken for another statement. */
+START_TEST(test_statements)
+{
+	static const struct {
+		const char *line;
+		enum statement_verb verb;
+		const char *name;
+		const char *value;
+	} cases[] = {
+		{ "QUERY 1f BEGIN", STATEMENT_BEGIN },
+		{ "QUERY 1f BEGIN READ", STATEMENT_BEGIN_READ },
+		{ "QUERY 1f BEGIN WRITE", STATEMENT_UNKNOWN },
+		{ "QUERY 1f COMMIT", STATEMENT_COMMIT },
+		{ "QUERY 1f COMMIT x", STATEMENT_UNKNOWN },
+		{ "QUERY 1f ROLLBACK", STATEMENT_ROLLBACK },
+		{ "QUERY 1f READ 1a4", STATEMENT_READ },
+		{ "QUERY 1f READ", STATEMENT_UNKNOWN },
+		{ "QUERY 1f WRITE 1a4 some data", STATEMENT_WRITE },
+		{ "QUERY 1f SET zone a b c", STATEMENT_SET, "zone", "a b c" },
+		{ "QUERY 1f PREPARE s1 WRITE q2 c", STATEMENT_PREPARE, "s1",
+		  "q2 c" },
+		{ "QUERY 1f PREPARE s1 DROP q2c", STATEMENT_UNKNOWN },
+		{ "QUERY 1f EXEC s1 1a4 data", STATEMENT_EXECUTE, "s1",
+		  "1a4 data" },
+		{ "QUERY 1f DEALLOC s1", STATEMENT_DEALLOCATE, "s1" },
+		{ "QUERY 1f STATUS", STATEMENT_UNKNOWN },
+		{ "QUERY 1f PAUSE 7", STATEMENT_UNKNOWN },
+		{ "QUERY 1f AFTER 3.1 READ 1a4", STATEMENT_UNKNOWN },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct statement st;
+
+		ck_assert(line_query(cases[i].line, &st));
+		ck_assert_int_eq(st.verb, cases[i].verb);
+		ck_assert_str_eq(st.id, "1f");
+		ck_assert_str_eq(st.text, cases[i].line + strlen("QUERY 1f "));
+		if (cases[i].name)
+			ck_assert_str_eq(st.name, cases[i].name);
+		if (cases[i].value)
+			ck_assert_str_eq(st.value, cases[i].value);
+		statement_clear(&st);
+	}
+}
+END_TEST
+
+/* Guards against a caller that speaks as the system itself, with id "-". */
+START_TEST(test_bad_queries)
+{
+	static const char *const lines[] = { "QUERY",	  "QUERY 1",
+					     "QUERY  x",  "QUERY - READ 1",
+					     "START a b", "QUERYX 1 READ 1" };
+	struct statement st;
+	char *database;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(lines); i++)
+		ck_assert(!line_query(lines[i], &st));
+	ck_assert(!line_start("START", &database));
+	ck_assert(!line_start("START ", &database));
+	ck_assert(!line_start("QUERY 1 READ 2", &database));
+	ck_assert(line_start("START lepu270 u3f1", &database));
+	ck_assert_str_eq(database, "lepu270");
+	g_free(database);
+}
+END_TEST
+
+/* Guards against changed text, a lost position or a shared statement name. */
+START_TEST(test_commands)
+{
+	struct statement read, execute;
+	struct link_command command = { .verb = LINK_FORWARD };
+	struct pg_buffer out;
+	char *text;
+
+	pg_buffer_init(&out);
+	ck_assert(line_query("QUERY 5c READ 1a4", &read));
+	ck_assert(line_query("QUERY 5d EXEC s1 1a4 x y", &execute));
+	command.statement = &read;
+	line_put_command(&out, &command);
+	command.after = (struct position){ 3, 1207 };
+	line_put_command(&out, &command);
+	command.after.term = 0;
+	command.statement = &execute;
+	command.name = "wab";
+	line_put_command(&out, &command);
+	command = (struct link_command){ .verb = LINK_BEGIN_READ,
+					 .after = { 3, 9 } };
+	line_put_command(&out, &command);
+	command = (struct link_command){ .verb = LINK_PREPARE,
+					 .name = "wab",
+					 .value = "q2c",
+					 .writes = true };
+	line_put_command(&out, &command);
+	text = text_of(&out);
+	ck_assert_str_eq(text, "QUERY 5c READ 1a4\r\n"
+			       "QUERY 5c AFTER 3.1207 READ 1a4\r\n"
+			       "QUERY 5d EXEC wab 1a4 x y\r\n"
+			       "QUERY - AFTER 3.9 BEGIN READ\r\n"
+			       "QUERY - PREPARE wab WRITE q2c\r\n");
+	g_free(text);
+	statement_clear(&read);
+	statement_clear(&execute);
+	pg_buffer_finish(&out);
+}
+END_TEST
+
+/* Guards against an answer that is passed on before it is whole, or with
+ * what does not belong to it. Each prefix of the input is incomplete. */
+START_TEST(test_answers)
+{
+	static const char input[] = "ROW a b\r\nROW c\r\nDONE 7.1f\r\n"
+				    "READY T 3.1209\r\n";
+	struct line_reader reader = { 0 };
+	struct statement_answer answer;
+	size_t i;
+
+	pg_buffer_init(&in);
+	for (i = 0; i + 1 < sizeof(input) - 1; i++) {
+		pg_buffer_append(&in, &input[i], 1);
+		ck_assert_int_eq(line_read_answer(&reader, &in, &answer),
+				 LINE_INCOMPLETE);
+	}
+	feed("\n");
+	ck_assert_int_eq(line_read_answer(&reader, &in, &answer), LINE_READY);
+	ck_assert_int_eq(answer.refusal, REFUSAL_NONE);
+	ck_assert_int_eq(answer.state, SESSION_IN_TRANSACTION);
+	ck_assert_uint_eq(answer.position.term, 3);
+	ck_assert_uint_eq(answer.position.lsn, 1209);
+	ck_assert_uint_eq(answer.len,
+			  strlen("ROW a b\r\nROW c\r\nDONE 7.1f\r\n"));
+	line_answer_done(&reader, &in);
+	ck_assert_uint_eq(pg_buffer_length(&in), 0);
+	feed("ERR LAGGING too old\r\nREADY I 3.7\r\n");
+	ck_assert_int_eq(line_read_answer(&reader, &in, &answer), LINE_READY);
+	ck_assert_int_eq(answer.refusal, REFUSAL_BEHIND);
+	ck_assert_ptr_null(answer.result);
+	line_answer_done(&reader, &in);
+	feed("DONE 1\r\nDONE 2\r\nREADY I -\r\n");
+	ck_assert_int_eq(line_read_answer(&reader, &in, &answer), LINE_INVALID);
+	pg_buffer_finish(&in);
+}
+END_TEST
+
+/* Guards against an unknown code that is taken for a promise. */
+START_TEST(test_codes)
+{
+	enum refusal r;
+
+	for (r = REFUSAL_BUSY; r < REFUSAL_NR; r++)
+		ck_assert_int_eq(line_refusal(line_code(r)), r);
+	ck_assert(!refusal_not_run(line_refusal("NEWCODE")));
+	ck_assert(!refusal_not_run(line_refusal("TIMEOUT")));
+	ck_assert(!refusal_not_run(line_refusal("INDOUBT")));
+	ck_assert(!refusal_not_run(line_refusal("FAILED")));
+	ck_assert(refusal_not_run(line_refusal("BUSY")));
+}
+END_TEST
+
+/* Guards against a position that is read as another one. */
+START_TEST(test_positions)
+{
+	struct position p;
+
+	ck_assert(line_position_parse("3.1207", &p));
+	ck_assert_uint_eq(p.term, 3);
+	ck_assert_uint_eq(p.lsn, 1207);
+	ck_assert(!line_position_parse("-", &p));
+	ck_assert_uint_eq(p.term, 0);
+	ck_assert(!line_position_parse("3", &p));
+	ck_assert(!line_position_parse("3.", &p));
+	ck_assert(!line_position_parse("3.4x", &p));
+	ck_assert(!line_position_parse("4294967296.1", &p));
+}
+END_TEST
+
+TEST_MAIN("line", test_lines, test_endless_line, test_statements,
+	  test_bad_queries, test_commands, test_answers, test_codes,
+	  test_positions)
--- /dev/null
+++ b/tests/test_platform_config.c
@@ -0,0 +1,96 @@
+#include "platform/config.h"
+#include "test_main.h"
+
+#include <string.h>
+
+#define SERVICES                                           \
+	"\"services\":[{\"name\":\"s1\",\"max_conns\":30," \
+	"\"sync_replicas\":1},{\"name\":\"s2\",\"max_conns\":4}]"
+#define ROUTE(db, extra)                                             \
+	"{\"name\":\"r-" db "\",\"database\":\"" db "\","            \
+	"\"path_prefix\":\"/\",\"route_type\":\"read_your_writes\"," \
+	"\"service\":\"s1\",\"timeout_ms\":800" extra "}"
+
+static struct entry_table *read_text(const char *text, uint64_t *version)
+{
+	GError *error = NULL;
+	struct entry_table *table =
+		config_read(text, strlen(text), version, &error);
+
+	ck_assert(!table == !!error);
+	g_clear_error(&error);
+	return table;
+}
+
+/* Guards against a field that is read into the wrong place. */
+START_TEST(test_whole)
+{
+	const struct entry_route *route;
+	const struct entry_pool *pool;
+	struct entry_table *table;
+	uint64_t version;
+
+	table = read_text(
+		"{\"version\":7,\"routes\":[" ROUTE(
+			"db1",
+			",\"max_staleness_ms\":2500,"
+			"\"priority\":2,"
+			"\"target_latency_ms\":200,"
+			"\"new_field\":[1]") "]," SERVICES
+					     ",\"limits\":{\"tx_idle_ms\":3000}}",
+		&version);
+	ck_assert_ptr_nonnull(table);
+	ck_assert_uint_eq(version, 7);
+	ck_assert_int_eq(table->transaction_idle_us, 3000000);
+	route = g_hash_table_lookup(table->routes, "db1");
+	ck_assert_int_eq(route->rule, READ_OWN_WRITES);
+	ck_assert_int_eq(route->statement_us, 800000);
+	ck_assert_int_eq(route->target_us, 200000);
+	ck_assert_int_eq(route->staleness_us, 2500000);
+	ck_assert_uint_eq(route->priority, 2);
+	ck_assert_str_eq(route->service, "s1");
+	pool = g_hash_table_lookup(table->pools, "s1");
+	ck_assert_uint_eq(pool->max_connections, 30);
+	ck_assert_uint_eq(pool->sync_replicas, 1);
+	entry_table_unref(table);
+}
+END_TEST
+
+/* Guards against an invalid configuration that is accepted. */
+START_TEST(test_refused)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{\"version\":7,\"routes\":[" ROUTE("a", "") "]," SERVICES,
+		"{\"routes\":[]," SERVICES "}",
+		"{\"version\":0,\"routes\":[]," SERVICES "}",
+		"{\"version\":\"7\",\"routes\":[]," SERVICES "}",
+		"{\"version\":7,\"routes\":{}," SERVICES "}",
+		"{\"version\":7,\"routes\":[]}",
+		"{\"version\":7,\"routes\":[" ROUTE("a", "") "," ROUTE(
+			"a", "") "]," SERVICES "}",
+		"{\"version\":7,\"routes\":[" ROUTE("a",
+						    "") "],\"services\":[]}",
+		"{\"version\":7,\"routes\":[" ROUTE(
+			"a", ",\"priority\":-1") "]," SERVICES "}",
+		"{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
+		"\"s1\",\"route_type\":\"primary\",\"timeout_ms\":0}]," SERVICES
+		"}",
+		"{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
+		"\"s1\",\"route_type\":\"primary\"}]," SERVICES "}",
+		"{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
+		"\"s1\",\"route_type\":\"other\",\"timeout_ms\":5}]," SERVICES
+		"}",
+		"{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"s\"},"
+		"{\"name\":\"s\"}]}",
+	};
+	uint64_t version;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++)
+		ck_assert_msg(!read_text(texts[i], &version), "%s", texts[i]);
+}
+END_TEST
+
+TEST_MAIN("platform_config", test_whole, test_refused)
--- /dev/null
+++ b/tests/test_sightings.c
@@ -0,0 +1,160 @@
+#include "config_register.h"
+#include "sightings.h"
+#include "test_main.h"
+
+#include <gsl/gsl_randist.h>
+#include <string.h>
+
+static struct sighting make(const char *id, uint64_t born, uint64_t sequence,
+			    bool primary, int64_t at_us)
+{
+	return (struct sighting){ .id = (char *)id,
+				  .service = "s",
+				  .address = (char *)(*id == 'x' ? "1:1" : id),
+				  .availability_zone = "z",
+				  .primary = primary,
+				  .born_ms = born,
+				  .sequence = sequence,
+				  .heard_us = at_us,
+				  .claimed_us = at_us };
+}
+
+/* Guards against a delayed announcement that undoes a newer one. */
+START_TEST(test_order)
+{
+	struct sighting one = make("a", 5, 2, true, 100);
+	struct sightings s;
+
+	sightings_init(&s);
+	ck_assert_int_eq(sightings_merge(&s, &one), SIGHTING_CHANGED);
+	one = make("a", 5, 1, false, 200);
+	ck_assert_int_eq(sightings_merge(&s, &one), SIGHTING_OLD);
+	ck_assert(sightings_find(&s, "a")->primary);
+	one = make("a", 5, 3, true, 300);
+	ck_assert_int_eq(sightings_merge(&s, &one), SIGHTING_SEEN);
+	ck_assert_int_eq(sightings_find(&s, "a")->heard_us, 300);
+	/* Started anew under its id: it counts from the start. */
+	one = make("a", 6, 1, false, 400);
+	ck_assert_int_eq(sightings_merge(&s, &one), SIGHTING_CHANGED);
+	one = make("a", 5, 9, true, 500);
+	ck_assert_int_eq(sightings_merge(&s, &one), SIGHTING_OLD);
+	sightings_finish(&s);
+}
+END_TEST
+
+/* Guards against two upstreams at one address. */
+START_TEST(test_address_taken)
+{
+	struct sighting old = make("x1", 5, 9, true, 300);
+	struct sighting young = make("x2", 6, 1, true, 200);
+	struct sightings s;
+
+	sightings_init(&s);
+	sightings_merge(&s, &young);
+	sightings_merge(&s, &old);
+	ck_assert(sightings_find(&s, "x1")->gone);
+	ck_assert(!sightings_find(&s, "x2")->gone);
+	ck_assert_str_eq(sightings_primary(&s, "s")->id, "x2");
+	sightings_finish(&s);
+}
+END_TEST
+
+/* Guards against an old primary that is taken for the present one. */
+START_TEST(test_primary)
+{
+	struct sighting one = make("a", 5, 1, true, 100);
+	struct sightings s;
+
+	sightings_init(&s);
+	ck_assert_ptr_null(sightings_primary(&s, "s"));
+	sightings_merge(&s, &one);
+	one = make("b", 5, 1, false, 100);
+	sightings_merge(&s, &one);
+	ck_assert_str_eq(sightings_primary(&s, "s")->id, "a");
+	ck_assert(sightings_appoint(&s, "s", "b", 200));
+	ck_assert_str_eq(sightings_primary(&s, "s")->id, "b");
+	ck_assert(!sightings_appoint(&s, "s", "a", 150));
+	/* It says so itself by now. */
+	one = make("b", 5, 2, true, 300);
+	sightings_merge(&s, &one);
+	one = make("a", 5, 2, true, 400);
+	sightings_merge(&s, &one);
+	ck_assert_str_eq(sightings_primary(&s, "s")->id, "b");
+	sightings_finish(&s);
+}
+END_TEST
+
+/* Guards against copies that differ after the same announcements arrived in
+ * another order. */
+START_TEST(test_any_order)
+{
+	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
+	struct sighting news[24];
+	struct sightings a, b;
+	struct sighting *one;
+	GHashTableIter it;
+	unsigned i, round;
+
+	for (i = 0; i < G_N_ELEMENTS(news); i++) {
+		static const char *const ids[] = { "x1", "x2", "c" };
+
+		news[i] = make(ids[i % 3], 1 + i % 3 + i / 12, 1 + i,
+			       i % 5 == 0, i * 10);
+		news[i].leaving = i % 7 == 0;
+	}
+	sightings_init(&a);
+	for (i = 0; i < G_N_ELEMENTS(news); i++)
+		sightings_merge(&a, &news[i]);
+	for (round = 0; round < 200; round++) {
+		gsl_ran_shuffle(rng, news, G_N_ELEMENTS(news), sizeof(*news));
+		sightings_init(&b);
+		for (i = 0; i < G_N_ELEMENTS(news); i++)
+			sightings_merge(&b, &news[i]);
+		g_hash_table_iter_init(&it, a.by_id);
+		while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
+			const struct sighting *two =
+				sightings_find(&b, one->id);
+
+			ck_assert(one->primary == two->primary);
+			ck_assert(one->leaving == two->leaving);
+			ck_assert(one->gone == two->gone);
+			ck_assert_uint_eq(one->sequence, two->sequence);
+		}
+		sightings_finish(&b);
+	}
+	sightings_finish(&a);
+	gsl_rng_free(rng);
+}
+END_TEST
+
+/* Guards against an older version, or other content under the version held,
+ * that replaces what was accepted. */
+START_TEST(test_register)
+{
+	struct config_register reg, copy;
+	GBytes *first = g_bytes_new_static("first", 5);
+	GBytes *other = g_bytes_new_static("other", 5);
+	uint8_t *bytes;
+	size_t len;
+
+	config_register_init(&reg);
+	config_register_init(&copy);
+	ck_assert(config_register_offer(&reg, 4, first));
+	ck_assert(!config_register_offer(&reg, 4, other));
+	ck_assert(!config_register_offer(&reg, 3, other));
+	ck_assert(g_bytes_equal(reg.document, first));
+	bytes = config_change_pack(reg.version, reg.document, &len);
+	ck_assert(config_register_apply(&copy, bytes, len));
+	ck_assert_uint_eq(copy.version, 4);
+	ck_assert(g_bytes_equal(copy.document, first));
+	ck_assert(!config_register_apply(&copy, (const uint8_t *)"\xff", 1));
+	g_free(bytes);
+	g_bytes_unref(first);
+	g_bytes_unref(other);
+	config_register_finish(&reg);
+	config_register_finish(&copy);
+}
+END_TEST
+
+TEST_MAIN("sightings", test_order, test_address_taken, test_primary,
+	  test_any_order, test_register)
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -41,8 +41,11 @@
 	ex->answered = true;
 	MHD_queue_response(conn, status, response);
 	MHD_destroy_response(response);
-	if (ex->suspended)
-		MHD_resume_connection(conn);
+	if (!ex->suspended)
+		return;
+	MHD_resume_connection(conn);
+	/* Its epoll descriptor does not tell of a resumed connection. */
+	ev_feed_event(ex->server->loop, &ex->server->watcher, EV_READ);
 }
 
 void http_answer_text(struct http_exchange *ex, unsigned status,
