--- a/entry/entry.c
+++ b/entry/entry.c
@@ -64,6 +64,7 @@
 	entry->timers = timers;
 	entry->config = *config;
 	entry->daemons = 1;
+	entry->report_timer = TIMER_NONE;
 	entry->random = g_random_int();
 	entry->control = g_ptr_array_new();
 	entry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -91,6 +92,7 @@
 {
 	timer_cancel(entry->timers, &entry->tick_timer);
 	timer_cancel(entry->timers, &entry->watch_timer);
+	timer_cancel(entry->timers, &entry->report_timer);
 	watch_stop(entry);
 	g_hash_table_destroy(entry->hosts);
 	g_hash_table_destroy(entry->services);
--- a/entry/host.c
+++ b/entry/host.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "event_log.h"
+#include "promotion_policy.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -13,6 +14,8 @@
 /* First and longest pause before another attempt to connect, microseconds. */
 #define CONNECT_PAUSE_US (50 * 1000ll)
 #define CONNECT_PAUSE_MAX_US (800 * 1000ll)
+/* A report arrives after the time from which it counts. */
+#define REPORT_SLACK_US (5 * 1000ll)
 /* A connection above this daemon's share is closed after resting so long. */
 #define SPARE_IDLE_US (1000 * 1000ll)
 /* A daemon may open this multiple of its share while others rest. */
@@ -213,6 +216,8 @@
 		event_log("upstream_lost", "{s:s, s:s, s:I}", "upstream",
 			  host->id, "service", host->service->name, "silent_us",
 			  (json_int_t)(now_us - host->answered_us));
+		watch_soon(host->entry,
+			   now_us + PROMOTION_FAILING_US + REPORT_SLACK_US);
 	}
 	host->failures++;
 	host->connect_after_us = now_us + MIN(pause, CONNECT_PAUSE_MAX_US);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -235,6 +235,7 @@
 	int64_t drain_us;
 	int tick_timer;
 	int watch_timer;
+	int report_timer;
 	uint32_t random;
 	struct counter_set counters;
 	int counter[ENTRY_NR_COUNTERS];
@@ -304,5 +305,7 @@
 void watch_start(struct entry *entry);
 void watch_tick(int64_t now_us, void *data);
 void watch_stop(struct entry *entry);
+/** watch_soon() - report again at @at_us, for news that cannot wait */
+void watch_soon(struct entry *entry, int64_t at_us);
 
 #endif
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -270,6 +270,21 @@
 	}
 }
 
+static void on_report(int64_t now_us, void *data)
+{
+	struct entry *entry = data;
+
+	entry->report_timer = TIMER_NONE;
+	watch_tick(now_us, entry);
+}
+
+void watch_soon(struct entry *entry, int64_t at_us)
+{
+	if (entry->report_timer == TIMER_NONE)
+		entry->report_timer = timer_subscribe(entry->timers, at_us, 0,
+						      on_report, entry);
+}
+
 void watch_stop(struct entry *entry)
 {
 	guint i;
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -11,8 +11,8 @@
  * served through them.
  */
 
-/** An entry daemon without an answer for so long counts as cut off. */
-#define PROMOTION_FAILING_US (500 * 1000ll)
+/** An entry daemon counts as cut off so long after its first failure there. */
+#define PROMOTION_FAILING_US (200 * 1000ll)
 /** A primary that no daemon has asked of late is lost after this silence. */
 #define PROMOTION_SILENT_US (4000 * 1000ll)
 /** A silence that confirms a single daemon's report. */
