Send a statement only where its transaction has begun

Cause: a read-only transaction whose BEGIN was refused by a replica that lagged went on to the next upstream at once, and then the refusal's handling went on as if that one had answered: the statement was sent there beside the BEGIN, and ran outside of the transaction when that was refused too.

The handling ends with the refusal. Reads that a replica refuses for its lag now ask the other upstreams with the same position, and the primary for a proof only if it lacks the position itself.

--- a/entry/request.c
+++ b/entry/request.c
@@ -438,6 +438,18 @@
 			 answer->position);
 }
 
+/*
+ * Other replicas may hold the position. One that the primary itself lacks was
+ * rolled back by a change of primary.
+ */
+static void note_behind(struct session *s, const struct host *host)
+{
+	if (host == host_primary(s->service, clock_now_us())) {
+		s->needs_primary = true;
+		s->proof = true;
+	}
+}
+
 static void begun(struct session *s, const struct statement_answer *answer)
 {
 	struct host *host = s->link->host;
@@ -449,11 +461,8 @@
 	note_refusal(s, answer->refusal, clock_now_us());
 	s->avoid = host;
 	drop_link(s);
-	if (answer->refusal == REFUSAL_BEHIND) {
-		/* The session's own commit may have been rolled back. */
-		s->needs_primary = true;
-		s->proof = true;
-	}
+	if (answer->refusal == REFUSAL_BEHIND)
+		note_behind(s, host);
 	again(s, answer->refusal);
 }
 
@@ -482,11 +491,9 @@
 
 	note_refusal(s, refusal, clock_now_us());
 	s->avoid = s->link->host;
+	if (refusal == REFUSAL_BEHIND)
+		note_behind(s, s->link->host);
 	drop_link(s);
-	if (refusal == REFUSAL_BEHIND) {
-		s->needs_primary = true;
-		s->proof = true;
-	}
 	if (refusal_not_run(refusal) && refusal != REFUSAL_MALFORMED)
 		again(s, refusal);
 	else if (!write && refusal != REFUSAL_MALFORMED)
@@ -552,8 +559,12 @@
 {
 	int64_t now_us = clock_now_us();
 
-	if (step == STEP_BEGIN)
+	if (step == STEP_BEGIN) {
 		begun(s, answer);
+		/* The session may be on its way elsewhere by now. */
+		if (answer->refusal)
+			return;
+	}
 	if (step == STEP_SETUP && answer->refusal) {
 		event_log("setup_refused", "{s:s, s:s}", "upstream",
 			  s->link->host->id, "why",
