Keep callers while a daemon waits for its routes

A caller that connects early is kept for up to 1.5 s (it gives up after 2 s). The first routes come only from a control VM that hears a leader. Connections to control VMs are tried again after 150 ms, and after 300 ms without an answer.

test_early_caller covers it.

--- a/control/peers.c
+++ b/control/peers.c
@@ -7,8 +7,10 @@
 #include <jansson.h>
 
 /* Time between attempts to reach a control VM, microseconds. */
-#define RETRY_US (300 * 1000ll)
-/* A control VM that nobody names any more is forgotten after this time. */
+#define RETRY_US (150 * 1000ll)
+/* Time for one attempt: a lost opening packet is sent again only after 1 s. */
+#define CONNECT_US (300 * 1000ll)
+/* Addresses of control VMs that are kept. */
 #define PEERS_MAX 32
 
 static void host_of(uint32_t ip, char host[16])
@@ -38,9 +40,13 @@
 
 static void connect_peer(struct control_peer *peer, int64_t now_us)
 {
+	struct stream *stream = &peer->channel.stream;
 	char host[16];
 
-	if (stream_is_open(&peer->channel.stream) || now_us < peer->retry_us)
+	if (stream_is_open(stream) && stream->connecting &&
+	    now_us >= peer->retry_us + CONNECT_US - RETRY_US)
+		channel_close(&peer->channel);
+	if (stream_is_open(stream) || now_us < peer->retry_us)
 		return;
 	peer->retry_us = now_us + RETRY_US;
 	host_of(peer->ip, host);
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -54,7 +54,9 @@
 	GBytes *packed;
 
 	view->config_version = node->reg.version;
-	if (!node->reg.document || watcher->config_version >= node->reg.version)
+	/* A VM that may have missed changes hands out nothing. */
+	if (!view->fresh || !node->reg.document ||
+	    watcher->config_version >= node->reg.version)
 		return;
 	packed = packed_config(node);
 	view->config.data =
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -44,6 +44,7 @@
 {
 	struct entry *entry = data;
 
+	watch_connect(entry, now_us);
 	hosts_tick(entry, now_us);
 	sessions_tick(entry, now_us);
 	sightings_expire(&entry->sightings, now_us);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -176,6 +176,7 @@
 	GHashTable *prepared;
 	struct position own;
 	int64_t active_us;
+	bool starting;
 	bool closing;
 
 	struct entry_table *table;
@@ -214,7 +215,7 @@
 	struct entry *entry;
 	uint32_t ip;
 	struct channel channel;
-	int64_t retry_us;
+	int64_t connect_us;
 	int64_t named_us;
 	bool fresh;
 };
@@ -304,6 +305,8 @@
 /* watch.c */
 void watch_start(struct entry *entry);
 void watch_tick(int64_t now_us, void *data);
+/** watch_connect() - connect to control VMs that are not connected */
+void watch_connect(struct entry *entry, int64_t now_us);
 void watch_stop(struct entry *entry);
 /** watch_soon() - report again at @at_us, for news that cannot wait */
 void watch_soon(struct entry *entry, int64_t at_us);
--- a/entry/session.c
+++ b/entry/session.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+/* Time that a caller is kept while the routes are not known: callers give up
+ * after 2 s. */
+#define START_WAIT_US (1500 * 1000ll)
 /* A session that rests for so long may be closed when the daemon stops. */
 #define STOP_IDLE_US (150 * 1000ll)
 /* Time for the balancer to send new callers elsewhere: two of its checks. */
@@ -54,25 +57,30 @@
 	g_free(s);
 }
 
-void session_start(struct session *s, const char *database)
+static void refuse_start(struct session *s, enum refusal refusal,
+			 const char *detail)
 {
-	struct entry *entry = s->entry;
+	s->closing = true;
+	s->ops->refused(s->wire, refusal, detail);
+}
 
+static void admit(struct session *s)
+{
+	s->starting = false;
+	if (g_hash_table_contains(s->entry->table->routes, s->database))
+		s->ops->started(s->wire);
+	else
+		refuse_start(s, REFUSAL_NO_DATABASE, "no route has this name");
+}
+
+void session_start(struct session *s, const char *database)
+{
 	s->active_us = clock_now_us();
-	if (!entry->table) {
-		s->closing = true;
-		s->ops->refused(s->wire, REFUSAL_BUSY,
-				"the routes are not known yet");
-		return;
-	}
-	if (!g_hash_table_contains(entry->table->routes, database)) {
-		s->closing = true;
-		s->ops->refused(s->wire, REFUSAL_NO_DATABASE,
-				"no route has this name");
-		return;
-	}
 	s->database = g_strdup(database);
-	s->ops->started(s->wire);
+	/* A daemon that has just started hears of its routes shortly. */
+	s->starting = true;
+	if (s->entry->table)
+		admit(s);
 }
 
 enum session_state session_state(const struct session *s)
@@ -317,6 +325,16 @@
 		close_session(s);
 }
 
+static void await_start(struct session *s, int64_t now_us)
+{
+	if (s->entry->table) {
+		admit(s);
+	} else if (now_us - s->active_us > START_WAIT_US) {
+		s->starting = false;
+		refuse_start(s, REFUSAL_BUSY, "the routes are not known yet");
+	}
+}
+
 void sessions_tick(struct entry *entry, int64_t now_us)
 {
 	GList *at, *next;
@@ -325,6 +343,8 @@
 		struct session *s = at->data;
 
 		next = at->next;
+		if (s->starting)
+			await_start(s, now_us);
 		end_idle_transaction(s, now_us);
 		if (entry->drain_us)
 			stop_session(s, now_us);
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -7,7 +7,9 @@
 #include <zlib.h>
 
 /* Time between attempts to reach a control VM, microseconds. */
-#define RETRY_US (400 * 1000ll)
+#define RETRY_US (150 * 1000ll)
+/* Time for one attempt: a lost opening packet is sent again only after 1 s. */
+#define CONNECT_US (300 * 1000ll)
 /* A control VM that no view names is forgotten after this time. */
 #define FORGET_US (15 * 1000000ll)
 /* Control VMs that are watched at once. */
@@ -138,7 +140,7 @@
 {
 	struct control_link *link = ch->data;
 
-	link->retry_us = clock_now_us() + RETRY_US;
+	link->connect_us = clock_now_us() + RETRY_US;
 	if (link->fresh)
 		event_log("control_lost", "{s:I}", "ip", (json_int_t)link->ip);
 	link->fresh = false;
@@ -176,11 +178,15 @@
 
 static void connect_control(struct control_link *link, int64_t now_us)
 {
+	struct stream *stream = &link->channel.stream;
 	char host[16];
 
-	if (stream_is_open(&link->channel.stream) || now_us < link->retry_us)
+	if (stream_is_open(stream) && stream->connecting &&
+	    now_us >= link->connect_us + CONNECT_US - RETRY_US)
+		channel_close(&link->channel);
+	if (stream_is_open(stream) || now_us < link->connect_us)
 		return;
-	link->retry_us = now_us + RETRY_US;
+	link->connect_us = now_us + RETRY_US;
 	g_snprintf(host, sizeof(host), "%u.%u.%u.%u", link->ip >> 24,
 		   link->ip >> 16 & 255, link->ip >> 8 & 255, link->ip & 255);
 	if (!channel_connect(&link->channel, link->entry->loop, host,
@@ -248,6 +254,14 @@
 		control_link(entry, g_array_index(seeds, uint32_t, i));
 }
 
+void watch_connect(struct entry *entry, int64_t now_us)
+{
+	guint i;
+
+	for (i = 0; i < entry->control->len; i++)
+		connect_control(entry->control->pdata[i], now_us);
+}
+
 void watch_tick(int64_t now_us, void *data)
 {
 	struct entry *entry = data;
@@ -263,7 +277,6 @@
 			g_free(link);
 			continue;
 		}
-		connect_control(link, now_us);
 		if (channel_is_open(&link->channel))
 			send_watch(link);
 		i++;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -23,7 +23,7 @@
 static unsigned opens, closes;
 static struct statement_answer got;
 static char got_result[64];
-static unsigned answers, ends;
+static unsigned answers, ends, starts;
 
 static void *open_wire(struct link *link, const char *address,
 		       const char *service, const char *id, void *data)
@@ -60,6 +60,7 @@
 
 static void on_started(void *wire)
 {
+	starts++;
 }
 
 static void on_refused(void *wire, enum refusal refusal, const char *detail)
@@ -136,7 +137,7 @@
 				       .grace_us = 6000000,
 				       .upstream_ops = &upstream_ops };
 
-	nr_sent = nr_done = opens = closes = answers = ends = 0;
+	nr_sent = nr_done = opens = closes = answers = ends = starts = 0;
 	memset(&got, 0, sizeof(got));
 	timer_service_init(&timers);
 	entry = entry_new(NULL, &timers, &config);
@@ -629,6 +630,34 @@
 }
 END_TEST
 
+/* Guards against callers that are turned away by a daemon that would have
+ * served them as soon as it had heard of its routes. */
+START_TEST(test_early_caller)
+{
+	struct entry_table *table;
+
+	start();
+	table = entry->table;
+	entry->table = NULL;
+	caller("own");
+	caller("nowhere");
+	sessions_tick(entry, clock_now_us() + 300000);
+	ck_assert_uint_eq(answers, 0);
+	ck_assert_uint_eq(starts, 0);
+	entry->table = table;
+	sessions_tick(entry, clock_now_us() + 400000);
+	ck_assert_uint_eq(starts, 1);
+	ck_assert_uint_eq(answers, 1);
+	ck_assert_int_eq(got.refusal, REFUSAL_NO_DATABASE);
+	entry->table = NULL;
+	caller("own");
+	sessions_tick(entry, clock_now_us() + 1600000);
+	ck_assert_int_eq(got.refusal, REFUSAL_BUSY);
+	entry->table = table;
+	finish();
+}
+END_TEST
+
 /* Guards against a stop that cuts statements or keeps callers for ever. */
 START_TEST(test_drain)
 {
@@ -659,4 +688,4 @@
 	  test_other_replica, test_refused_begin, test_bounded_needs_sample,
 	  test_lost_answers, test_lost_transaction, test_values_are_cleaned,
 	  test_prepared, test_caller_leaves, test_time_outs, test_leaving,
-	  test_route_removed, test_drain)
+	  test_route_removed, test_early_caller, test_drain)
