Close spare connections sooner

Cause: a database keeps the connections of VMs that lost their power for 3 s and counts them against its 16.

All connections but one an upstream are closed after 0.3 s of rest, not 1 s, and not only above the share.

--- a/entry/host.c
+++ b/entry/host.c
@@ -16,8 +16,12 @@
 #define CONNECT_PAUSE_MAX_US (800 * 1000ll)
 /* A report arrives after the time from which it counts. */
 #define REPORT_SLACK_US (5 * 1000ll)
-/* A connection above this daemon's share is closed after resting so long. */
-#define SPARE_IDLE_US (1000 * 1000ll)
+/*
+ * All connections but one are closed after resting so long: the upstream keeps
+ * those of a VM that lost its power for seconds, and what it can take then is
+ * what was not used.
+ */
+#define SPARE_IDLE_US (300 * 1000ll)
 /* A daemon may open this multiple of its share while others rest. */
 #define SHARE_STRETCH 2
 /* A service that no session asked for in this time is not sampled. */
@@ -271,7 +275,6 @@
 
 static void check_host(struct host *host, int64_t now_us)
 {
-	unsigned share = share_of(host);
 	guint i;
 
 	for (i = host->links->len; i-- > 0;) {
@@ -283,7 +286,7 @@
 		if (!link_is_idle(link))
 			check_link(link, now_us);
 		else if (host->gone || host->leaving ||
-			 (host->links->len > share &&
+			 (host->links->len > 1 &&
 			  now_us - link->since_us > SPARE_IDLE_US))
 			link_close(link);
 	}
