Send a read only where it is likely held

Each answer of an upstream tells its position; the samples of the primary tell when that was the end of the log, so each daemon knows how far an upstream was behind 0.2 s ago at most. A read goes only where its position is likely held. After a refusal for want of connections a daemon keeps to its share for 2 s.

test_lag and test_known_lag cover it; in the older tests upstreams now open with a log that holds what is asked, where that is not what the test is about.

--- a/coordination/read_bound.c
+++ b/coordination/read_bound.c
@@ -43,8 +43,8 @@
 }
 
 bool read_bound(const struct read_samples *samples, int64_t arrived_us,
-		int64_t max_staleness_us, struct position own,
-		struct position *needed)
+		int64_t max_staleness_us, const struct read_need *own,
+		struct read_need *need)
 {
 	unsigned i;
 
@@ -53,12 +53,32 @@
 
 		if (s->asked_us < arrived_us - max_staleness_us)
 			continue;
+		*need = (struct read_need){ s->position, s->asked_us };
 		/*
 		 * Of an older term than the sample, the session's commits that
 		 * survived the change of primary are part of its log.
 		 */
-		*needed = position_max(s->position, own);
+		if (position_compare(own->position, s->position) > 0)
+			*need = *own;
 		return true;
 	}
 	return false;
 }
+
+int64_t read_samples_lag(const struct read_samples *samples,
+			 struct position position, int64_t now_us)
+{
+	unsigned i;
+
+	for (i = samples->nr; i-- > 0;) {
+		const struct read_sample *s = at(samples, i);
+
+		if (position_compare(s->position, position) > 0)
+			continue;
+		/* It holds the newest sample, so it may be right behind. */
+		if (i == samples->nr - 1)
+			return 0;
+		return now_us - at(samples, i + 1)->asked_us;
+	}
+	return samples->nr ? READ_LAG_UNKNOWN : 0;
+}
--- a/entry/host.c
+++ b/entry/host.c
@@ -24,6 +24,8 @@
 #define SPARE_IDLE_US (300 * 1000ll)
 /* A daemon may open this multiple of its share while others rest. */
 #define SHARE_STRETCH 2
+/* After a refusal for want of room nobody goes beyond its share for so long. */
+#define FULL_US (2000 * 1000ll)
 /* A service that no session asked for in this time is not sampled. */
 #define SERVICE_IDLE_US (5000 * 1000ll)
 
@@ -64,6 +66,8 @@
 	host->links = g_ptr_array_new();
 	host->latency_us = LATENCY_FIRST_US;
 	host->answered_us = INT64_MIN / 2;
+	host->lag_at_us = INT64_MIN / 2;
+	host->full_at_us = INT64_MIN / 2;
 	host->seen_us = INT64_MIN / 2;
 	g_ptr_array_add(host->service->hosts, host);
 	g_hash_table_insert(entry->hosts, host->id, host);
@@ -146,7 +150,8 @@
 
 unsigned host_room(const struct host *host, int64_t now_us)
 {
-	unsigned most = share_of(host) * SHARE_STRETCH;
+	bool full = now_us - host->full_at_us < FULL_US;
+	unsigned most = share_of(host) * (full ? 1 : SHARE_STRETCH);
 
 	if (host->gone || host->leaving || now_us < host->connect_after_us)
 		return 0;
@@ -209,6 +214,9 @@
 		return;
 	host->seen = answer->position;
 	host->seen_us = now_us;
+	host->lag_us =
+		read_samples_lag(&host->service->samples, host->seen, now_us);
+	host->lag_at_us = now_us;
 }
 
 void host_failed(struct host *host, int64_t now_us)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -57,7 +57,8 @@
  * @failing_us: first failure since then, 0 if none
  * @connect_after_us: earliest next attempt to connect
  * @busy_until_us: refused work for lack of room
- * @behind_until_us: refused a read for a position it lacks
+ * @lag_us: how far it was behind the primary, at @lag_at_us
+ * @full_at_us: when it last took no more connections
  * @not_primary_until_us: refused work that only the primary does
  */
 struct host {
@@ -77,7 +78,9 @@
 	unsigned failures;
 	int64_t connect_after_us;
 	int64_t busy_until_us;
-	int64_t behind_until_us;
+	int64_t lag_us;
+	int64_t lag_at_us;
+	int64_t full_at_us;
 	int64_t not_primary_until_us;
 };
 
@@ -163,7 +166,7 @@
  * @needs_primary: whether only the primary can run it
  * @proof: whether a single read is wrapped in a transaction that only the
  *         primary grants
- * @needed: position that the upstream must hold, term 0 for none
+ * @need: position that the upstream must hold, term 0 for none
  * @avoid: upstream that failed it, NULL for none
  */
 struct session {
@@ -174,7 +177,7 @@
 	char *database;
 	GHashTable *values;
 	GHashTable *prepared;
-	struct position own;
+	struct read_need own;
 	int64_t active_us;
 	bool starting;
 	bool closing;
@@ -197,7 +200,7 @@
 	GList waiting;
 	bool needs_primary;
 	bool proof;
-	struct position needed;
+	struct read_need need;
 	const struct host *avoid;
 	unsigned attempts;
 	unsigned setup;
--- a/entry/link.c
+++ b/entry/link.c
@@ -294,6 +294,7 @@
 	case REFUSAL_TOO_MANY:
 	case REFUSAL_BUSY:
 		host->connect_after_us = now_us + FULL_PAUSE_US;
+		host->full_at_us = now_us;
 		break;
 	case REFUSAL_WRONG_UPSTREAM:
 		event_log("upstream_replaced", "{s:s, s:s}", "upstream",
--- a/entry/request.c
+++ b/entry/request.c
@@ -10,8 +10,8 @@
 #define OPTIONS_MAX 32
 /* Pause before a statement that found no room is sent again, microseconds. */
 #define BUSY_PAUSE_US (15 * 1000ll)
-/* Pause before a replica that lacked a position is asked again. */
-#define BEHIND_PAUSE_US (60 * 1000ll)
+/* A replica's lag is taken for what it was for so long, microseconds. */
+#define LAG_KNOWN_US (200 * 1000ll)
 /* Pause before an upstream that does not lead is asked again. */
 #define NOT_PRIMARY_PAUSE_US (120 * 1000ll)
 /* Part of a statement's time that it may wait for a connection, percent. */
@@ -182,7 +182,7 @@
 	bool in_tx = s->tx == TX_OPEN;
 	bool reads = in_tx ? !s->tx_plain : !is_write(s);
 
-	s->needed = (struct position){ 0 };
+	s->need = (struct read_need){ 0 };
 	s->proof = false;
 	s->needs_primary = true;
 	if (!reads)
@@ -190,7 +190,7 @@
 	if (s->route->rule != READ_AT_PRIMARY && s->route->staleness_us > 0 &&
 	    read_bound(&s->service->samples,
 		       in_tx ? s->tx_arrived_us : s->arrived_us,
-		       s->route->staleness_us, s->own, &s->needed)) {
+		       s->route->staleness_us, &s->own, &s->need)) {
 		s->needs_primary = false;
 		return;
 	}
@@ -229,7 +229,7 @@
 		command.name = p->alias;
 	}
 	if (!s->link->in_transaction)
-		command.after = s->needed;
+		command.after = s->need.position;
 	s->phase = REQUEST_RUNNING;
 	s->placed_us = clock_now_us();
 	link_send(s->link, STEP_STATEMENT, &command);
@@ -242,7 +242,7 @@
 
 	if (!s->needs_primary) {
 		begin.verb = LINK_BEGIN_READ;
-		begin.after = s->needed;
+		begin.after = s->need.position;
 	}
 	link_send(s->link, STEP_BEGIN, &begin);
 	s->setup++;
@@ -263,6 +263,16 @@
 	link_flush(s->link);
 }
 
+/* Whether the host is likely to hold a position by now. */
+static bool holds(const struct host *host, const struct read_need *need,
+		  int64_t now_us)
+{
+	if (now_us - host->lag_at_us > LAG_KNOWN_US)
+		return true;
+	return host->lag_us != READ_LAG_UNKNOWN &&
+	       need->at_us <= now_us - host->lag_us;
+}
+
 static unsigned fill_options(struct session *s, struct host **hosts,
 			     struct placement_option *options, int64_t now_us)
 {
@@ -282,7 +292,7 @@
 			.primary = host == primary,
 			.usable = host->busy_until_us <= now_us &&
 				  (s->needs_primary || host == primary ||
-				   host->behind_until_us <= now_us) &&
+				   holds(host, &s->need, now_us)) &&
 				  (!host->failing_us ||
 				   host->connect_after_us <= now_us),
 			.idle = host_idle_link(host, NULL) != NULL,
@@ -410,7 +420,6 @@
 		host->busy_until_us = now_us + BUSY_PAUSE_US;
 		break;
 	case REFUSAL_BEHIND:
-		host->behind_until_us = now_us + BEHIND_PAUSE_US;
 		entry_count(s->entry, ENTRY_COUNT_BEHIND, 1);
 		break;
 	case REFUSAL_NOT_PRIMARY:
@@ -466,6 +475,13 @@
 	again(s, answer->refusal);
 }
 
+static void note_own(struct session *s, const struct statement_answer *answer)
+{
+	if (position_compare(answer->position, s->own.position) <= 0)
+		return;
+	s->own = (struct read_need){ answer->position, clock_now_us() };
+}
+
 static void finish_single(struct session *s,
 			  const struct statement_answer *answer)
 {
@@ -474,7 +490,7 @@
 
 	note_sample(s, write || s->proof, answer);
 	if (write)
-		s->own = position_max(s->own, answer->position);
+		note_own(s, answer);
 	entry_count(s->entry,
 		    s->needs_primary ? ENTRY_COUNT_PRIMARY_READS :
 				       ENTRY_COUNT_REPLICA_READS,
@@ -510,7 +526,7 @@
 	if (!answer->refusal) {
 		note_sample(s, s->tx_plain && s->tx_wrote, answer);
 		if (s->tx_wrote)
-			s->own = position_max(s->own, answer->position);
+			note_own(s, answer);
 	}
 	session_end_transaction(s, TX_NONE);
 	conclude(s, &out);
--- a/include/read_bound.h
+++ b/include/read_bound.h
@@ -17,6 +17,8 @@
 /** Least time between two samples that are kept, microseconds. */
 #define READ_SAMPLE_GAP_US (40 * 1000ll)
 
+#define READ_LAG_UNKNOWN INT64_MAX
+
 struct read_sample {
 	int64_t asked_us;
 	struct position position;
@@ -44,16 +46,35 @@
 /** read_samples_newest_us() - when the newest was asked for; long ago if none */
 int64_t read_samples_newest_us(const struct read_samples *samples);
 
+/**
+ * struct read_need - what an upstream must hold
+ * @position: term 0 for nothing
+ * @at_us: when the primary is known to have been at @position
+ */
+struct read_need {
+	struct position position;
+	int64_t at_us;
+};
+
 /**
  * read_bound() - position that covers what a read must see
  * @arrived_us: when the read, or its transaction, arrived
  * @max_staleness_us: commits older than this must be seen
- * @own: largest position that the session itself committed, term 0 for none
- * @needed: set on success
+ * @own: the session's own last commit, term 0 for none
+ * @need: set on success
  * Return: false when no sample proves enough; the primary can answer then
  */
 bool read_bound(const struct read_samples *samples, int64_t arrived_us,
-		int64_t max_staleness_us, struct position own,
-		struct position *needed);
+		int64_t max_staleness_us, const struct read_need *own,
+		struct read_need *need);
+
+/**
+ * read_samples_lag() - how far an upstream is behind the primary
+ * @position: of the upstream, at @now_us
+ * Return: microseconds, at least; READ_LAG_UNKNOWN if it is further behind
+ *         than the samples reach or of an older term
+ */
+int64_t read_samples_lag(const struct read_samples *samples,
+			 struct position position, int64_t now_us);
 
 #endif
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -20,6 +20,8 @@
 static struct entry *entry;
 static struct sent sent[256];
 static unsigned nr_sent, nr_done;
+/* Position of an upstream to which a connection opens. */
+static uint64_t log_end;
 static unsigned opens, closes;
 static struct statement_answer got;
 static char got_result[64];
@@ -137,6 +139,7 @@
 				       .grace_us = 6000000,
 				       .upstream_ops = &upstream_ops };
 
+	log_end = 100;
 	nr_sent = nr_done = opens = closes = answers = ends = starts = 0;
 	memset(&got, 0, sizeof(got));
 	timer_service_init(&timers);
@@ -194,7 +197,8 @@
 			struct link *link = host->links->pdata[i];
 
 			if (link->state == LINK_OPENING)
-				link_opened(link, (struct position){ 1, 5 });
+				link_opened(link,
+					    (struct position){ 1, log_end });
 		}
 }
 
@@ -296,7 +300,7 @@
 	expect(LINK_FORWARD, "WRITE 1 x");
 	ck_assert_str_eq(sent[0].link->host->id, "p");
 	reply(REFUSAL_NONE, SESSION_IDLE, 41, "DONE");
-	ck_assert_uint_eq(s->own.lsn, 41);
+	ck_assert_uint_eq(s->own.position.lsn, 41);
 	((struct host *)g_hash_table_lookup(entry->hosts, "p"))->latency_us =
 		10000000;
 	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
@@ -344,6 +348,32 @@
 }
 END_TEST
 
+/* Guards against reads that go to a replica known to lag, only to be refused
+ * there while they wait. */
+START_TEST(test_known_lag)
+{
+	struct session *s;
+	struct host *r;
+
+	start();
+	read_samples_add(&service_get(entry, "s")->samples,
+			 clock_now_us() - 100000, (struct position){ 1, 9 });
+	r = g_hash_table_lookup(entry->hosts, "r");
+	((struct host *)g_hash_table_lookup(entry->hosts, "p"))->latency_us =
+		10000000;
+	log_end = 3;
+	s = caller("bounded");
+	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	open_all();
+	ck_assert_int_eq(r->lag_us, READ_LAG_UNKNOWN);
+	service_dispatch(s->service);
+	open_all();
+	expect(LINK_FORWARD, "READ 1");
+	ck_assert_str_eq(sent[0].link->host->id, "p");
+	finish();
+}
+END_TEST
+
 /* Guards against a statement that is sent to the next upstream before that has
  * begun the transaction: the answer of the first upstream, which refused to
  * begin it, counted for the second, and the statement ran outside. */
@@ -685,7 +715,8 @@
 END_TEST
 
 TEST_MAIN("entry", test_primary_read, test_replaced_primary, test_own_commit,
-	  test_other_replica, test_refused_begin, test_bounded_needs_sample,
-	  test_lost_answers, test_lost_transaction, test_values_are_cleaned,
-	  test_prepared, test_caller_leaves, test_time_outs, test_leaving,
-	  test_route_removed, test_early_caller, test_drain)
+	  test_other_replica, test_known_lag, test_refused_begin,
+	  test_bounded_needs_sample, test_lost_answers, test_lost_transaction,
+	  test_values_are_cleaned, test_prepared, test_caller_leaves,
+	  test_time_outs, test_leaving, test_route_removed, test_early_caller,
+	  test_drain)
--- a/tests/test_read_bound.c
+++ b/tests/test_read_bound.c
@@ -4,7 +4,8 @@
 #include <gsl/gsl_rng.h>
 
 #define MS 1000ll
-#define NONE ((struct position){ 0 })
+#define NONE (&(struct read_need){ 0 })
+#define OWN(p) (&(struct read_need){ .position = p })
 
 static struct read_samples samples;
 
@@ -17,7 +18,7 @@
  * newer one than needed, which fewer replicas hold. */
 START_TEST(test_oldest_that_is_enough)
 {
-	struct position needed;
+	struct read_need needed;
 
 	read_samples_init(&samples);
 	ck_assert(!read_bound(&samples, 0, 1500 * MS, NONE, &needed));
@@ -25,9 +26,9 @@
 	read_samples_add(&samples, 1100 * MS, at(3, 20));
 	read_samples_add(&samples, 1200 * MS, at(3, 30));
 	ck_assert(read_bound(&samples, 2500 * MS, 1500 * MS, NONE, &needed));
-	ck_assert_uint_eq(needed.lsn, 10);
+	ck_assert_uint_eq(needed.position.lsn, 10);
 	ck_assert(read_bound(&samples, 2501 * MS, 1500 * MS, NONE, &needed));
-	ck_assert_uint_eq(needed.lsn, 20);
+	ck_assert_uint_eq(needed.position.lsn, 20);
 	ck_assert(!read_bound(&samples, 2701 * MS, 1500 * MS, NONE, &needed));
 }
 END_TEST
@@ -36,35 +37,55 @@
  * waits for a commit that a change of primary rolled back. */
 START_TEST(test_own_commits)
 {
-	struct position needed;
+	struct read_need needed;
 
 	read_samples_init(&samples);
 	read_samples_add(&samples, 1000 * MS, at(3, 10));
-	ck_assert(
-		read_bound(&samples, 1100 * MS, 500 * MS, at(3, 17), &needed));
-	ck_assert_uint_eq(needed.lsn, 17);
+	ck_assert(read_bound(&samples, 1100 * MS, 500 * MS, OWN(at(3, 17)),
+			     &needed));
+	ck_assert_uint_eq(needed.position.lsn, 17);
 	read_samples_add(&samples, 1200 * MS, at(4, 12));
-	ck_assert(
-		read_bound(&samples, 1650 * MS, 500 * MS, at(3, 17), &needed));
-	ck_assert_uint_eq(needed.term, 4);
-	ck_assert_uint_eq(needed.lsn, 12);
+	ck_assert(read_bound(&samples, 1650 * MS, 500 * MS, OWN(at(3, 17)),
+			     &needed));
+	ck_assert_uint_eq(needed.position.term, 4);
+	ck_assert_uint_eq(needed.position.lsn, 12);
 }
 END_TEST
 
 /* Guards against a late answer of a replaced primary. */
 START_TEST(test_older_term)
 {
-	struct position needed;
+	struct read_need needed;
 
 	read_samples_init(&samples);
 	read_samples_add(&samples, 1000 * MS, at(4, 12));
 	read_samples_add(&samples, 1100 * MS, at(3, 99));
 	ck_assert(read_bound(&samples, 1100 * MS, 500 * MS, NONE, &needed));
-	ck_assert_uint_eq(needed.term, 4);
+	ck_assert_uint_eq(needed.position.term, 4);
 	ck_assert_int_eq(read_samples_newest_us(&samples), 1000 * MS);
 }
 END_TEST
 
+/* Guards against a lag that is taken for smaller than it is. */
+START_TEST(test_lag)
+{
+	read_samples_init(&samples);
+	ck_assert_int_eq(read_samples_lag(&samples, at(3, 1), 0), 0);
+	read_samples_add(&samples, 1000 * MS, at(3, 10));
+	read_samples_add(&samples, 1100 * MS, at(3, 20));
+	read_samples_add(&samples, 1200 * MS, at(3, 30));
+	ck_assert_int_eq(read_samples_lag(&samples, at(3, 30), 1500 * MS), 0);
+	ck_assert_int_eq(read_samples_lag(&samples, at(3, 25), 1500 * MS),
+			 300 * MS);
+	ck_assert_int_eq(read_samples_lag(&samples, at(3, 12), 1500 * MS),
+			 400 * MS);
+	ck_assert_int_eq(read_samples_lag(&samples, at(3, 9), 1500 * MS),
+			 READ_LAG_UNKNOWN);
+	ck_assert_int_eq(read_samples_lag(&samples, at(2, 99), 1500 * MS),
+			 READ_LAG_UNKNOWN);
+}
+END_TEST
+
 /*
  * Guards against a stale read in any order of commits, samples and reads: a
  * log whose commits are acknowledged at known times is sampled at random, and
@@ -86,7 +107,7 @@
 		while (log < G_N_ELEMENTS(acknowledged_us)) {
 			int64_t staleness_us =
 				(int64_t)gsl_rng_uniform_int(rng, 3000) * MS;
-			struct position needed;
+			struct read_need needed;
 			int64_t asked_us;
 
 			now_us += (int64_t)gsl_rng_uniform_int(rng, 5000);
@@ -106,9 +127,10 @@
 						NONE, &needed))
 					break;
 				proved++;
-				if (needed.lsn < log)
+				if (needed.position.lsn < log)
 					ck_assert_int_ge(
-						acknowledged_us[needed.lsn],
+						acknowledged_us[needed.position
+									.lsn],
 						now_us - staleness_us);
 				break;
 			}
@@ -120,4 +142,4 @@
 END_TEST
 
 TEST_MAIN("read_bound", test_oldest_that_is_enough, test_own_commits,
-	  test_older_term, test_random_histories)
+	  test_older_term, test_lag, test_random_histories)
