Give a lost order to promote again sooner

The platform has 0.4 s to answer, and an order without an answer is given again at once, for the same upstream.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -10,7 +10,7 @@
 /* Unclear orders before another upstream is tried: an order that got no
  * answer may be carried out late and would then undo a newer one. */
 #define UNCLEAR_MAX 4
-/* Pause after an order that failed, microseconds. */
+/* Pause after an order that was refused, microseconds. */
 #define RETRY_US (300 * 1000ll)
 
 void control_order_free(void *data)
@@ -196,6 +196,7 @@
 	}
 	o->at_us = now_us - PROMOTION_SETTLE_US + RETRY_US;
 	if (result == PROMOTION_UNCLEAR) {
+		o->at_us = now_us - PROMOTION_SETTLE_US;
 		o->unclear++;
 		control_count(node, CONTROL_COUNT_PROMOTIONS_UNCLEAR, 1);
 	} else {
