Remember the upstreams' announcements over a restart

Cause: after a stop of all control VMs each upstream was unknown until its next heartbeat, up to 1.2 s, and a primary that died meanwhile was not known to have been one.

What is read back names upstreams to try and counts as heard 3 s ago, so that none is promoted for it.

test_control_node runs whole control VMs in one loop: restart of all, two disks lost twice, a VM replaced at a new address, a minority, the memory (fails without it), a primary that leaves.

--- a/control/internal.h
+++ b/control/internal.h
@@ -22,6 +22,9 @@
 /** A watcher that is silent for so long is gone, microseconds. */
 #define CONTROL_WATCHER_US (2500 * 1000ll)
 
+/** Least time between two saves of the announcements, microseconds. */
+#define CONTROL_SAVE_US (300 * 1000ll)
+
 enum control_counter {
 	CONTROL_COUNT_ELECTIONS,
 	CONTROL_COUNT_MEMBER_CHANGES,
@@ -129,6 +132,8 @@
 	GPtrArray *watchers;
 	GPtrArray *puts;
 	GHashTable *orders;
+	uint64_t saved_revision;
+	int64_t save_after_us;
 	bool views_due;
 	bool stopping;
 	ev_io listener;
@@ -160,6 +165,9 @@
 		       const struct raft_message *msg);
 void control_fill_sighting(Wire__Sighting *out, const struct sighting *one,
 			   int64_t now_us);
+/** control_take_sighting() - ages count from @now_us */
+void control_take_sighting(struct control_node *node, const Wire__Sighting *in,
+			   int64_t now_us);
 void control_tell_peers(struct control_node *node, const struct sighting *one);
 /** control_message() - a message that any process may send */
 void control_message(struct control_node *node, struct channel *from,
@@ -174,8 +182,16 @@
 void control_watchers_accept(struct control_node *node, int fd);
 void control_watchers_tick(struct control_node *node, int64_t now_us);
 void control_watchers_tell(struct control_node *node);
+/** control_view_fill() - what changed after revision @since */
+void control_view_fill(struct control_node *node, uint64_t since,
+		       Wire__View *view);
+void control_view_clear(Wire__View *view);
 void control_watchers_free(struct control_node *node);
 
+/* memory.c */
+void control_memory_save(struct control_node *node, int64_t now_us);
+void control_memory_load(struct control_node *node);
+
 /* configs.c */
 void control_puts_settle(struct control_node *node, int64_t now_us);
 
--- a/control/node.c
+++ b/control/node.c
@@ -96,6 +96,7 @@
 	control_group_tick(node, now_us);
 	control_promotions_tick(node, now_us);
 	sightings_expire(&node->sightings, now_us);
+	control_memory_save(node, now_us);
 	counter_assign(&node->counters, node->counter[CONTROL_COUNT_VERSION],
 		       (int64_t)node->reg.version);
 	if (node->raft)
@@ -160,6 +161,7 @@
 	node->prepare.data = node;
 	ev_prepare_start(loop, &node->prepare);
 	reopen_store(node, now_us);
+	control_memory_load(node);
 	control_seeds(node, config->seeds);
 	node->tick_timer =
 		timer_subscribe(timers, now_us, CONTROL_TICK_US, on_tick, node);
--- a/control/peers.c
+++ b/control/peers.c
@@ -162,9 +162,9 @@
 	control_lead_update(node);
 }
 
-static void take_sighting(struct control_node *node, const Wire__Sighting *in)
+void control_take_sighting(struct control_node *node, const Wire__Sighting *in,
+			   int64_t now_us)
 {
-	int64_t now_us = clock_now_us();
 	struct sighting one = {
 		.id = in->id,
 		.service = in->service,
@@ -237,7 +237,7 @@
 		take_raft(node, envelope->raft);
 		return;
 	case WIRE__ENVELOPE__BODY_SIGHTING:
-		take_sighting(node, envelope->sighting);
+		control_take_sighting(node, envelope->sighting, clock_now_us());
 		return;
 	case WIRE__ENVELOPE__BODY_JOIN:
 		take_join(node, from, envelope->join);
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -66,10 +66,12 @@
 	watcher->config_version = node->reg.version;
 }
 
-static void add_sightings(struct control_watcher *watcher, Wire__View *view)
+void control_view_fill(struct control_node *node, uint64_t since,
+		       Wire__View *view)
 {
-	const struct sightings *s = &watcher->node->sightings;
+	const struct sightings *s = &node->sightings;
 	int64_t now_us = clock_now_us();
+	struct appointment *a;
 	struct sighting *one;
 	GHashTableIter it;
 
@@ -79,21 +81,12 @@
 	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
 		Wire__Sighting *out;
 
-		if (one->revision <= watcher->sent_revision)
+		if (one->revision <= since)
 			continue;
 		out = g_new(Wire__Sighting, 1);
 		control_fill_sighting(out, one, now_us);
 		view->sightings[view->n_sightings++] = out;
 	}
-}
-
-static void add_primaries(struct control_watcher *watcher, Wire__View *view)
-{
-	const struct sightings *s = &watcher->node->sightings;
-	int64_t now_us = clock_now_us();
-	struct appointment *a;
-	GHashTableIter it;
-
 	view->primaries = g_new(Wire__ServicePrimary *,
 				g_hash_table_size(s->appointments) + 1);
 	g_hash_table_iter_init(&it, s->appointments);
@@ -108,6 +101,18 @@
 	}
 }
 
+void control_view_clear(Wire__View *view)
+{
+	size_t i;
+
+	for (i = 0; i < view->n_sightings; i++)
+		g_free(view->sightings[i]);
+	for (i = 0; i < view->n_primaries; i++)
+		g_free(view->primaries[i]);
+	g_free(view->sightings);
+	g_free(view->primaries);
+}
+
 static void send_view(struct control_watcher *watcher)
 {
 	struct control_node *node = watcher->node;
@@ -128,19 +133,13 @@
 			control[view.n_control++] = m->member[i].id;
 	}
 	add_config(watcher, &view);
-	add_sightings(watcher, &view);
-	add_primaries(watcher, &view);
+	control_view_fill(node, watcher->sent_revision, &view);
 	watcher->sent_revision = node->sightings.revision;
 	envelope.body_case = WIRE__ENVELOPE__BODY_VIEW;
 	envelope.view = &view;
 	channel_send(&watcher->channel, &envelope);
 	control_count(node, CONTROL_COUNT_VIEWS, 1);
-	for (i = 0; i < view.n_sightings; i++)
-		g_free(view.sightings[i]);
-	for (i = 0; i < view.n_primaries; i++)
-		g_free(view.primaries[i]);
-	g_free(view.sightings);
-	g_free(view.primaries);
+	control_view_clear(&view);
 }
 
 static void take_reports(struct control_watcher *watcher,
--- /dev/null
+++ b/tests/test_control_node.c
@@ -0,0 +1,427 @@
+#include "clock.h"
+#include "control/internal.h"
+#include "event_timers.h"
+#include "test_main.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+
+/*
+ * Whole control VMs in one event loop, on loopback addresses of their own.
+ */
+
+#define VMS 6
+#define PORT 39210
+#define IP(i) (0x7f010001u + (i))
+
+struct vm {
+	struct control_node *node;
+	struct timer_service timers;
+	struct event_timers event_timers;
+	char *folder;
+};
+
+static struct ev_loop *loop;
+static struct vm vms[VMS];
+static char *root;
+static unsigned orders;
+static char ordered[64];
+
+static void promote(const char *service, const char *id, uint64_t token,
+		    void *data)
+{
+	struct vm *vm = data;
+
+	orders++;
+	g_strlcpy(ordered, id, sizeof(ordered));
+	control_promoted(vm->node, service, id, PROMOTION_DONE);
+}
+
+static unsigned sync_replicas(GBytes *document, const char *service, void *data)
+{
+	return 0;
+}
+
+static const struct control_ops ops = { promote, sync_replicas };
+
+static void boot(unsigned i, bool bootstrap)
+{
+	struct control_config config = {
+		.name = "vm",
+		.ip = IP(i),
+		.port = PORT,
+		.folder = vms[i].folder,
+		.bootstrap = bootstrap,
+		.seeds = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
+		.voters = 5,
+	};
+	GError *error = NULL;
+	uint32_t ip;
+
+	for (ip = IP(0); ip < IP(3); ip++)
+		g_array_append_val(config.seeds, ip);
+	timer_service_init(&vms[i].timers);
+	event_timers_init(&vms[i].event_timers, loop, &vms[i].timers);
+	vms[i].node = control_node_new(loop, &vms[i].timers, &config, &ops,
+				       &vms[i], &error);
+	ck_assert_msg(vms[i].node, "%s", error ? error->message : "");
+	g_array_free(config.seeds, TRUE);
+}
+
+static void halt(unsigned i)
+{
+	control_node_free(vms[i].node);
+	event_timers_finish(&vms[i].event_timers);
+	timer_service_finish(&vms[i].timers);
+	vms[i].node = NULL;
+}
+
+static void remove_tree(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *child = g_build_filename(path, name, NULL);
+
+		remove_tree(child);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_remove(path);
+}
+
+static void wipe(unsigned i)
+{
+	remove_tree(vms[i].folder);
+}
+
+static void on_end(struct ev_loop *l, ev_timer *w, int revents)
+{
+	ev_break(l, EVBREAK_ALL);
+}
+
+static bool run_until(bool (*condition)(void), double seconds)
+{
+	int64_t end_us = clock_now_us() + (int64_t)(seconds * 1e6);
+
+	while (clock_now_us() < end_us) {
+		ev_timer timer;
+
+		if (condition && condition())
+			return true;
+		ev_timer_init(&timer, on_end, 0.02, 0.);
+		ev_timer_start(loop, &timer);
+		ev_run(loop, 0);
+		ev_timer_stop(loop, &timer);
+	}
+	return condition && condition();
+}
+
+static struct control_node *leader(void)
+{
+	unsigned i;
+
+	for (i = 0; i < VMS; i++)
+		if (vms[i].node && vms[i].node->lead_term &&
+		    vms[i].node->settled && control_fresh(vms[i].node))
+			return vms[i].node;
+	return NULL;
+}
+
+static unsigned voters(void)
+{
+	struct control_node *node = leader();
+	const struct raft_members *m = node ? raft_current_members(node->raft) :
+					      NULL;
+	unsigned nr = 0;
+	unsigned i;
+
+	for (i = 0; m && i < m->nr; i++)
+		nr += m->member[i].voter;
+	return nr;
+}
+
+static bool has_leader(void)
+{
+	return leader();
+}
+
+static bool five_vote(void)
+{
+	return voters() == 5;
+}
+
+/* Whether every member is one of the VMs that run. */
+static bool all_present(void)
+{
+	struct control_node *node = leader();
+	const struct raft_members *m = node ? raft_current_members(node->raft) :
+					      NULL;
+	unsigned i, j;
+
+	for (i = 0; m && i < m->nr; i++) {
+		for (j = 0; j < VMS; j++)
+			if (vms[j].node && vms[j].node->id == m->member[i].id)
+				break;
+		if (j == VMS)
+			return false;
+	}
+	return m && voters() == 5;
+}
+
+static enum config_outcome outcome;
+static bool put_done;
+
+static void on_put(enum config_outcome o, void *data)
+{
+	outcome = o;
+	put_done = true;
+}
+
+static bool is_put(void)
+{
+	return put_done;
+}
+
+static void put(uint64_t version, const char *text)
+{
+	GBytes *document = g_bytes_new(text, strlen(text));
+
+	put_done = false;
+	control_config_put(leader(), version, document, on_put, NULL);
+	g_bytes_unref(document);
+	ck_assert(run_until(is_put, 3));
+	ck_assert_int_eq(outcome, CONFIG_ACCEPTED);
+}
+
+static void expect(uint64_t version, const char *text)
+{
+	uint64_t held;
+	bool sure;
+	GBytes *document;
+
+	ck_assert(run_until(has_leader, 5));
+	document = control_config_get(leader(), &held, &sure);
+	ck_assert(sure);
+	ck_assert_uint_eq(held, version);
+	ck_assert_uint_eq(g_bytes_get_size(document), strlen(text));
+	ck_assert(
+		!memcmp(g_bytes_get_data(document, NULL), text, strlen(text)));
+}
+
+static void start(unsigned nr)
+{
+	unsigned i;
+
+	loop = ev_loop_new(EVBACKEND_EPOLL);
+	root = g_dir_make_tmp("cw-control-XXXXXX", NULL);
+	for (i = 0; i < VMS; i++)
+		vms[i].folder = g_strdup_printf("%s/%u", root, i);
+	for (i = 0; i < nr; i++)
+		boot(i, true);
+	ck_assert(run_until(nr >= 5 ? five_vote : has_leader, 10));
+}
+
+static void finish(void)
+{
+	unsigned i;
+
+	for (i = 0; i < VMS; i++) {
+		if (vms[i].node)
+			halt(i);
+		g_free(vms[i].folder);
+	}
+	remove_tree(root);
+	g_free(root);
+	ev_loop_destroy(loop);
+}
+
+/* Guards against a group of the seeds alone, and against a configuration that
+ * is gone after all VMs were stopped. */
+START_TEST(test_all_stop)
+{
+	unsigned i;
+
+	start(5);
+	put(7, "seven");
+	expect(7, "seven");
+	put(3, "three");
+	put(7, "other");
+	expect(7, "seven");
+	for (i = 0; i < 5; i++)
+		halt(i);
+	for (i = 0; i < 5; i++)
+		boot(i, false);
+	expect(7, "seven");
+	ck_assert_uint_eq(voters(), 5);
+	finish();
+}
+END_TEST
+
+/* Guards against a change that two lost disks take along, and against a VM
+ * that votes on after it lost its disk. */
+START_TEST(test_two_disks_lost)
+{
+	uint64_t before[2];
+	unsigned i;
+
+	start(5);
+	put(7, "seven");
+	before[0] = vms[0].node->id;
+	before[1] = vms[1].node->id;
+	for (i = 0; i < 5; i++)
+		halt(i);
+	wipe(0);
+	wipe(1);
+	for (i = 0; i < 5; i++)
+		boot(i, false);
+	ck_assert(vms[0].node->id != before[0]);
+	ck_assert(vms[1].node->id != before[1]);
+	expect(7, "seven");
+	ck_assert(run_until(all_present, 10));
+	/* The repair is complete: two more disks may go. */
+	put(8, "eight");
+	for (i = 0; i < 5; i++)
+		halt(i);
+	wipe(2);
+	wipe(3);
+	for (i = 0; i < 5; i++)
+		boot(i, false);
+	expect(8, "eight");
+	ck_assert(run_until(all_present, 10));
+	finish();
+}
+END_TEST
+
+/* Guards against a VM gone for good that stays a voter when another one has
+ * come at a new address. */
+START_TEST(test_replaced)
+{
+	unsigned gone;
+
+	start(5);
+	put(7, "seven");
+	for (gone = 0; vms[gone].node != leader(); gone++)
+		;
+	halt(gone);
+	boot(5, false);
+	ck_assert(run_until(has_leader, 5));
+	ck_assert(run_until(all_present, 10));
+	expect(7, "seven");
+	ck_assert_uint_eq(vms[5].node->reg.version, 7);
+	finish();
+}
+END_TEST
+
+/* Guards against a minority that acknowledges or is sure of anything. */
+START_TEST(test_minority)
+{
+	GBytes *document = g_bytes_new_static("x", 1);
+	unsigned i;
+	uint64_t version;
+	bool sure;
+
+	start(5);
+	put(7, "seven");
+	for (i = 0; i < 3; i++)
+		halt(i);
+	ck_assert(!run_until(NULL, 1.5));
+	ck_assert_ptr_null(leader());
+	for (i = 3; i < 5; i++) {
+		control_config_get(vms[i].node, &version, &sure);
+		ck_assert(!sure);
+		put_done = false;
+		control_config_put(vms[i].node, 9, document, on_put, NULL);
+		ck_assert(run_until(is_put, 3));
+		ck_assert_int_ne(outcome, CONFIG_ACCEPTED);
+	}
+	g_bytes_unref(document);
+	finish();
+}
+END_TEST
+
+static struct sighting upstream(const char *id, bool primary, uint64_t sequence)
+{
+	return (struct sighting){ .id = (char *)id,
+				  .service = "s",
+				  .address = (char *)id,
+				  .availability_zone = "z",
+				  .primary = primary,
+				  .born_ms = 1,
+				  .sequence = sequence,
+				  .heard_us = clock_now_us(),
+				  .claimed_us = clock_now_us() };
+}
+
+static bool heard_everywhere(void)
+{
+	unsigned i;
+
+	for (i = 0; i < 3; i++)
+		if (!sightings_find(control_sightings(vms[i].node), "a") ||
+		    !sightings_find(control_sightings(vms[i].node), "b"))
+			return false;
+	return true;
+}
+
+static bool was_ordered(void)
+{
+	return orders > 0;
+}
+
+/* Guards against upstreams that are unknown for a heartbeat after all control
+ * VMs were restarted, and against one that counts as heard although it was
+ * only remembered. */
+START_TEST(test_remembered)
+{
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	const struct sighting *held;
+	unsigned i;
+
+	start(3);
+	control_sighting(vms[0].node, &a);
+	control_sighting(vms[1].node, &b);
+	ck_assert(run_until(heard_everywhere, 3));
+	run_until(NULL, 0.6);
+	for (i = 0; i < 3; i++)
+		halt(i);
+	for (i = 0; i < 3; i++)
+		boot(i, false);
+	ck_assert(heard_everywhere());
+	held = sightings_find(control_sightings(vms[2].node), "a");
+	ck_assert(held->primary);
+	ck_assert_int_gt(clock_now_us() - held->heard_us, 2900000);
+	ck_assert_str_eq(
+		sightings_primary(control_sightings(vms[2].node), "s")->id,
+		"a");
+	finish();
+}
+END_TEST
+
+/* Guards against a primary that announced its leave and is not replaced. */
+START_TEST(test_leaving_primary)
+{
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+
+	start(3);
+	orders = 0;
+	control_sighting(vms[0].node, &a);
+	control_sighting(vms[1].node, &b);
+	run_until(NULL, 0.6);
+	ck_assert_uint_eq(orders, 0);
+	a = upstream("a", true, 2);
+	a.leaving = true;
+	control_sighting(vms[2].node, &a);
+	ck_assert(run_until(was_ordered, 3));
+	ck_assert_str_eq(ordered, "b");
+	run_until(NULL, 0.5);
+	ck_assert_uint_eq(orders, 1);
+	finish();
+}
+END_TEST
+
+TEST_MAIN("control_node", test_all_stop, test_two_disks_lost, test_replaced,
+	  test_minority, test_remembered, test_leaving_primary)
