Tell of a configuration once

Cause: each of five control VMs sent each new configuration to each daemon, and answered each daemon 2.5 times a second.

The leader tells at once; another VM only answers a daemon that still lacks the version when it reports. Reports without news go out every 0.8 s.

--- a/control/watchers.c
+++ b/control/watchers.c
@@ -48,15 +48,20 @@
 	return node->packed;
 }
 
-static void add_config(struct control_watcher *watcher, Wire__View *view)
+static void add_config(struct control_watcher *watcher, Wire__View *view,
+		       bool asked)
 {
 	struct control_node *node = watcher->node;
 	GBytes *packed;
 
 	view->config_version = node->reg.version;
-	/* A VM that may have missed changes hands out nothing. */
+	/*
+	 * A VM that may have missed changes hands out nothing. The leader tells
+	 * of a change at once, the others only those who still lack it.
+	 */
 	if (!view->fresh || !node->reg.document ||
-	    watcher->config_version >= node->reg.version)
+	    watcher->config_version >= node->reg.version ||
+	    (!asked && !node->lead_term))
 		return;
 	packed = packed_config(node);
 	view->config.data =
@@ -113,7 +118,7 @@
 	g_free(view->primaries);
 }
 
-static void send_view(struct control_watcher *watcher)
+static void send_view(struct control_watcher *watcher, bool asked)
 {
 	struct control_node *node = watcher->node;
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
@@ -132,7 +137,7 @@
 		for (i = 0; i < m->nr; i++)
 			control[view.n_control++] = m->member[i].id;
 	}
-	add_config(watcher, &view);
+	add_config(watcher, &view, asked);
 	control_view_fill(node, watcher->sent_revision, &view);
 	watcher->sent_revision = node->sightings.revision;
 	envelope.body_case = WIRE__ENVELOPE__BODY_VIEW;
@@ -177,7 +182,7 @@
 	watcher->config_version =
 		MAX(watcher->config_version, watch->config_version);
 	take_reports(watcher, watch);
-	send_view(watcher);
+	send_view(watcher, true);
 }
 
 static void on_message(struct channel *ch, const Wire__Envelope *envelope)
@@ -249,7 +254,7 @@
 		struct control_watcher *watcher = node->watchers->pdata[i];
 
 		if (watcher->name && channel_is_open(&watcher->channel))
-			send_view(watcher);
+			send_view(watcher, false);
 	}
 }
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -9,8 +9,8 @@
 
 /** Time between looks at timers of links, hosts and sessions, microseconds. */
 #define ENTRY_TICK_US (50 * 1000ll)
-/** Time between reports to control, microseconds. */
-#define ENTRY_WATCH_US (400 * 1000ll)
+/** Time between reports to control when there is no news, microseconds. */
+#define ENTRY_WATCH_US (800 * 1000ll)
 /** Time to connect to an upstream, microseconds: some round trips. */
 #define ENTRY_CONNECT_US (400 * 1000ll)
 /** Time to connect and log in, microseconds: log-ins queue for a slot. */
