--- a/coordination/placement.c
+++ b/coordination/placement.c
@@ -6,6 +6,8 @@
 
 	if (o->primary)
 		us = us * PLACEMENT_PRIMARY_PERCENT / 100;
+	if (o->far)
+		us += PLACEMENT_ZONE_US;
 	if (!o->idle)
 		us += PLACEMENT_OPEN_US;
 	return us;
--- a/entry/host.c
+++ b/entry/host.c
@@ -97,6 +97,8 @@
 	host->revision = one->revision;
 	if (one->leaving && !host->leaving)
 		event_log("upstream_leaving", "{s:s}", "upstream", host->id);
+	host->far = strcmp(one->availability_zone,
+			   host->entry->config.availability_zone) != 0;
 	host->leaving = one->leaving;
 	host->gone = one->gone || strcmp(host->service->name, one->service);
 	host->connect_after_us = 0;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -49,6 +49,7 @@
 
 /**
  * struct host - one upstream
+ * @far: whether it is in another availability zone
  * @revision: of the sighting that was last followed
  * @links: struct link, open or being opened
  * @latency_us: time of a statement there of late, smoothed
@@ -66,6 +67,7 @@
 	struct service *service;
 	char *id;
 	char *address;
+	bool far;
 	uint64_t revision;
 	bool leaving;
 	bool gone;
--- a/entry/request.c
+++ b/entry/request.c
@@ -290,6 +290,7 @@
 			continue;
 		*o = (struct placement_option){
 			.primary = host == primary,
+			.far = host->far,
 			.usable = host->busy_until_us <= now_us &&
 				  (s->needs_primary || host == primary ||
 				   holds(host, &s->need, now_us)) &&
--- a/include/placement.h
+++ b/include/placement.h
@@ -14,12 +14,15 @@
 
 /** Extra weight of the primary for reads, percent: writes can go nowhere else. */
 #define PLACEMENT_PRIMARY_PERCENT 140
+/** Weight of crossing between zones, microseconds: bytes there cost money. */
+#define PLACEMENT_ZONE_US (4 * 1000ll)
 /** Weight of opening a connection first, microseconds. */
 #define PLACEMENT_OPEN_US (12 * 1000ll)
 
 /**
  * struct placement_option - one upstream
  * @primary: whether it leads the service
+ * @far: whether it is in another availability zone
  * @usable: whether it may be sent this request at all
  * @idle: open connections that are free
  * @busy: connections with a request, or that are being opened for one
@@ -28,6 +31,7 @@
  */
 struct placement_option {
 	bool primary;
+	bool far;
 	bool usable;
 	unsigned idle;
 	unsigned busy;
