Do not ask a replica again at once for what it lacked

A replica that lacked a position is not asked for it again for 40 ms, and such a refusal does not count as an attempt: the time a statement may wait bounds them.

test_all_behind fails without the change.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -59,6 +59,7 @@
  * @connect_after_us: earliest next attempt to connect
  * @busy_until_us: refused work for lack of room
  * @lag_us: how far it was behind the primary, at @lag_at_us
+ * @lacked: position for which it refused a read, at @lacked_at_us
  * @full_at_us: when it last took no more connections
  * @not_primary_until_us: refused work that only the primary does
  */
@@ -82,6 +83,8 @@
 	int64_t busy_until_us;
 	int64_t lag_us;
 	int64_t lag_at_us;
+	struct position lacked;
+	int64_t lacked_at_us;
 	int64_t full_at_us;
 	int64_t not_primary_until_us;
 };
--- a/entry/request.c
+++ b/entry/request.c
@@ -12,6 +12,8 @@
 #define BUSY_PAUSE_US (15 * 1000ll)
 /* A replica's lag is taken for what it was for so long, microseconds. */
 #define LAG_KNOWN_US (200 * 1000ll)
+/* Pause before a replica that lacked a position is asked for it again. */
+#define LACKED_PAUSE_US (40 * 1000ll)
 /* Pause before an upstream that does not lead is asked again. */
 #define NOT_PRIMARY_PAUSE_US (120 * 1000ll)
 /* Part of a statement's time that it may wait for a connection, percent. */
@@ -267,6 +269,9 @@
 static bool holds(const struct host *host, const struct read_need *need,
 		  int64_t now_us)
 {
+	if (now_us - host->lacked_at_us < LACKED_PAUSE_US &&
+	    position_compare(need->position, host->lacked) >= 0)
+		return false;
 	if (now_us - host->lag_at_us > LAG_KNOWN_US)
 		return true;
 	return host->lag_us != READ_LAG_UNKNOWN &&
@@ -421,6 +426,10 @@
 		host->busy_until_us = now_us + BUSY_PAUSE_US;
 		break;
 	case REFUSAL_BEHIND:
+		host->lacked = s->need.position;
+		host->lacked_at_us = now_us;
+		/* The pause bounds these; they say nothing of the statement. */
+		s->attempts--;
 		entry_count(s->entry, ENTRY_COUNT_BEHIND, 1);
 		break;
 	case REFUSAL_NOT_PRIMARY:
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -374,6 +374,40 @@
 }
 END_TEST
 
+/* Guards against a read that goes to and fro between replicas that lack its
+ * position until its attempts are used up, some milliseconds later. */
+START_TEST(test_all_behind)
+{
+	struct session *s;
+	unsigned i;
+
+	start();
+	see("q", false, false, 1);
+	read_samples_add(&service_get(entry, "s")->samples, clock_now_us(),
+			 (struct position){ 1, 9 });
+	((struct host *)g_hash_table_lookup(entry->hosts, "p"))
+		->connect_after_us = INT64_MAX;
+	s = caller("bounded");
+	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	for (i = 0; i < 20 && !answers; i++) {
+		open_all();
+		service_dispatch(s->service);
+		if (nr_done < nr_sent)
+			reply(REFUSAL_BEHIND, SESSION_IDLE, 9, NULL);
+	}
+	ck_assert_uint_eq(answers, 0);
+	ck_assert_uint_eq(nr_sent, 2);
+	/* The primary is back. */
+	((struct host *)g_hash_table_lookup(entry->hosts, "p"))
+		->connect_after_us = 0;
+	service_dispatch(s->service);
+	open_all();
+	expect(LINK_FORWARD, "READ 1");
+	ck_assert_str_eq(sent[nr_done].link->host->id, "p");
+	finish();
+}
+END_TEST
+
 /* Guards against a statement that is sent to the next upstream before that has
  * begun the transaction: the answer of the first upstream, which refused to
  * begin it, counted for the second, and the statement ran outside. */
@@ -715,8 +749,8 @@
 END_TEST
 
 TEST_MAIN("entry", test_primary_read, test_replaced_primary, test_own_commit,
-	  test_other_replica, test_known_lag, test_refused_begin,
-	  test_bounded_needs_sample, test_lost_answers, test_lost_transaction,
-	  test_values_are_cleaned, test_prepared, test_caller_leaves,
-	  test_time_outs, test_leaving, test_route_removed, test_early_caller,
-	  test_drain)
+	  test_other_replica, test_known_lag, test_all_behind,
+	  test_refused_begin, test_bounded_needs_sample, test_lost_answers,
+	  test_lost_transaction, test_values_are_cleaned, test_prepared,
+	  test_caller_leaves, test_time_outs, test_leaving, test_route_removed,
+	  test_early_caller, test_drain)
