--- a/control/internal.h
+++ b/control/internal.h
@@ -8,9 +8,9 @@
 #include <ev.h>
 
 /** Least election timeout, microseconds: some round trips between regions. */
-#define CONTROL_ELECTION_US (400 * 1000ll)
+#define CONTROL_ELECTION_US (300 * 1000ll)
 /** Time between the leader's empty appends, microseconds. */
-#define CONTROL_HEARTBEAT_US (100 * 1000ll)
+#define CONTROL_HEARTBEAT_US (75 * 1000ll)
 /** Time between ticks of the state machine, microseconds. */
 #define CONTROL_TICK_US (25 * 1000ll)
 /** Applied entries between snapshots: a document may be 256 KiB. */
