--- a/control/internal.h
+++ b/control/internal.h
@@ -60,6 +60,8 @@
 /**
  * struct control_watcher - a connection that was accepted
  * @name: entry daemon at the other end, NULL until it says so
+ * @ip: address at which it takes relayed statements
+ * @draining: whether it takes no new work
  * @reports: upstream id to struct control_report
  */
 struct control_watcher {
@@ -67,12 +69,28 @@
 	struct channel channel;
 	char *name;
 	char *availability_zone;
+	uint32_t ip;
+	bool draining;
 	int64_t heard_us;
 	uint64_t config_version;
 	uint64_t sent_revision;
+	uint64_t sent_roster;
 	GHashTable *reports;
 };
 
+/**
+ * struct control_daemon_entry - an entry daemon that is or was heard
+ * @revision: value of the node's roster_revision at its last change
+ */
+struct control_daemon_entry {
+	char *name;
+	char *availability_zone;
+	uint32_t ip;
+	bool gone;
+	int64_t changed_us;
+	uint64_t revision;
+};
+
 struct control_report {
 	int64_t failing_us;
 	struct position position;
@@ -104,6 +122,7 @@
  * @lead_term: term in which this VM leads, 0 otherwise
  * @settled: whether an entry of @lead_term was applied
  * @packed: deflated document of @packed_version
+ * @roster: name to struct control_daemon_entry
  * @orders: service to struct control_order
  * @views_due: whether watchers are to be told
  */
@@ -130,6 +149,8 @@
 	struct sightings sightings;
 	GPtrArray *peers;
 	GPtrArray *watchers;
+	GHashTable *roster;
+	uint64_t roster_revision;
 	GPtrArray *puts;
 	GHashTable *orders;
 	uint64_t saved_revision;
@@ -192,6 +213,16 @@
 void control_memory_save(struct control_node *node, int64_t now_us);
 void control_memory_load(struct control_node *node);
 
+/* roster.c */
+GHashTable *control_roster_new(void);
+/** control_roster_note() - a daemon reported */
+void control_roster_note(struct control_node *node,
+			 const struct control_watcher *watcher, int64_t now_us);
+/** control_roster_update() - find the daemons that are gone */
+void control_roster_update(struct control_node *node, int64_t now_us);
+void control_roster_fill(const struct control_node *node, uint64_t since,
+			 Wire__View *view);
+
 /* configs.c */
 void control_puts_settle(struct control_node *node, int64_t now_us);
 
--- a/control/node.c
+++ b/control/node.c
@@ -148,6 +148,7 @@
 	node->peers = g_ptr_array_new();
 	node->watchers = g_ptr_array_new();
 	node->puts = g_ptr_array_new();
+	node->roster = control_roster_new();
 	node->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     control_order_free);
 	sightings_init(&node->sightings);
@@ -184,6 +185,7 @@
 	control_watchers_free(node);
 	g_ptr_array_free(node->puts, TRUE);
 	g_hash_table_destroy(node->orders);
+	g_hash_table_destroy(node->roster);
 	sightings_finish(&node->sightings);
 	config_register_finish(&node->reg);
 	counter_set_finish(&node->counters);
--- /dev/null
+++ b/control/roster.c
@@ -0,0 +1,120 @@
+#include "internal.h"
+
+#include "event_log.h"
+
+#include <jansson.h>
+
+/* A daemon that is gone is told of for so long, microseconds. */
+#define KEEP_US (60 * 1000000ll)
+
+static void entry_free(void *data)
+{
+	struct control_daemon_entry *one = data;
+
+	g_free(one->name);
+	g_free(one->availability_zone);
+	g_free(one);
+}
+
+GHashTable *control_roster_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_free);
+}
+
+static void changed(struct control_node *node, struct control_daemon_entry *one,
+		    bool gone, int64_t now_us)
+{
+	one->gone = gone;
+	one->changed_us = now_us;
+	/* Not urgent: it goes out with the next answer to each daemon. */
+	one->revision = ++node->roster_revision;
+	event_log("daemon_changed", "{s:s, s:b}", "daemon", one->name, "gone",
+		  (int)gone);
+}
+
+static void note(struct control_node *node,
+		 const struct control_watcher *watcher, int64_t now_us)
+{
+	struct control_daemon_entry *one =
+		g_hash_table_lookup(node->roster, watcher->name);
+
+	if (one && !one->gone && one->ip == watcher->ip)
+		return;
+	if (!one) {
+		one = g_new0(struct control_daemon_entry, 1);
+		one->name = g_strdup(watcher->name);
+		g_hash_table_insert(node->roster, one->name, one);
+	}
+	g_free(one->availability_zone);
+	one->availability_zone = g_strdup(watcher->availability_zone);
+	one->ip = watcher->ip;
+	changed(node, one, false, now_us);
+}
+
+void control_roster_note(struct control_node *node,
+			 const struct control_watcher *watcher, int64_t now_us)
+{
+	struct control_daemon_entry *one =
+		g_hash_table_lookup(node->roster, watcher->name);
+
+	if (!watcher->draining)
+		note(node, watcher, now_us);
+	else if (one && !one->gone)
+		changed(node, one, true, now_us);
+}
+
+/* Names of the daemons that are heard and take work. */
+static GHashTable *present(const struct control_node *node, int64_t now_us)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	guint i;
+
+	for (i = 0; i < node->watchers->len; i++) {
+		const struct control_watcher *w = node->watchers->pdata[i];
+
+		if (w->name && !w->draining &&
+		    now_us - w->heard_us < CONTROL_WATCHER_US)
+			g_hash_table_add(names, w->name);
+	}
+	return names;
+}
+
+void control_roster_update(struct control_node *node, int64_t now_us)
+{
+	GHashTable *names = present(node, now_us);
+	struct control_daemon_entry *one;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, node->roster);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
+		if (one->gone && now_us - one->changed_us > KEEP_US)
+			g_hash_table_iter_remove(&it);
+		else if (!one->gone && !g_hash_table_contains(names, one->name))
+			changed(node, one, true, now_us);
+	}
+	g_hash_table_destroy(names);
+}
+
+void control_roster_fill(const struct control_node *node, uint64_t since,
+			 Wire__View *view)
+{
+	struct control_daemon_entry *one;
+	GHashTableIter it;
+
+	view->roster =
+		g_new(Wire__RosterEntry *, g_hash_table_size(node->roster) + 1);
+	g_hash_table_iter_init(&it, node->roster);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
+		Wire__RosterEntry *out;
+
+		if (one->revision <= since)
+			continue;
+		out = g_new(Wire__RosterEntry, 1);
+		wire__roster_entry__init(out);
+		out->daemon = one->name;
+		out->availability_zone = one->availability_zone;
+		out->ip = one->ip;
+		out->gone = one->gone;
+		view->roster[view->n_roster++] = out;
+	}
+}
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -114,8 +114,11 @@
 		g_free(view->sightings[i]);
 	for (i = 0; i < view->n_primaries; i++)
 		g_free(view->primaries[i]);
+	for (i = 0; i < view->n_roster; i++)
+		g_free(view->roster[i]);
 	g_free(view->sightings);
 	g_free(view->primaries);
+	g_free(view->roster);
 }
 
 static void send_view(struct control_watcher *watcher, bool asked)
@@ -127,7 +130,6 @@
 	size_t i;
 
 	view.fresh = control_fresh(node);
-	view.daemons = count_daemons(node);
 	view.control = control;
 	control[view.n_control++] = node->id;
 	if (node->raft) {
@@ -139,6 +141,8 @@
 	}
 	add_config(watcher, &view, asked);
 	control_view_fill(node, watcher->sent_revision, &view);
+	control_roster_fill(node, watcher->sent_roster, &view);
+	watcher->sent_roster = node->roster_revision;
 	watcher->sent_revision = node->sightings.revision;
 	envelope.body_case = WIRE__ENVELOPE__BODY_VIEW;
 	envelope.view = &view;
@@ -172,12 +176,17 @@
 static void take_watch(struct control_watcher *watcher,
 		       const Wire__Watch *watch)
 {
+	struct control_node *node = watcher->node;
+
 	if (!watcher->name) {
 		watcher->name = g_strdup(watch->daemon);
 		watcher->availability_zone = g_strdup(watch->availability_zone);
 		event_log("watcher_joined", "{s:s}", "daemon", watcher->name);
 	}
 	watcher->heard_us = clock_now_us();
+	watcher->ip = watch->ip;
+	watcher->draining = watch->draining;
+	control_roster_note(node, watcher, watcher->heard_us);
 	/* A newer one may be held already, from another control VM. */
 	watcher->config_version =
 		MAX(watcher->config_version, watch->config_version);
@@ -239,8 +248,8 @@
 		}
 		g_ptr_array_remove_index_fast(node->watchers, i);
 		watcher_free(watcher);
-		node->views_due = node->views_due || is_daemon;
 	}
+	control_roster_update(node, now_us);
 	counter_assign(&node->counters, node->counter[CONTROL_COUNT_WATCHERS],
 		       count_daemons(node));
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -29,6 +29,9 @@
 	{ "entry_links_broken_total", "Connections that broke" },
 	{ "entry_samples_total", "Positions asked of primaries" },
 	{ "entry_views_total", "Views received from control VMs" },
+	{ "entry_relayed_total", "Statements sent to a home daemon" },
+	{ "entry_relays_lost_total", "Sessions whose home daemon was lost" },
+	{ "entry_guests_total", "Statements taken for other daemons" },
 	{ "entry_waiting", "Statements that wait for a connection", true },
 	{ "entry_open_sessions", "Callers connected", true },
 	{ "entry_config_version", "Version in force", true },
@@ -45,6 +48,8 @@
 	struct entry *entry = data;
 
 	watch_connect(entry, now_us);
+	homes_tick(entry, now_us);
+	guests_tick(entry);
 	hosts_tick(entry, now_us);
 	sessions_tick(entry, now_us);
 	sightings_expire(&entry->sightings, now_us);
@@ -55,7 +60,7 @@
 }
 
 struct entry *entry_new(struct ev_loop *loop, struct timer_service *timers,
-			const struct entry_config *config)
+			const struct entry_config *config, GError **error)
 {
 	struct entry *entry = g_new0(struct entry, 1);
 	int64_t now_us = clock_now_us();
@@ -64,7 +69,6 @@
 	entry->loop = loop;
 	entry->timers = timers;
 	entry->config = *config;
-	entry->daemons = 1;
 	entry->report_timer = TIMER_NONE;
 	entry->random = g_random_int();
 	entry->control = g_ptr_array_new();
@@ -81,7 +85,14 @@
 					     counter_register)(
 			&entry->counters, counter_names[i].name,
 			counter_names[i].help);
+	homes_init(entry);
+	g_queue_init(&entry->guest_links);
 	entry_seeds(entry, config->seeds);
+	if (!guests_listen(entry, error)) {
+		entry->tick_timer = entry->watch_timer = TIMER_NONE;
+		entry_free(entry);
+		return NULL;
+	}
 	entry->tick_timer =
 		timer_subscribe(timers, now_us, ENTRY_TICK_US, on_tick, entry);
 	entry->watch_timer = timer_subscribe(timers, now_us, ENTRY_WATCH_US,
@@ -94,7 +105,9 @@
 	timer_cancel(entry->timers, &entry->tick_timer);
 	timer_cancel(entry->timers, &entry->watch_timer);
 	timer_cancel(entry->timers, &entry->report_timer);
+	guests_close(entry);
 	watch_stop(entry);
+	homes_finish(entry);
 	g_hash_table_destroy(entry->hosts);
 	g_hash_table_destroy(entry->services);
 	sightings_finish(&entry->sightings);
@@ -114,6 +127,7 @@
 	if (entry->drain_us)
 		return;
 	entry->drain_us = clock_now_us();
+	watch_soon(entry, entry->drain_us);
 	event_log_always("draining", "");
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -140,7 +140,8 @@
 
 /**
  * struct entry_config - start-up values
- * @control_port: port on which control VMs listen for watchers
+ * @ip: own IPv4 address, host order, for statements that others relay
+ * @port: port on which daemons listen for each other, the same everywhere
  * @seeds: uint32_t IPv4 addresses of control VMs
  * @grace_us: time between the order to stop and the kill
  * @decode: read a configuration document; NULL if it cannot be read
@@ -148,7 +149,8 @@
 struct entry_config {
 	const char *name;
 	const char *availability_zone;
-	uint16_t control_port;
+	uint32_t ip;
+	uint16_t port;
 	GArray *seeds;
 	int64_t grace_us;
 	const struct upstream_ops *upstream_ops;
@@ -159,8 +161,9 @@
 struct entry;
 struct session;
 
+/** entry_new() - Return: NULL if the port for other daemons is taken */
 struct entry *entry_new(struct ev_loop *loop, struct timer_service *timers,
-			const struct entry_config *config);
+			const struct entry_config *config, GError **error);
 void entry_free(struct entry *entry);
 
 /** entry_ready() - whether new callers should come here */
--- /dev/null
+++ b/entry/guest.c
@@ -0,0 +1,333 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+#include "net.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <unistd.h>
+
+/**
+ * struct guest - a session of another daemon's caller
+ * @number: its number there
+ * @route: what the other daemon's routes say of it
+ */
+struct guest {
+	struct guest_link *link;
+	uint64_t number;
+	struct session *session;
+	struct entry_route route;
+};
+
+static void send_answer(struct guest_link *link, Wire__RelayAnswer *answer)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+	if (link->closed)
+		return;
+	envelope.body_case = WIRE__ENVELOPE__BODY_RELAY_ANSWER;
+	envelope.relay_answer = answer;
+	channel_send(&link->channel, &envelope);
+}
+
+static void guest_free(void *data)
+{
+	struct guest *guest = data;
+
+	session_closed(guest->session);
+	g_free(guest->route.service);
+	g_free(guest);
+}
+
+static void on_answer(void *wire, const struct statement_answer *in)
+{
+	static const enum transaction states[] = {
+		[SESSION_IDLE] = TX_NONE,
+		[SESSION_IN_TRANSACTION] = TX_OPEN,
+		[SESSION_FAILED_TRANSACTION] = TX_FAILED,
+	};
+	struct guest *guest = wire;
+	Wire__RelayAnswer out = WIRE__RELAY_ANSWER__INIT;
+	Wire__Position position = WIRE__POSITION__INIT;
+
+	out.session = guest->number;
+	out.refusal = in->refusal;
+	out.detail = (char *)(in->detail ? in->detail : "");
+	out.result.data = (uint8_t *)in->result;
+	out.result.len = in->result ? in->len : 0;
+	out.transaction = states[in->state];
+	position.term = in->position.term;
+	position.lsn = in->position.lsn;
+	out.position = &position;
+	send_answer(guest->link, &out);
+	/* Its daemon keeps the session; the next statement may go elsewhere. */
+	if (out.transaction != TX_OPEN)
+		g_hash_table_remove(guest->link->guests, &guest->number);
+}
+
+/* Guests start and end with what their daemon sends. */
+static void on_started(void *wire)
+{
+}
+
+static void on_refused(void *wire, enum refusal refusal, const char *detail)
+{
+}
+
+static void on_close(void *wire)
+{
+}
+
+static const struct caller_ops guest_ops = {
+	.started = on_started,
+	.refused = on_refused,
+	.answer = on_answer,
+	.close = on_close,
+};
+
+static struct guest *guest_new(struct guest_link *link, uint64_t number)
+{
+	struct guest *guest = g_new0(struct guest, 1);
+
+	guest->link = link;
+	guest->number = number;
+	guest->session = entry_session_new(link->entry, &guest_ops, guest);
+	guest->session->guest = true;
+	guest->session->database = g_strdup("");
+	g_hash_table_insert(link->guests, &guest->number, guest);
+	entry_count(link->entry, ENTRY_COUNT_GUESTS, 1);
+	return guest;
+}
+
+static void take_route(struct guest *guest, const Wire__RelayRequest *in)
+{
+	struct session *s = guest->session;
+
+	g_free(guest->route.service);
+	guest->route = (struct entry_route){
+		.service = g_strdup(in->service),
+		.rule = MIN(in->rule, READ_BOUNDED),
+		.statement_us = (int64_t)in->statement_us,
+		.staleness_us = (int64_t)in->staleness_us,
+		.priority = in->priority,
+	};
+	entry_table_unref(s->table);
+	s->table = entry_table_ref(s->entry->table);
+	s->route = &guest->route;
+	s->service = service_get(s->entry, in->service);
+}
+
+static void take_session(struct guest *guest, const Wire__RelayRequest *in,
+			 int64_t now_us)
+{
+	struct session *s = guest->session;
+	size_t i;
+
+	g_hash_table_remove_all(s->values);
+	for (i = 0; i < in->n_values; i++)
+		g_hash_table_replace(s->values, g_strdup(in->values[i]->name),
+				     g_strdup(in->values[i]->value));
+	if (in->own)
+		s->own = (struct read_need){ { in->own->term, in->own->lsn },
+					     now_us - (int64_t)in->own_age_us };
+	if (s->tx == TX_NONE && in->transaction == TX_OPEN) {
+		s->tx = TX_OPEN;
+		s->tx_plain = in->plain;
+		s->tx_ran = false;
+		s->tx_wrote = false;
+		s->tx_arrived_us = now_us - (int64_t)in->transaction_age_us;
+	}
+}
+
+static void take_statement(struct session *s, const Wire__RelayRequest *in)
+{
+	struct statement *st = &s->statement;
+	GString *buffer = g_string_new(NULL);
+	size_t text_at, name_at, value_at;
+
+	g_string_append_len(buffer, in->id, strlen(in->id) + 1);
+	text_at = buffer->len;
+	g_string_append_len(buffer, in->text, strlen(in->text) + 1);
+	name_at = buffer->len;
+	g_string_append_len(buffer, in->name, strlen(in->name) + 1);
+	value_at = buffer->len;
+	g_string_append_len(buffer, in->arguments, strlen(in->arguments) + 1);
+	statement_clear(st);
+	st->verb = in->verb;
+	st->buffer = g_string_free(buffer, FALSE);
+	st->id = st->buffer;
+	st->text = st->buffer + text_at;
+	st->name = st->buffer + name_at;
+	st->value = st->buffer + value_at;
+	if (st->verb == STATEMENT_EXECUTE)
+		session_prepare(s, in->name, in->name, in->shape, in->writes);
+}
+
+static void turn_away(struct guest_link *link, uint64_t number)
+{
+	Wire__RelayAnswer out = WIRE__RELAY_ANSWER__INIT;
+
+	out.session = number;
+	out.refusal = REFUSAL_BUSY;
+	out.elsewhere = true;
+	send_answer(link, &out);
+}
+
+static void give_up(struct guest_link *link, const Wire__RelayRequest *in)
+{
+	Wire__RelayAnswer out = WIRE__RELAY_ANSWER__INIT;
+
+	out.session = in->session;
+	out.refusal = REFUSAL_ABORTED;
+	out.detail = "the transaction was given up";
+	out.transaction = in->verb == STATEMENT_COMMIT ? TX_NONE : TX_FAILED;
+	g_hash_table_remove(link->guests, &in->session);
+	send_answer(link, &out);
+}
+
+static bool is_data_verb(uint32_t verb)
+{
+	return verb == STATEMENT_READ || verb == STATEMENT_WRITE ||
+	       verb == STATEMENT_EXECUTE || verb == STATEMENT_COMMIT;
+}
+
+static void take_request(struct guest_link *link, const Wire__RelayRequest *in)
+{
+	struct entry *entry = link->entry;
+	struct guest *guest = g_hash_table_lookup(link->guests, &in->session);
+	int64_t now_us = clock_now_us();
+	struct session *s;
+
+	if (!is_data_verb(in->verb)) {
+		link->channel.malformed++;
+		return;
+	}
+	/* An open transaction ends here even if the daemon stops. */
+	if (!entry->table ||
+	    ((!guest || guest->session->tx != TX_OPEN) && entry->drain_us)) {
+		turn_away(link, in->session);
+		return;
+	}
+	/* A transaction that was given up here meanwhile. */
+	if ((in->begun && !guest) ||
+	    (guest && (guest->session->phase != REQUEST_NONE ||
+		       guest->session->tx == TX_FAILED))) {
+		give_up(link, in);
+		return;
+	}
+	if (!guest)
+		guest = guest_new(link, in->session);
+	s = guest->session;
+	if (s->tx == TX_NONE)
+		take_route(guest, in);
+	take_session(guest, in, now_us);
+	take_statement(s, in);
+	s->active_us = now_us;
+	s->arrived_us = now_us - (int64_t)in->arrived_age_us;
+	request_start(s);
+}
+
+static void take_end(struct guest_link *link, const Wire__RelayEnd *in)
+{
+	struct guest *guest = g_hash_table_lookup(link->guests, &in->session);
+
+	if (guest)
+		g_hash_table_remove(link->guests, &in->session);
+}
+
+static void on_message(struct channel *ch, const Wire__Envelope *envelope)
+{
+	struct guest_link *link = ch->data;
+
+	switch (envelope->body_case) {
+	case WIRE__ENVELOPE__BODY_RELAY_REQUEST:
+		take_request(link, envelope->relay_request);
+		return;
+	case WIRE__ENVELOPE__BODY_RELAY_END:
+		take_end(link, envelope->relay_end);
+		return;
+	default:
+		ch->malformed++;
+		return;
+	}
+}
+
+static void on_closed(struct channel *ch)
+{
+	struct guest_link *link = ch->data;
+
+	/* Freed by the next tick: the channel may still be in use. */
+	link->closed = true;
+	g_hash_table_remove_all(link->guests);
+}
+
+static const struct channel_events guest_events = {
+	.message = on_message,
+	.closed = on_closed,
+};
+
+static void link_destroy(struct guest_link *link)
+{
+	link->closed = true;
+	g_hash_table_destroy(link->guests);
+	channel_close(&link->channel);
+	g_queue_unlink(&link->entry->guest_links, &link->member);
+	g_free(link);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct entry *entry = w->data;
+	int fd;
+
+	while ((fd = net_accept(w->fd)) >= 0) {
+		struct guest_link *link = g_new0(struct guest_link, 1);
+
+		link->entry = entry;
+		link->member.data = link;
+		link->guests = g_hash_table_new_full(
+			g_int64_hash, g_int64_equal, NULL, guest_free);
+		g_queue_push_tail_link(&entry->guest_links, &link->member);
+		channel_accept(&link->channel, loop, fd, &guest_events, link);
+	}
+}
+
+bool guests_listen(struct entry *entry, GError **error)
+{
+	g_autofree char *address = g_strdup_printf(
+		"%u.%u.%u.%u:%u", entry->config.ip >> 24,
+		entry->config.ip >> 16 & 255, entry->config.ip >> 8 & 255,
+		entry->config.ip & 255, entry->config.port);
+	int fd = net_listen(address, error);
+
+	if (fd < 0)
+		return false;
+	ev_io_init(&entry->listener, on_accept, fd, EV_READ);
+	entry->listener.data = entry;
+	ev_io_start(entry->loop, &entry->listener);
+	return true;
+}
+
+void guests_tick(struct entry *entry)
+{
+	GList *at, *next;
+
+	for (at = entry->guest_links.head; at; at = next) {
+		struct guest_link *link = at->data;
+
+		next = at->next;
+		if (link->closed)
+			link_destroy(link);
+	}
+}
+
+void guests_close(struct entry *entry)
+{
+	while (entry->guest_links.head)
+		link_destroy(entry->guest_links.head->data);
+	if (!entry->listener.data)
+		return;
+	ev_io_stop(entry->loop, &entry->listener);
+	close(entry->listener.fd);
+}
--- /dev/null
+++ b/entry/home.c
@@ -0,0 +1,281 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Time between attempts to reach a home daemon, microseconds. */
+#define RETRY_US (150 * 1000ll)
+/* Time for one attempt, microseconds. */
+#define CONNECT_US (300 * 1000ll)
+/* A home that turned a statement away is not asked again for so long. */
+#define TURNED_AWAY_US (1000 * 1000ll)
+/* Connections to one upstream that a daemon may hold at the most. */
+#define SHARE_MAX 4
+
+/* The control VM whose roster counts: the leader, else any that is fresh. */
+static const struct control_link *roster_source(const struct entry *entry)
+{
+	const struct control_link *found = NULL;
+	guint i;
+
+	for (i = 0; i < entry->control->len; i++) {
+		const struct control_link *link = entry->control->pdata[i];
+
+		if (!link->fresh || !g_hash_table_size(link->roster))
+			continue;
+		if (link->ip == entry->leader_ip)
+			return link;
+		found = found ? found : link;
+	}
+	return found;
+}
+
+static void roster_entry_free(void *data)
+{
+	struct roster_entry *one = data;
+
+	g_free(one->name);
+	g_free(one->availability_zone);
+	g_free(one);
+}
+
+/* A copy: control VMs come and go while statements use the plan. */
+static void copy_roster(struct entry *entry, const struct control_link *from)
+{
+	struct roster_entry *one;
+	GHashTableIter it;
+
+	g_ptr_array_set_size(entry->plan_daemons, 0);
+	g_hash_table_iter_init(&it, from->roster);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
+		struct roster_entry *copy = g_new0(struct roster_entry, 1);
+
+		copy->name = g_strdup(one->name);
+		copy->availability_zone = g_strdup(one->availability_zone);
+		copy->ip = one->ip;
+		g_ptr_array_add(entry->plan_daemons, copy);
+	}
+}
+
+static void plan(struct entry *entry)
+{
+	const struct control_link *source = roster_source(entry);
+	struct entry_pool *pool;
+	struct home_daemon *daemons;
+	struct home_service *services;
+	GHashTableIter it;
+	unsigned nr = 0;
+	guint i;
+
+	if (!source || !entry->table)
+		return;
+	entry->plan_due = false;
+	copy_roster(entry, source);
+	daemons = g_new(struct home_daemon, entry->plan_daemons->len + 1);
+	services = g_new(struct home_service,
+			 g_hash_table_size(entry->table->pools) + 1);
+	for (i = 0; i < entry->plan_daemons->len; i++) {
+		const struct roster_entry *one = entry->plan_daemons->pdata[i];
+
+		daemons[i] = (struct home_daemon){ one->name,
+						   one->availability_zone,
+						   one->ip };
+	}
+	g_hash_table_iter_init(&it, entry->table->pools);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&pool))
+		services[nr++] = (struct home_service){ pool->service,
+							pool->max_connections };
+	g_hash_table_destroy(entry->plan);
+	entry->plan =
+		home_plan(daemons, entry->plan_daemons->len, services, nr);
+	g_free(daemons);
+	g_free(services);
+}
+
+static const struct roster_entry *daemon_at(const struct entry *entry,
+					    const struct home_set *set, guint i)
+{
+	return entry->plan_daemons
+		->pdata[g_array_index(set->daemons, unsigned, i)];
+}
+
+bool home_is_local(struct entry *entry, const char *service)
+{
+	const struct home_set *set = g_hash_table_lookup(entry->plan, service);
+	guint i;
+
+	if (!set || set->everyone || !set->daemons->len)
+		return true;
+	for (i = 0; i < set->daemons->len; i++)
+		if (daemon_at(entry, set, i)->ip == entry->config.ip)
+			return true;
+	return false;
+}
+
+unsigned home_share(struct entry *entry, const struct entry_pool *pool)
+{
+	const struct home_set *set =
+		g_hash_table_lookup(entry->plan, pool->service);
+	unsigned homes = MAX(entry->plan_daemons->len, 1);
+
+	if (set && !set->everyone)
+		homes = MAX(set->daemons->len, 1);
+	return CLAMP(pool->max_connections / homes, 1, SHARE_MAX);
+}
+
+static void on_message(struct channel *ch, const Wire__Envelope *envelope)
+{
+	struct home_link *home = ch->data;
+
+	if (envelope->body_case == WIRE__ENVELOPE__BODY_RELAY_ANSWER)
+		relay_answered(home, envelope->relay_answer);
+	else
+		ch->malformed++;
+}
+
+static void on_closed(struct channel *ch)
+{
+	struct home_link *home = ch->data;
+
+	home->connect_us = clock_now_us() + RETRY_US;
+	relay_home_lost(home);
+}
+
+static const struct channel_events home_events = {
+	.message = on_message,
+	.closed = on_closed,
+};
+
+static void connect_home(struct home_link *home, int64_t now_us)
+{
+	struct stream *stream = &home->channel.stream;
+	char host[16];
+
+	if (stream_is_open(stream) && stream->connecting &&
+	    now_us >= home->connect_us + CONNECT_US - RETRY_US)
+		channel_close(&home->channel);
+	if (stream_is_open(stream) || now_us < home->connect_us)
+		return;
+	home->connect_us = now_us + RETRY_US;
+	g_snprintf(host, sizeof(host), "%u.%u.%u.%u", home->ip >> 24,
+		   home->ip >> 16 & 255, home->ip >> 8 & 255, home->ip & 255);
+	if (!channel_connect(&home->channel, home->entry->loop, host,
+			     home->entry->config.port, &home_events, home))
+		event_log("home_unreachable", "{s:s}", "address", host);
+}
+
+static struct home_link *home_link(struct entry *entry, uint32_t ip)
+{
+	struct home_link *home =
+		g_hash_table_lookup(entry->homes, GUINT_TO_POINTER(ip));
+
+	if (home)
+		return home;
+	home = g_new0(struct home_link, 1);
+	home->entry = entry;
+	home->ip = ip;
+	home->channel.stream.fd = -1;
+	home->turned_away_us = INT64_MIN / 2;
+	home->sessions = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g_hash_table_insert(entry->homes, GUINT_TO_POINTER(ip), home);
+	connect_home(home, clock_now_us());
+	return home;
+}
+
+static void home_link_free(void *data)
+{
+	struct home_link *home = data;
+
+	channel_close(&home->channel);
+	g_hash_table_destroy(home->sessions);
+	g_free(home);
+}
+
+/* The home with the fewest sessions of this daemon, of one zone or any. */
+static struct home_link *least_used(struct entry *entry,
+				    const struct home_set *set, bool near,
+				    const struct home_link *avoid,
+				    int64_t now_us)
+{
+	struct home_link *best = NULL;
+	guint offset = entry_random(entry);
+	guint i;
+
+	for (i = 0; i < set->daemons->len; i++) {
+		const struct roster_entry *one =
+			daemon_at(entry, set, (i + offset) % set->daemons->len);
+		bool is_near = !strcmp(one->availability_zone,
+				       entry->config.availability_zone);
+		struct home_link *home;
+
+		if (is_near != near)
+			continue;
+		home = home_link(entry, one->ip);
+		if (home == avoid || !channel_is_open(&home->channel) ||
+		    now_us - home->turned_away_us < TURNED_AWAY_US)
+			continue;
+		if (!best || g_hash_table_size(home->sessions) <
+				     g_hash_table_size(best->sessions))
+			best = home;
+	}
+	return best;
+}
+
+struct home_link *home_choose(struct entry *entry, const char *service,
+			      const struct home_link *avoid)
+{
+	const struct home_set *set = g_hash_table_lookup(entry->plan, service);
+	int64_t now_us = clock_now_us();
+	struct home_link *home;
+
+	if (!set || !set->daemons->len)
+		return NULL;
+	home = least_used(entry, set, true, avoid, now_us);
+	return home ? home : least_used(entry, set, false, avoid, now_us);
+}
+
+/* Connections to the homes of the own zone are kept open for the next call. */
+static void connect_near(struct entry *entry, int64_t now_us)
+{
+	struct home_set *set;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, entry->plan);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&set)) {
+		guint i;
+
+		for (i = 0; !set->everyone && i < set->daemons->len; i++) {
+			const struct roster_entry *one =
+				daemon_at(entry, set, i);
+
+			if (one->ip != entry->config.ip &&
+			    !strcmp(one->availability_zone,
+				    entry->config.availability_zone))
+				connect_home(home_link(entry, one->ip), now_us);
+		}
+	}
+}
+
+void homes_tick(struct entry *entry, int64_t now_us)
+{
+	if (entry->plan_due)
+		plan(entry);
+	connect_near(entry, now_us);
+}
+
+void homes_init(struct entry *entry)
+{
+	entry->plan = home_plan(NULL, 0, NULL, 0);
+	entry->plan_daemons = g_ptr_array_new_with_free_func(roster_entry_free);
+	entry->homes = g_hash_table_new_full(NULL, NULL, NULL, home_link_free);
+}
+
+void homes_finish(struct entry *entry)
+{
+	g_hash_table_destroy(entry->homes);
+	g_hash_table_destroy(entry->plan);
+	g_ptr_array_free(entry->plan_daemons, TRUE);
+}
--- a/entry/host.c
+++ b/entry/host.c
@@ -17,7 +17,7 @@
 /* A report arrives after the time from which it counts. */
 #define REPORT_SLACK_US (5 * 1000ll)
 /*
- * All connections but one are closed after resting so long: the upstream keeps
+ * All connections but one of a home are closed after resting so long: the upstream keeps
  * those of a VM that lost its power for seconds, and what it can take then is
  * what was not used.
  */
@@ -146,9 +146,7 @@
 						   host->service->name) :
 			       NULL;
 
-	if (!pool)
-		return 1;
-	return MAX(pool->max_connections / MAX(entry->daemons, 1), 1);
+	return pool ? home_share(host->entry, pool) : 1;
 }
 
 unsigned host_room(const struct host *host, int64_t now_us)
@@ -286,6 +284,7 @@
 
 static void check_host(struct host *host, int64_t now_us)
 {
+	guint keep = home_is_local(host->entry, host->service->name) ? 1 : 0;
 	guint i;
 
 	for (i = host->links->len; i-- > 0;) {
@@ -297,7 +296,7 @@
 		if (!link_is_idle(link))
 			check_link(link, now_us);
 		else if (host->gone || host->leaving ||
-			 (host->links->len > 1 &&
+			 (host->links->len > keep &&
 			  now_us - link->since_us > SPARE_IDLE_US))
 			link_close(link);
 	}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -4,6 +4,7 @@
 #include "channel.h"
 #include "counters.h"
 #include "entry.h"
+#include "home_policy.h"
 #include "histogram.h"
 #include "read_bound.h"
 
@@ -41,6 +42,9 @@
 	ENTRY_COUNT_LINKS_BROKEN,
 	ENTRY_COUNT_SAMPLES,
 	ENTRY_COUNT_VIEWS,
+	ENTRY_COUNT_RELAYED,
+	ENTRY_COUNT_RELAYS_LOST,
+	ENTRY_COUNT_GUESTS,
 	ENTRY_COUNT_WAITING,
 	ENTRY_COUNT_OPEN_SESSIONS,
 	ENTRY_COUNT_CONFIG_VERSION,
@@ -153,6 +157,8 @@
 	REQUEST_WAITING,
 	REQUEST_SETUP,
 	REQUEST_RUNNING,
+	/** at a home daemon */
+	REQUEST_RELAYED,
 	/** in a transaction, to be sent again on the same link */
 	REQUEST_PAUSED,
 };
@@ -161,6 +167,9 @@
  * struct session - one caller
  * @values: name to value, as acknowledged
  * @prepared: name to struct prepared
+ * @number: names the session at home daemons
+ * @home: home daemon that has its transaction or statement, NULL if none
+ * @guest: whether it belongs to a caller of another daemon
  * @own: newest position that it committed, term 0 for none
  * @table: held while a transaction or request uses @route
  * @tx_arrived_us: when the transaction began
@@ -168,6 +177,7 @@
  * @tx_ran: whether a statement of the transaction was answered
  * @tx_wrote: whether a statement of the transaction wrote
  * @arrived_us: when the outstanding statement came
+ * @classified: whether the three below are set
  * @needs_primary: whether only the primary can run it
  * @proof: whether a single read is wrapped in a transaction that only the
  *         primary grants
@@ -179,6 +189,9 @@
 	const struct caller_ops *ops;
 	void *wire;
 	GList member;
+	uint64_t number;
+	struct home_link *home;
+	bool guest;
 	char *database;
 	GHashTable *values;
 	GHashTable *prepared;
@@ -203,6 +216,7 @@
 	int timer;
 	struct link *link;
 	GList waiting;
+	bool classified;
 	bool needs_primary;
 	bool proof;
 	struct read_need need;
@@ -218,6 +232,39 @@
 	char *alias;
 };
 
+/**
+ * struct home_link - the connection to another entry daemon
+ * @sessions: number to struct session that has a statement or transaction
+ *            there
+ * @turned_away_us: when it last said that it takes no new work
+ */
+struct home_link {
+	struct entry *entry;
+	uint32_t ip;
+	struct channel channel;
+	int64_t connect_us;
+	int64_t turned_away_us;
+	GHashTable *sessions;
+};
+
+/**
+ * struct guest_link - a connection on which another daemon relays statements
+ * @guests: number to struct guest
+ */
+struct guest_link {
+	struct entry *entry;
+	struct channel channel;
+	GHashTable *guests;
+	GList member;
+	bool closed;
+};
+
+struct roster_entry {
+	char *name;
+	char *availability_zone;
+	uint32_t ip;
+};
+
 /** struct control_link - the connection to one control VM */
 struct control_link {
 	struct entry *entry;
@@ -226,8 +273,16 @@
 	int64_t connect_us;
 	int64_t named_us;
 	bool fresh;
+	GHashTable *roster;
 };
 
+/**
+ * struct entry - an entry daemon
+ * @plan: service to struct home_set, by @plan_daemons
+ * @plan_daemons: struct roster_entry, owned by a control link
+ * @plan_due: whether the roster or the pools changed since
+ * @homes: address to struct home_link
+ */
 struct entry {
 	struct ev_loop *loop;
 	struct timer_service *timers;
@@ -235,10 +290,17 @@
 	struct entry_table *table;
 	struct sightings sightings;
 	GPtrArray *control;
+	uint32_t leader_ip;
+	GHashTable *plan;
+	GPtrArray *plan_daemons;
+	bool plan_due;
+	GHashTable *homes;
+	GQueue guest_links;
+	ev_io listener;
 	GHashTable *services;
 	GHashTable *hosts;
 	GQueue sessions;
-	unsigned daemons;
+	uint64_t next_number;
 	bool fresh;
 	bool was_ready;
 	int64_t drain_us;
@@ -296,6 +358,13 @@
 
 /* request.c */
 void request_start(struct session *s);
+/** request_conclude() - answer the statement, wherever it ran */
+void request_conclude(struct session *s, const struct statement_answer *answer);
+/** request_again() - another attempt after one that kept nothing */
+void request_again(struct session *s, enum refusal refusal);
+/** request_abort() - the transaction is rolled back */
+void request_abort(struct session *s, const char *detail);
+bool request_is_write(const struct session *s);
 void request_cancel(struct session *s);
 void request_step(struct session *s, enum link_step step,
 		  const struct statement_answer *answer);
@@ -304,10 +373,38 @@
 void service_dispatch(struct service *svc);
 void request_silent(struct session *s);
 
+/* home.c */
+/** home_is_local() - whether this daemon holds the service's connections */
+bool home_is_local(struct entry *entry, const char *service);
+/** home_share() - connections to one upstream that this daemon may hold */
+unsigned home_share(struct entry *entry, const struct entry_pool *pool);
+void homes_tick(struct entry *entry, int64_t now_us);
+void homes_init(struct entry *entry);
+void homes_finish(struct entry *entry);
+/** home_choose() - a home of the service that can be reached, or NULL */
+struct home_link *home_choose(struct entry *entry, const char *service,
+			      const struct home_link *avoid);
+
+/* relay.c */
+/** relay_start() - send the session's statement to @home */
+void relay_start(struct session *s, struct home_link *home);
+/** relay_end() - the session needs nothing of its home any more */
+void relay_end(struct session *s);
+void relay_answered(struct home_link *home, const Wire__RelayAnswer *answer);
+void relay_home_lost(struct home_link *home);
+
+/* guest.c */
+bool guests_listen(struct entry *entry, GError **error);
+void guests_tick(struct entry *entry);
+void guests_close(struct entry *entry);
+
 /* session.c */
 void session_answer(struct session *s, const struct statement_answer *answer);
 void session_end_transaction(struct session *s, enum transaction to);
 enum session_state session_state(const struct session *s);
+/** session_prepare() - note a prepared statement, known as @alias upstream */
+void session_prepare(struct session *s, const char *name, const char *alias,
+		     const char *shape, bool writes);
 void sessions_tick(struct entry *entry, int64_t now_us);
 
 /* watch.c */
--- a/entry/request.c
+++ b/entry/request.c
@@ -8,6 +8,8 @@
 
 /* Upstreams of one service that are looked at. */
 #define OPTIONS_MAX 32
+/* Time that a home daemon's answer may take beyond its own time-out. */
+#define RELAY_SLACK_US (60 * 1000ll)
 /* Pause before a statement that found no room is sent again, microseconds. */
 #define BUSY_PAUSE_US (15 * 1000ll)
 /* A replica's lag is taken for what it was for so long, microseconds. */
@@ -19,7 +21,7 @@
 /* Part of a statement's time that it may wait for a connection, percent. */
 #define WAIT_PERCENT 60
 
-static bool is_write(const struct session *s)
+bool request_is_write(const struct session *s)
 {
 	const struct prepared *p;
 
@@ -52,7 +54,7 @@
 }
 
 /* Ends the request and answers it. */
-static void conclude(struct session *s, const struct statement_answer *answer)
+void request_conclude(struct session *s, const struct statement_answer *answer)
 {
 	struct entry *entry = s->entry;
 	int64_t now_us = clock_now_us();
@@ -89,11 +91,11 @@
 	struct statement_answer answer = { .refusal = refusal,
 					   .detail = detail };
 
-	conclude(s, &answer);
+	request_conclude(s, &answer);
 }
 
 /* The transaction cannot go on; nothing of it is kept. */
-static void abort_transaction(struct session *s, const char *detail)
+void request_abort(struct session *s, const char *detail)
 {
 	if (s->tx == TX_OPEN)
 		session_end_transaction(s, TX_FAILED);
@@ -161,29 +163,13 @@
 	return s->arrived_us + s->route->statement_us * WAIT_PERCENT / 100;
 }
 
-/* Another attempt, elsewhere if possible. */
-static void again(struct session *s, enum refusal refusal)
-{
-	int64_t now_us = clock_now_us();
-
-	s->last_refusal = refusal;
-	if (s->attempts >= ENTRY_ATTEMPTS || now_us >= wait_until_us(s)) {
-		refuse(s, refusal_not_run(refusal) ? REFUSAL_BUSY : refusal,
-		       "no upstream could run it in time");
-		return;
-	}
-	entry_count(s->entry, ENTRY_COUNT_RETRIES, 1);
-	arm(s, wait_until_us(s));
-	enqueue(s, true);
-	service_dispatch(s->service);
-}
-
 /* What the statement, or its transaction, asks of the upstream. */
 static void classify(struct session *s)
 {
 	bool in_tx = s->tx == TX_OPEN;
-	bool reads = in_tx ? !s->tx_plain : !is_write(s);
+	bool reads = in_tx ? !s->tx_plain : !request_is_write(s);
 
+	s->classified = true;
 	s->need = (struct read_need){ 0 };
 	s->proof = false;
 	s->needs_primary = true;
@@ -200,24 +186,64 @@
 	s->proof = true;
 }
 
+static void relay(struct session *s, struct home_link *home)
+{
+	arm(s, s->arrived_us + s->route->statement_us + RELAY_SLACK_US);
+	relay_start(s, home);
+}
+
+/* Looks for who runs the statement: a home daemon, or an upstream here. */
+static void seek(struct session *s, bool again)
+{
+	struct home_link *home = NULL;
+
+	if (!s->guest && !home_is_local(s->entry, s->service->name))
+		home = home_choose(s->entry, s->service->name, NULL);
+	if (home) {
+		s->attempts++;
+		relay(s, home);
+		return;
+	}
+	s->service->used_us = clock_now_us();
+	if (!s->classified)
+		classify(s);
+	arm(s, wait_until_us(s));
+	enqueue(s, again);
+	service_dispatch(s->service);
+}
+
+/* Another attempt, elsewhere if possible. */
+void request_again(struct session *s, enum refusal refusal)
+{
+	int64_t now_us = clock_now_us();
+
+	s->last_refusal = refusal;
+	if (s->attempts >= ENTRY_ATTEMPTS || now_us >= wait_until_us(s)) {
+		refuse(s, refusal_not_run(refusal) ? REFUSAL_BUSY : refusal,
+		       "no upstream could run it in time");
+		return;
+	}
+	entry_count(s->entry, ENTRY_COUNT_RETRIES, 1);
+	seek(s, true);
+}
+
 void request_start(struct session *s)
 {
 	int64_t now_us = clock_now_us();
 
 	entry_count(s->entry, ENTRY_COUNT_STATEMENTS, 1);
-	s->arrived_us = now_us;
+	if (!s->guest)
+		s->arrived_us = now_us;
 	s->attempts = 0;
+	s->classified = false;
 	s->avoid = NULL;
 	s->last_refusal = REFUSAL_NONE;
-	s->service->used_us = now_us;
-	if (is_bound(s)) {
+	if (is_bound(s))
 		request_resume(s);
-		return;
-	}
-	classify(s);
-	arm(s, wait_until_us(s));
-	enqueue(s, false);
-	service_dispatch(s->service);
+	else if (s->home)
+		relay(s, s->home);
+	else
+		seek(s, false);
 }
 
 static void send_statement(struct session *s)
@@ -388,7 +414,7 @@
 	case REQUEST_SETUP:
 		leave_link(s);
 		if (s->tx == TX_OPEN)
-			abort_transaction(s, "the upstream did not answer");
+			request_abort(s, "the upstream did not answer");
 		else
 			refuse(s, REFUSAL_BUSY, "the upstream did not answer");
 		return;
@@ -398,11 +424,14 @@
 			request_resume(s);
 			return;
 		}
-		abort_transaction(s, "the upstream had no room");
+		request_abort(s, "the upstream had no room");
 		return;
 	case REQUEST_RUNNING:
+	case REQUEST_RELAYED:
 		break;
 	}
+	if (s->home && s->tx != TX_OPEN)
+		relay_end(s);
 	if (s->tx != TX_OPEN) {
 		leave_link(s);
 		refuse(s, REFUSAL_TIMEOUT, "the upstream did not answer");
@@ -412,7 +441,7 @@
 		refuse(s, REFUSAL_IN_DOUBT, "the commit was not answered");
 	} else {
 		close_link(s);
-		abort_transaction(s, "the upstream did not answer");
+		request_abort(s, "the upstream did not answer");
 	}
 }
 
@@ -482,7 +511,7 @@
 	drop_link(s);
 	if (answer->refusal == REFUSAL_BEHIND)
 		note_behind(s, host);
-	again(s, answer->refusal);
+	request_again(s, answer->refusal);
 }
 
 static void note_own(struct session *s, const struct statement_answer *answer)
@@ -496,7 +525,7 @@
 			  const struct statement_answer *answer)
 {
 	struct statement_answer out = *answer;
-	bool write = is_write(s);
+	bool write = request_is_write(s);
 
 	note_sample(s, write || s->proof, answer);
 	if (write)
@@ -506,14 +535,14 @@
 				       ENTRY_COUNT_REPLICA_READS,
 		    !write);
 	drop_link(s);
-	conclude(s, &out);
+	request_conclude(s, &out);
 }
 
 static void refused_single(struct session *s,
 			   const struct statement_answer *answer)
 {
 	enum refusal refusal = answer->refusal;
-	bool write = is_write(s);
+	bool write = request_is_write(s);
 
 	note_refusal(s, refusal, clock_now_us());
 	s->avoid = s->link->host;
@@ -521,9 +550,9 @@
 		note_behind(s, s->link->host);
 	drop_link(s);
 	if (refusal_not_run(refusal) && refusal != REFUSAL_MALFORMED)
-		again(s, refusal);
+		request_again(s, refusal);
 	else if (!write && refusal != REFUSAL_MALFORMED)
-		again(s, REFUSAL_FAILED);
+		request_again(s, REFUSAL_FAILED);
 	else
 		refuse(s, refusal, answer->detail);
 }
@@ -539,7 +568,7 @@
 			note_own(s, answer);
 	}
 	session_end_transaction(s, TX_NONE);
-	conclude(s, &out);
+	request_conclude(s, &out);
 }
 
 static void pause_statement(struct session *s)
@@ -566,7 +595,7 @@
 		finish_commit(s, answer);
 		return;
 	}
-	abort_transaction(s, refusal_text(refusal));
+	request_abort(s, refusal_text(refusal));
 }
 
 static void finish_in_transaction(struct session *s,
@@ -575,9 +604,9 @@
 	struct statement_answer out = *answer;
 
 	s->tx_ran = true;
-	s->tx_wrote = s->tx_wrote || is_write(s);
+	s->tx_wrote = s->tx_wrote || request_is_write(s);
 	note_sample(s, s->tx_plain || s->needs_primary, answer);
-	conclude(s, &out);
+	request_conclude(s, &out);
 }
 
 void request_step(struct session *s, enum link_step step,
@@ -624,7 +653,7 @@
 /* The connection broke while the session held it. */
 void request_link_lost(struct session *s)
 {
-	bool sent = s->phase == REQUEST_RUNNING;
+	bool sent = s->phase == REQUEST_RUNNING || s->phase == REQUEST_RELAYED;
 
 	s->last_refusal = REFUSAL_FAILED;
 	if (s->phase == REQUEST_NONE) {
@@ -637,18 +666,18 @@
 			session_end_transaction(s, TX_NONE);
 			refuse(s, REFUSAL_IN_DOUBT, "the upstream was lost");
 		} else if (s->tx_ran || sent) {
-			abort_transaction(s, "the upstream was lost");
+			request_abort(s, "the upstream was lost");
 		} else {
-			again(s, REFUSAL_BUSY);
+			request_again(s, REFUSAL_BUSY);
 		}
 		return;
 	}
 	if (!sent)
-		again(s, REFUSAL_BUSY);
-	else if (is_write(s))
+		request_again(s, REFUSAL_BUSY);
+	else if (request_is_write(s))
 		refuse(s, REFUSAL_IN_DOUBT, "the upstream was lost");
 	else
-		again(s, REFUSAL_FAILED);
+		request_again(s, REFUSAL_FAILED);
 }
 
 /* An upstream that says nothing at all: a read is safe to run elsewhere. */
@@ -656,18 +685,20 @@
 {
 	struct host *host = s->link->host;
 
-	if (s->tx == TX_OPEN || (s->phase == REQUEST_RUNNING && is_write(s)))
+	if (s->tx == TX_OPEN ||
+	    (s->phase == REQUEST_RUNNING && request_is_write(s)))
 		return;
 	host_failed(host, clock_now_us());
 	s->avoid = host;
 	leave_link(s);
-	again(s, REFUSAL_FAILED);
+	request_again(s, REFUSAL_FAILED);
 }
 
 void request_cancel(struct session *s)
 {
 	stop_timer(s);
 	leave_queue(s);
+	relay_end(s);
 	if (s->link && s->phase != REQUEST_NONE && s->phase != REQUEST_PAUSED)
 		leave_link(s);
 	else
--- a/entry/session.c
+++ b/entry/session.c
@@ -33,6 +33,7 @@
 	s->ops = ops;
 	s->wire = wire;
 	s->timer = TIMER_NONE;
+	s->number = ++entry->next_number;
 	s->active_us = clock_now_us();
 	s->member.data = s;
 	s->waiting.data = s;
@@ -96,7 +97,7 @@
 
 static void forget_route(struct session *s)
 {
-	if (s->tx != TX_NONE)
+	if (s->tx != TX_NONE || s->guest)
 		return;
 	g_clear_pointer(&s->table, entry_table_unref);
 	s->route = NULL;
@@ -131,6 +132,7 @@
 	s->link = NULL;
 	if (link)
 		link_release(link);
+	relay_end(s);
 }
 
 /* The route applies to a whole transaction, whatever changes meanwhile. */
@@ -192,14 +194,23 @@
 	return g_strdup_printf("%c%.16s", writes ? 'w' : 'r', digest);
 }
 
-static void prepare(struct session *s)
+void session_prepare(struct session *s, const char *name, const char *alias,
+		     const char *shape, bool writes)
 {
 	struct prepared *p = g_new0(struct prepared, 1);
 
-	p->writes = s->statement.writes;
-	p->shape = g_strdup(s->statement.value);
-	p->alias = alias_of(p->writes, p->shape);
-	g_hash_table_replace(s->prepared, g_strdup(s->statement.name), p);
+	p->writes = writes;
+	p->shape = g_strdup(shape);
+	p->alias = g_strdup(alias);
+	g_hash_table_replace(s->prepared, g_strdup(name), p);
+}
+
+static void prepare(struct session *s)
+{
+	const struct statement *st = &s->statement;
+	g_autofree char *alias = alias_of(st->writes, st->value);
+
+	session_prepare(s, st->name, alias, st->value, st->writes);
 	answer_here(s, REFUSAL_NONE, NULL);
 }
 
@@ -320,7 +331,7 @@
 		return;
 	if (s->tx == TX_OPEN && since_us > limit_us)
 		session_end_transaction(s, TX_FAILED);
-	if (s->tx == TX_NONE && since_us > STOP_TURN_AWAY_US &&
+	if (!s->guest && s->tx == TX_NONE && since_us > STOP_TURN_AWAY_US &&
 	    (now_us - s->active_us > STOP_IDLE_US || since_us > limit_us))
 		close_session(s);
 }
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -49,6 +49,7 @@
 		  "routes", (int)g_hash_table_size(table->routes));
 	entry_table_unref(entry->table);
 	entry->table = table;
+	entry->plan_due = true;
 	counter_assign(&entry->counters,
 		       entry->counter[ENTRY_COUNT_CONFIG_VERSION],
 		       (int64_t)table->version);
@@ -92,6 +93,36 @@
 
 static struct control_link *control_link(struct entry *entry, uint32_t ip);
 
+static void roster_entry_free(void *data)
+{
+	struct roster_entry *one = data;
+
+	g_free(one->name);
+	g_free(one->availability_zone);
+	g_free(one);
+}
+
+static void take_roster(struct control_link *link, const Wire__View *view)
+{
+	size_t i;
+
+	for (i = 0; i < view->n_roster; i++) {
+		const Wire__RosterEntry *in = view->roster[i];
+		struct roster_entry *one;
+
+		g_hash_table_remove(link->roster, in->daemon);
+		if (in->gone)
+			continue;
+		one = g_new0(struct roster_entry, 1);
+		one->name = g_strdup(in->daemon);
+		one->availability_zone = g_strdup(in->availability_zone);
+		one->ip = in->ip;
+		g_hash_table_insert(link->roster, one->name, one);
+	}
+	if (view->n_roster)
+		link->entry->plan_due = true;
+}
+
 static void take_view(struct control_link *link, const Wire__View *view)
 {
 	struct entry *entry = link->entry;
@@ -105,8 +136,9 @@
 		control_link(entry, (uint32_t)(view->control[i] >> 32));
 	if (view->fresh) {
 		entry->fresh = true;
-		entry->daemons = view->daemons;
+		entry->leader_ip = (uint32_t)(view->leader >> 32);
 	}
+	take_roster(link, view);
 	take_config(entry, view);
 	for (i = 0; i < view->n_sightings; i++)
 		take_sighting(entry, view->sightings[i], now_us);
@@ -144,6 +176,9 @@
 	if (link->fresh)
 		event_log("control_lost", "{s:I}", "ip", (json_int_t)link->ip);
 	link->fresh = false;
+	/* The next connection tells of all daemons anew. */
+	g_hash_table_remove_all(link->roster);
+	link->entry->plan_due = true;
 }
 
 static const struct channel_events control_events = {
@@ -172,6 +207,8 @@
 	link->ip = ip;
 	link->named_us = now_us;
 	link->channel.stream.fd = -1;
+	link->roster = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     roster_entry_free);
 	g_ptr_array_add(entry->control, link);
 	return link;
 }
@@ -190,8 +227,7 @@
 	g_snprintf(host, sizeof(host), "%u.%u.%u.%u", link->ip >> 24,
 		   link->ip >> 16 & 255, link->ip >> 8 & 255, link->ip & 255);
 	if (!channel_connect(&link->channel, link->entry->loop, host,
-			     link->entry->config.control_port, &control_events,
-			     link))
+			     link->entry->config.port, &control_events, link))
 		event_log("control_unreachable", "{s:s}", "address", host);
 }
 
@@ -234,6 +270,8 @@
 
 	watch.daemon = (char *)entry->config.name;
 	watch.availability_zone = (char *)entry->config.availability_zone;
+	watch.ip = entry->config.ip;
+	watch.draining = entry->drain_us != 0;
 	watch.config_version = entry->table ? entry->table->version : 0;
 	fill_health(entry, &watch, clock_now_us());
 	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
@@ -254,6 +292,13 @@
 		control_link(entry, g_array_index(seeds, uint32_t, i));
 }
 
+static void control_link_free(struct control_link *link)
+{
+	channel_close(&link->channel);
+	g_hash_table_destroy(link->roster);
+	g_free(link);
+}
+
 void watch_connect(struct entry *entry, int64_t now_us)
 {
 	guint i;
@@ -272,9 +317,8 @@
 
 		if (now_us - link->named_us > FORGET_US && !link->fresh &&
 		    entry->control->len > 1) {
-			channel_close(&link->channel);
 			g_ptr_array_remove_index_fast(entry->control, i);
-			g_free(link);
+			control_link_free(link);
 			continue;
 		}
 		if (channel_is_open(&link->channel))
@@ -305,8 +349,7 @@
 	for (i = 0; i < entry->control->len; i++) {
 		struct control_link *link = entry->control->pdata[i];
 
-		channel_close(&link->channel);
-		g_free(link);
+		control_link_free(link);
 	}
 	g_ptr_array_free(entry->control, TRUE);
 }
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -1267,6 +1267,51 @@
   assert(message->base.descriptor == &wire__watch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__roster_entry__init
+                     (Wire__RosterEntry         *message)
+{
+  static const Wire__RosterEntry init_value = WIRE__ROSTER_ENTRY__INIT;
+  *message = init_value;
+}
+size_t wire__roster_entry__get_packed_size
+                     (const Wire__RosterEntry *message)
+{
+  assert(message->base.descriptor == &wire__roster_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__roster_entry__pack
+                     (const Wire__RosterEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__roster_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__roster_entry__pack_to_buffer
+                     (const Wire__RosterEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__roster_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RosterEntry *
+       wire__roster_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RosterEntry *)
+     protobuf_c_message_unpack (&wire__roster_entry__descriptor,
+                                allocator, len, data);
+}
+void   wire__roster_entry__free_unpacked
+                     (Wire__RosterEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__roster_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__service_primary__init
                      (Wire__ServicePrimary         *message)
 {
@@ -1357,6 +1402,186 @@
   assert(message->base.descriptor == &wire__view__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__session_value__init
+                     (Wire__SessionValue         *message)
+{
+  static const Wire__SessionValue init_value = WIRE__SESSION_VALUE__INIT;
+  *message = init_value;
+}
+size_t wire__session_value__get_packed_size
+                     (const Wire__SessionValue *message)
+{
+  assert(message->base.descriptor == &wire__session_value__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__session_value__pack
+                     (const Wire__SessionValue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__session_value__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__session_value__pack_to_buffer
+                     (const Wire__SessionValue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__session_value__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__SessionValue *
+       wire__session_value__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__SessionValue *)
+     protobuf_c_message_unpack (&wire__session_value__descriptor,
+                                allocator, len, data);
+}
+void   wire__session_value__free_unpacked
+                     (Wire__SessionValue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__session_value__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__relay_request__init
+                     (Wire__RelayRequest         *message)
+{
+  static const Wire__RelayRequest init_value = WIRE__RELAY_REQUEST__INIT;
+  *message = init_value;
+}
+size_t wire__relay_request__get_packed_size
+                     (const Wire__RelayRequest *message)
+{
+  assert(message->base.descriptor == &wire__relay_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__relay_request__pack
+                     (const Wire__RelayRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__relay_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__relay_request__pack_to_buffer
+                     (const Wire__RelayRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__relay_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RelayRequest *
+       wire__relay_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RelayRequest *)
+     protobuf_c_message_unpack (&wire__relay_request__descriptor,
+                                allocator, len, data);
+}
+void   wire__relay_request__free_unpacked
+                     (Wire__RelayRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__relay_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__relay_answer__init
+                     (Wire__RelayAnswer         *message)
+{
+  static const Wire__RelayAnswer init_value = WIRE__RELAY_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wire__relay_answer__get_packed_size
+                     (const Wire__RelayAnswer *message)
+{
+  assert(message->base.descriptor == &wire__relay_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__relay_answer__pack
+                     (const Wire__RelayAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__relay_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__relay_answer__pack_to_buffer
+                     (const Wire__RelayAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__relay_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RelayAnswer *
+       wire__relay_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RelayAnswer *)
+     protobuf_c_message_unpack (&wire__relay_answer__descriptor,
+                                allocator, len, data);
+}
+void   wire__relay_answer__free_unpacked
+                     (Wire__RelayAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__relay_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__relay_end__init
+                     (Wire__RelayEnd         *message)
+{
+  static const Wire__RelayEnd init_value = WIRE__RELAY_END__INIT;
+  *message = init_value;
+}
+size_t wire__relay_end__get_packed_size
+                     (const Wire__RelayEnd *message)
+{
+  assert(message->base.descriptor == &wire__relay_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__relay_end__pack
+                     (const Wire__RelayEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__relay_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__relay_end__pack_to_buffer
+                     (const Wire__RelayEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__relay_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RelayEnd *
+       wire__relay_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RelayEnd *)
+     protobuf_c_message_unpack (&wire__relay_end__descriptor,
+                                allocator, len, data);
+}
+void   wire__relay_end__free_unpacked
+                     (Wire__RelayEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__relay_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__join__init
                      (Wire__Join         *message)
 {
@@ -4292,7 +4517,7 @@
   (ProtobufCMessageInit) wire__upstream_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[20] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[23] =
 {
   {
     "heartbeat",
@@ -4534,6 +4759,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_request",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, relay_request),
+    &wire__relay_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_answer",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, relay_answer),
+    &wire__relay_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_end",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, relay_end),
+    &wire__relay_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   6,   /* field[6] = apply_request */
@@ -4547,6 +4808,9 @@
   9,   /* field[9] = query_reply */
   5,   /* field[5] = raft */
   2,   /* field[2] = redirect */
+  21,   /* field[21] = relay_answer */
+  22,   /* field[22] = relay_end */
+  20,   /* field[20] = relay_request */
   12,   /* field[12] = session_lookup */
   13,   /* field[13] = session_position */
   10,   /* field[10] = session_store */
@@ -4560,7 +4824,7 @@
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -4570,7 +4834,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  20,
+  23,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
@@ -4809,7 +5073,7 @@
   (ProtobufCMessageInit) wire__upstream_health__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__watch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__watch__field_descriptors[6] =
 {
   {
     "daemon",
@@ -4859,17 +5123,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ip",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__watch__field_indices_by_name[] = {
   1,   /* field[1] = availability_zone */
   2,   /* field[2] = config_version */
   0,   /* field[0] = daemon */
+  5,   /* field[5] = draining */
+  4,   /* field[4] = ip */
   3,   /* field[3] = upstreams */
 };
 static const ProtobufCIntRange wire__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__watch__descriptor =
 {
@@ -4879,13 +5169,90 @@
   "Wire__Watch",
   "wire",
   sizeof(Wire__Watch),
-  4,
+  6,
   wire__watch__field_descriptors,
   wire__watch__field_indices_by_name,
   1,  wire__watch__number_ranges,
   (ProtobufCMessageInit) wire__watch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__roster_entry__field_descriptors[4] =
+{
+  {
+    "daemon",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterEntry, daemon),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "availability_zone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterEntry, availability_zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterEntry, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterEntry, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__roster_entry__field_indices_by_name[] = {
+  1,   /* field[1] = availability_zone */
+  0,   /* field[0] = daemon */
+  3,   /* field[3] = gone */
+  2,   /* field[2] = ip */
+};
+static const ProtobufCIntRange wire__roster_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__roster_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RosterEntry",
+  "RosterEntry",
+  "Wire__RosterEntry",
+  "wire",
+  sizeof(Wire__RosterEntry),
+  4,
+  wire__roster_entry__field_descriptors,
+  wire__roster_entry__field_indices_by_name,
+  1,  wire__roster_entry__number_ranges,
+  (ProtobufCMessageInit) wire__roster_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__service_primary__field_descriptors[3] =
 {
   {
@@ -5049,13 +5416,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "daemons",
+    "roster",
     9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__View, daemons),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__View, n_roster),
+    offsetof(Wire__View, roster),
+    &wire__roster_entry__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -5066,10 +5433,10 @@
   3,   /* field[3] = config_len */
   1,   /* field[1] = config_version */
   6,   /* field[6] = control */
-  8,   /* field[8] = daemons */
   0,   /* field[0] = fresh */
   7,   /* field[7] = leader */
   5,   /* field[5] = primaries */
+  8,   /* field[8] = roster */
   4,   /* field[4] = sightings */
 };
 static const ProtobufCIntRange wire__view__number_ranges[1 + 1] =
@@ -5092,6 +5459,509 @@
   (ProtobufCMessageInit) wire__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__session_value__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SessionValue, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SessionValue, value),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__session_value__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange wire__session_value__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__session_value__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.SessionValue",
+  "SessionValue",
+  "Wire__SessionValue",
+  "wire",
+  sizeof(Wire__SessionValue),
+  2,
+  wire__session_value__field_descriptors,
+  wire__session_value__field_indices_by_name,
+  1,  wire__session_value__number_ranges,
+  (ProtobufCMessageInit) wire__session_value__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__relay_request__field_descriptors[21] =
+{
+  {
+    "session",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rule",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, rule),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "statement_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, statement_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "staleness_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, staleness_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "arrived_age_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, arrived_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transaction_age_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, transaction_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transaction",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, transaction),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "plain",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, plain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__RelayRequest, n_values),
+    offsetof(Wire__RelayRequest, values),
+    &wire__session_value__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, own),
+    &wire__position__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own_age_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, own_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verb",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, verb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shape",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, shape),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "writes",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, writes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "arguments",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, arguments),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__relay_request__field_indices_by_name[] = {
+  19,   /* field[19] = arguments */
+  6,   /* field[6] = arrived_age_us */
+  20,   /* field[20] = begun */
+  14,   /* field[14] = id */
+  16,   /* field[16] = name */
+  11,   /* field[11] = own */
+  12,   /* field[12] = own_age_us */
+  9,   /* field[9] = plain */
+  5,   /* field[5] = priority */
+  2,   /* field[2] = rule */
+  1,   /* field[1] = service */
+  0,   /* field[0] = session */
+  17,   /* field[17] = shape */
+  4,   /* field[4] = staleness_us */
+  3,   /* field[3] = statement_us */
+  15,   /* field[15] = text */
+  8,   /* field[8] = transaction */
+  7,   /* field[7] = transaction_age_us */
+  10,   /* field[10] = values */
+  13,   /* field[13] = verb */
+  18,   /* field[18] = writes */
+};
+static const ProtobufCIntRange wire__relay_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 21 }
+};
+const ProtobufCMessageDescriptor wire__relay_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RelayRequest",
+  "RelayRequest",
+  "Wire__RelayRequest",
+  "wire",
+  sizeof(Wire__RelayRequest),
+  21,
+  wire__relay_request__field_descriptors,
+  wire__relay_request__field_indices_by_name,
+  1,  wire__relay_request__number_ranges,
+  (ProtobufCMessageInit) wire__relay_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__relay_answer__field_descriptors[7] =
+{
+  {
+    "session",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayAnswer, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusal",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayAnswer, refusal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "detail",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayAnswer, detail),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayAnswer, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transaction",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayAnswer, transaction),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayAnswer, position),
+    &wire__position__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elsewhere",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayAnswer, elsewhere),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__relay_answer__field_indices_by_name[] = {
+  2,   /* field[2] = detail */
+  6,   /* field[6] = elsewhere */
+  5,   /* field[5] = position */
+  1,   /* field[1] = refusal */
+  3,   /* field[3] = result */
+  0,   /* field[0] = session */
+  4,   /* field[4] = transaction */
+};
+static const ProtobufCIntRange wire__relay_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wire__relay_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RelayAnswer",
+  "RelayAnswer",
+  "Wire__RelayAnswer",
+  "wire",
+  sizeof(Wire__RelayAnswer),
+  7,
+  wire__relay_answer__field_descriptors,
+  wire__relay_answer__field_indices_by_name,
+  1,  wire__relay_answer__number_ranges,
+  (ProtobufCMessageInit) wire__relay_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__relay_end__field_descriptors[1] =
+{
+  {
+    "session",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayEnd, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__relay_end__field_indices_by_name[] = {
+  0,   /* field[0] = session */
+};
+static const ProtobufCIntRange wire__relay_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__relay_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RelayEnd",
+  "RelayEnd",
+  "Wire__RelayEnd",
+  "wire",
+  sizeof(Wire__RelayEnd),
+  1,
+  wire__relay_end__field_descriptors,
+  wire__relay_end__field_indices_by_name,
+  1,  wire__relay_end__number_ranges,
+  (ProtobufCMessageInit) wire__relay_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__join__field_descriptors[1] =
 {
   {
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -43,8 +43,13 @@
 typedef struct Wire__Sighting Wire__Sighting;
 typedef struct Wire__UpstreamHealth Wire__UpstreamHealth;
 typedef struct Wire__Watch Wire__Watch;
+typedef struct Wire__RosterEntry Wire__RosterEntry;
 typedef struct Wire__ServicePrimary Wire__ServicePrimary;
 typedef struct Wire__View Wire__View;
+typedef struct Wire__SessionValue Wire__SessionValue;
+typedef struct Wire__RelayRequest Wire__RelayRequest;
+typedef struct Wire__RelayAnswer Wire__RelayAnswer;
+typedef struct Wire__RelayEnd Wire__RelayEnd;
 typedef struct Wire__Join Wire__Join;
 typedef struct Wire__Peers Wire__Peers;
 typedef struct Wire__ConfigChange Wire__ConfigChange;
@@ -528,7 +533,10 @@
   WIRE__ENVELOPE__BODY_WATCH = 17,
   WIRE__ENVELOPE__BODY_VIEW = 18,
   WIRE__ENVELOPE__BODY_JOIN = 19,
-  WIRE__ENVELOPE__BODY_PEERS = 20
+  WIRE__ENVELOPE__BODY_PEERS = 20,
+  WIRE__ENVELOPE__BODY_RELAY_REQUEST = 21,
+  WIRE__ENVELOPE__BODY_RELAY_ANSWER = 22,
+  WIRE__ENVELOPE__BODY_RELAY_END = 23
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -557,6 +565,9 @@
     Wire__View *view;
     Wire__Join *join;
     Wire__Peers *peers;
+    Wire__RelayRequest *relay_request;
+    Wire__RelayAnswer *relay_answer;
+    Wire__RelayEnd *relay_end;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -625,10 +636,34 @@
   uint64_t config_version;
   size_t n_upstreams;
   Wire__UpstreamHealth **upstreams;
+  /*
+   * IPv4 address at which it takes relayed statements.
+   */
+  uint32_t ip;
+  /*
+   * Whether it takes no new work.
+   */
+  protobuf_c_boolean draining;
 };
 #define WIRE__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__watch__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0 }
+
+
+/*
+ * An entry daemon, or that it is gone.
+ */
+struct  Wire__RosterEntry
+{
+  ProtobufCMessage base;
+  char *daemon;
+  char *availability_zone;
+  uint32_t ip;
+  protobuf_c_boolean gone;
+};
+#define WIRE__ROSTER_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__roster_entry__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -673,13 +708,104 @@
   uint64_t *control;
   uint64_t leader;
   /*
-   * Entry daemons that this control VM hears.
+   * Entry daemons that take work: what changed since the last view on this
+   * connection.
    */
-  uint32_t daemons;
+  size_t n_roster;
+  Wire__RosterEntry **roster;
 };
 #define WIRE__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__view__descriptor) \
-    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+
+
+struct  Wire__SessionValue
+{
+  ProtobufCMessage base;
+  char *name;
+  char *value;
+};
+#define WIRE__SESSION_VALUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__session_value__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * One statement for a home daemon of its service, with all that it depends on.
+ */
+struct  Wire__RelayRequest
+{
+  ProtobufCMessage base;
+  /*
+   * Number of the session at the sender.
+   */
+  uint64_t session;
+  char *service;
+  uint32_t rule;
+  uint64_t statement_us;
+  uint64_t staleness_us;
+  uint32_t priority;
+  uint64_t arrived_age_us;
+  uint64_t transaction_age_us;
+  /*
+   * A transaction that the home has not begun yet is opened with this.
+   */
+  uint32_t transaction;
+  protobuf_c_boolean plain;
+  size_t n_values;
+  Wire__SessionValue **values;
+  Wire__Position *own;
+  uint64_t own_age_us;
+  uint32_t verb;
+  char *id;
+  char *text;
+  /*
+   * Of an execute: name there, shape, whether it writes and its arguments.
+   */
+  char *name;
+  char *shape;
+  protobuf_c_boolean writes;
+  char *arguments;
+  /*
+   * Whether the home has begun the transaction.
+   */
+  protobuf_c_boolean begun;
+};
+#define WIRE__RELAY_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__relay_request__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Wire__RelayAnswer
+{
+  ProtobufCMessage base;
+  uint64_t session;
+  uint32_t refusal;
+  char *detail;
+  ProtobufCBinaryData result;
+  uint32_t transaction;
+  Wire__Position *position;
+  /*
+   * The home takes no new work: ask another one.
+   */
+  protobuf_c_boolean elsewhere;
+};
+#define WIRE__RELAY_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__relay_answer__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, NULL, 0 }
+
+
+/*
+ * The caller left or its transaction ended here.
+ */
+struct  Wire__RelayEnd
+{
+  ProtobufCMessage base;
+  uint64_t session;
+};
+#define WIRE__RELAY_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__relay_end__descriptor) \
+    , 0 }
 
 
 /*
@@ -1430,6 +1556,25 @@
 void   wire__watch__free_unpacked
                      (Wire__Watch *message,
                       ProtobufCAllocator *allocator);
+/* Wire__RosterEntry methods */
+void   wire__roster_entry__init
+                     (Wire__RosterEntry         *message);
+size_t wire__roster_entry__get_packed_size
+                     (const Wire__RosterEntry   *message);
+size_t wire__roster_entry__pack
+                     (const Wire__RosterEntry   *message,
+                      uint8_t             *out);
+size_t wire__roster_entry__pack_to_buffer
+                     (const Wire__RosterEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RosterEntry *
+       wire__roster_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__roster_entry__free_unpacked
+                     (Wire__RosterEntry *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__ServicePrimary methods */
 void   wire__service_primary__init
                      (Wire__ServicePrimary         *message);
@@ -1468,6 +1613,82 @@
 void   wire__view__free_unpacked
                      (Wire__View *message,
                       ProtobufCAllocator *allocator);
+/* Wire__SessionValue methods */
+void   wire__session_value__init
+                     (Wire__SessionValue         *message);
+size_t wire__session_value__get_packed_size
+                     (const Wire__SessionValue   *message);
+size_t wire__session_value__pack
+                     (const Wire__SessionValue   *message,
+                      uint8_t             *out);
+size_t wire__session_value__pack_to_buffer
+                     (const Wire__SessionValue   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__SessionValue *
+       wire__session_value__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__session_value__free_unpacked
+                     (Wire__SessionValue *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__RelayRequest methods */
+void   wire__relay_request__init
+                     (Wire__RelayRequest         *message);
+size_t wire__relay_request__get_packed_size
+                     (const Wire__RelayRequest   *message);
+size_t wire__relay_request__pack
+                     (const Wire__RelayRequest   *message,
+                      uint8_t             *out);
+size_t wire__relay_request__pack_to_buffer
+                     (const Wire__RelayRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RelayRequest *
+       wire__relay_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__relay_request__free_unpacked
+                     (Wire__RelayRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__RelayAnswer methods */
+void   wire__relay_answer__init
+                     (Wire__RelayAnswer         *message);
+size_t wire__relay_answer__get_packed_size
+                     (const Wire__RelayAnswer   *message);
+size_t wire__relay_answer__pack
+                     (const Wire__RelayAnswer   *message,
+                      uint8_t             *out);
+size_t wire__relay_answer__pack_to_buffer
+                     (const Wire__RelayAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RelayAnswer *
+       wire__relay_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__relay_answer__free_unpacked
+                     (Wire__RelayAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__RelayEnd methods */
+void   wire__relay_end__init
+                     (Wire__RelayEnd         *message);
+size_t wire__relay_end__get_packed_size
+                     (const Wire__RelayEnd   *message);
+size_t wire__relay_end__pack
+                     (const Wire__RelayEnd   *message,
+                      uint8_t             *out);
+size_t wire__relay_end__pack_to_buffer
+                     (const Wire__RelayEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RelayEnd *
+       wire__relay_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__relay_end__free_unpacked
+                     (Wire__RelayEnd *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__Join methods */
 void   wire__join__init
                      (Wire__Join         *message);
@@ -1801,12 +2022,27 @@
 typedef void (*Wire__Watch_Closure)
                  (const Wire__Watch *message,
                   void *closure_data);
+typedef void (*Wire__RosterEntry_Closure)
+                 (const Wire__RosterEntry *message,
+                  void *closure_data);
 typedef void (*Wire__ServicePrimary_Closure)
                  (const Wire__ServicePrimary *message,
                   void *closure_data);
 typedef void (*Wire__View_Closure)
                  (const Wire__View *message,
                   void *closure_data);
+typedef void (*Wire__SessionValue_Closure)
+                 (const Wire__SessionValue *message,
+                  void *closure_data);
+typedef void (*Wire__RelayRequest_Closure)
+                 (const Wire__RelayRequest *message,
+                  void *closure_data);
+typedef void (*Wire__RelayAnswer_Closure)
+                 (const Wire__RelayAnswer *message,
+                  void *closure_data);
+typedef void (*Wire__RelayEnd_Closure)
+                 (const Wire__RelayEnd *message,
+                  void *closure_data);
 typedef void (*Wire__Join_Closure)
                  (const Wire__Join *message,
                   void *closure_data);
@@ -1881,8 +2117,13 @@
 extern const ProtobufCMessageDescriptor wire__sighting__descriptor;
 extern const ProtobufCMessageDescriptor wire__upstream_health__descriptor;
 extern const ProtobufCMessageDescriptor wire__watch__descriptor;
+extern const ProtobufCMessageDescriptor wire__roster_entry__descriptor;
 extern const ProtobufCMessageDescriptor wire__service_primary__descriptor;
 extern const ProtobufCMessageDescriptor wire__view__descriptor;
+extern const ProtobufCMessageDescriptor wire__session_value__descriptor;
+extern const ProtobufCMessageDescriptor wire__relay_request__descriptor;
+extern const ProtobufCMessageDescriptor wire__relay_answer__descriptor;
+extern const ProtobufCMessageDescriptor wire__relay_end__descriptor;
 extern const ProtobufCMessageDescriptor wire__join__descriptor;
 extern const ProtobufCMessageDescriptor wire__peers__descriptor;
 extern const ProtobufCMessageDescriptor wire__config_change__descriptor;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -1,140 +1,29 @@
-#include "clock.h"
-#include "entry/internal.h"
-#include "test_main.h"
-
-#include <string.h>
-
-/*
- * Sessions against upstreams that the test plays: it sees every command that
- * was sent, in order, and gives the answers.
- */
-
-struct sent {
-	struct link *link;
-	enum link_verb verb;
-	struct position after;
-	char text[64];
-};
+#include "entry_fixture.h"
 
 static struct timer_service timers;
 static struct entry *entry;
-static struct sent sent[256];
-static unsigned nr_sent, nr_done;
-/* Position of an upstream to which a connection opens. */
-static uint64_t log_end;
-static unsigned opens, closes;
-static struct statement_answer got;
-static char got_result[64];
-static unsigned answers, ends, starts;
-
-static void *open_wire(struct link *link, const char *address,
-		       const char *service, const char *id, void *data)
-{
-	opens++;
-	return link;
-}
-
-static void send_command(void *wire, const struct link_command *c)
-{
-	struct sent *s = &sent[nr_sent++];
-
-	ck_assert_uint_lt(nr_sent, G_N_ELEMENTS(sent));
-	s->link = wire;
-	s->verb = c->verb;
-	s->after = c->after;
-	g_snprintf(s->text, sizeof(s->text), "%s",
-		   c->verb == LINK_FORWARD ? c->statement->text :
-		   c->name		   ? c->name :
-					     "");
-}
-
-static void flush(void *wire)
-{
-}
-
-static void close_wire(void *wire)
-{
-	closes++;
-}
-
-static const struct upstream_ops upstream_ops = { open_wire, send_command,
-						  flush, close_wire };
 
-static void on_started(void *wire)
-{
-	starts++;
-}
-
-static void on_refused(void *wire, enum refusal refusal, const char *detail)
-{
-	got.refusal = refusal;
-	answers++;
-}
-
-static void on_answer(void *wire, const struct statement_answer *answer)
-{
-	got = *answer;
-	got_result[0] = 0;
-	if (answer->result)
-		memcpy(got_result, answer->result, answer->len);
-	got_result[answer->len] = 0;
-	answers++;
-}
-
-static void on_close(void *wire)
-{
-	ends++;
-}
-
-static const struct caller_ops caller_ops = { on_started, on_refused, on_answer,
-					      on_close };
-
-static void add_route(struct entry_table *table, const char *database,
-		      enum read_rule rule)
+static void see(const char *id, bool primary, bool leaving, uint64_t sequence)
 {
-	struct entry_route route = { .database = g_strdup(database),
-				     .service = g_strdup("s"),
-				     .rule = rule,
-				     .statement_us = 400000,
-				     .target_us = 100000,
-				     .staleness_us = 1500000 };
-
-	entry_table_add_route(table, &route);
+	see_at(entry, id, primary, leaving, sequence);
 }
 
-static struct entry_table *make_table(uint64_t version)
+static struct session *caller(const char *database)
 {
-	struct entry_table *table = entry_table_new(version);
-	struct entry_pool pool = { g_strdup("s"), 4, 0 };
-
-	entry_table_add_pool(table, &pool);
-	add_route(table, "primary", READ_AT_PRIMARY);
-	add_route(table, "own", READ_OWN_WRITES);
-	add_route(table, "bounded", READ_BOUNDED);
-	return table;
+	return caller_at(entry, database);
 }
 
-static void see(const char *id, bool primary, bool leaving, uint64_t sequence)
+static void open_all(void)
 {
-	struct sighting one = { .id = (char *)id,
-				.service = "s",
-				.address = (char *)id,
-				.availability_zone = "z",
-				.primary = primary,
-				.leaving = leaving,
-				.born_ms = 1,
-				.sequence = sequence,
-				.heard_us = clock_now_us(),
-				.claimed_us = clock_now_us() };
-
-	sightings_merge(&entry->sightings, &one);
-	hosts_update(entry);
+	open_all_at(entry);
 }
 
 static void start(void)
 {
 	struct entry_config config = { .name = "e",
 				       .availability_zone = "z",
+				       .ip = 0x7f000001,
+				       .port = 39261,
 				       .seeds = g_array_new(FALSE, FALSE, 4),
 				       .grace_us = 6000000,
 				       .upstream_ops = &upstream_ops };
@@ -143,7 +32,8 @@
 	nr_sent = nr_done = opens = closes = answers = ends = starts = 0;
 	memset(&got, 0, sizeof(got));
 	timer_service_init(&timers);
-	entry = entry_new(NULL, &timers, &config);
+	entry = entry_new(ev_default_loop(0), &timers, &config, NULL);
+	ck_assert_ptr_nonnull(entry);
 	g_array_free(config.seeds, TRUE);
 	entry->table = make_table(1);
 	entry->fresh = true;
@@ -159,83 +49,6 @@
 	timer_service_finish(&timers);
 }
 
-static struct session *caller(const char *database)
-{
-	struct session *s = entry_session_new(entry, &caller_ops, NULL);
-
-	session_start(s, database);
-	return s;
-}
-
-static void say(struct session *s, enum statement_verb verb, const char *text,
-		const char *name, const char *value)
-{
-	struct statement st = { .verb = verb };
-	size_t len = strlen(text) + 1;
-
-	st.buffer = g_malloc(len + 64 + 64);
-	memcpy(st.buffer, text, len);
-	st.id = "id1";
-	st.text = st.buffer;
-	if (name)
-		st.name = strcpy(st.buffer + len, name);
-	if (value)
-		st.value = strcpy(st.buffer + len + 64 / 2, value);
-	st.writes = value && strstr(text, "WRITE");
-	session_statement(s, &st);
-}
-
-static void open_all(void)
-{
-	struct host *host;
-	GHashTableIter it;
-	guint i;
-
-	g_hash_table_iter_init(&it, entry->hosts);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&host))
-		for (i = 0; i < host->links->len; i++) {
-			struct link *link = host->links->pdata[i];
-
-			if (link->state == LINK_OPENING)
-				link_opened(link,
-					    (struct position){ 1, log_end });
-		}
-}
-
-/* Answers the oldest command without an answer. */
-static void reply(enum refusal refusal, enum session_state state,
-		  uint64_t number, const char *result)
-{
-	struct statement_answer answer = { .refusal = refusal,
-					   .state = state,
-					   .position = { 1, number } };
-
-	ck_assert_uint_lt(nr_done, nr_sent);
-	if (result) {
-		answer.result = (const uint8_t *)result;
-		answer.len = strlen(result);
-	}
-	link_replied(sent[nr_done++].link, &answer);
-}
-
-static void expect(enum link_verb verb, const char *text)
-{
-	ck_assert_uint_lt(nr_done, nr_sent);
-	ck_assert_int_eq(sent[nr_done].verb, verb);
-	if (text)
-		ck_assert_str_eq(sent[nr_done].text, text);
-}
-
-static void done(void)
-{
-	reply(REFUSAL_NONE, SESSION_IDLE, 9, NULL);
-}
-
-static void in_tx(void)
-{
-	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, NULL);
-}
-
 static void advance(int64_t us)
 {
 	timer_service_advance(&timers, clock_now_us() + us);
@@ -595,7 +408,6 @@
 	struct session *a, *b;
 
 	start();
-	entry->daemons = 100;
 	a = caller("own");
 	b = caller("own");
 	say(a, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
--- /dev/null
+++ b/tests/test_home_policy.c
@@ -0,0 +1,169 @@
+#include "home_policy.h"
+#include "test_main.h"
+
+#define SERVICES 8
+#define ZONES 3
+
+static struct home_daemon daemons[120];
+static struct home_service services[SERVICES];
+static char names[120][16];
+static char service_names[SERVICES][16];
+static const char *const zones[ZONES] = { "west", "central", "east" };
+
+static void start(unsigned nr, unsigned connections)
+{
+	unsigned i;
+
+	for (i = 0; i < nr; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "front-%u", i);
+		daemons[i] = (struct home_daemon){ names[i], zones[i % ZONES],
+						   i + 1 };
+	}
+	for (i = 0; i < SERVICES; i++) {
+		g_snprintf(service_names[i], sizeof(service_names[i]), "s%u",
+			   i);
+		services[i] =
+			(struct home_service){ service_names[i], connections };
+	}
+}
+
+static bool has(const struct home_set *set, const char *name,
+		const struct home_daemon *roster)
+{
+	guint i;
+
+	for (i = 0; i < set->daemons->len; i++)
+		if (!g_strcmp0(roster[g_array_index(set->daemons, unsigned, i)]
+				       .name,
+			       name))
+			return true;
+	return false;
+}
+
+/* Guards against relays where each daemon can have its own connections. */
+START_TEST(test_everyone)
+{
+	GHashTable *plan;
+	const struct home_set *set;
+
+	start(9, 16);
+	plan = home_plan(daemons, 8, services, SERVICES);
+	set = g_hash_table_lookup(plan, "s0");
+	ck_assert(set->everyone);
+	g_hash_table_destroy(plan);
+	plan = home_plan(daemons, 9, services, SERVICES);
+	set = g_hash_table_lookup(plan, "s0");
+	ck_assert(!set->everyone);
+	g_hash_table_destroy(plan);
+}
+END_TEST
+
+/* Guards against more homes than connections, a zone without one, and a
+ * daemon that is home to many services while others are to none. */
+START_TEST(test_balance)
+{
+	GHashTable *plan;
+	unsigned load[120] = { 0 };
+	unsigned i, j;
+
+	start(87, 26);
+	plan = home_plan(daemons, 87, services, SERVICES);
+	for (i = 0; i < SERVICES; i++) {
+		const struct home_set *set =
+			g_hash_table_lookup(plan, service_names[i]);
+		unsigned a_zone[ZONES] = { 0 };
+
+		ck_assert_uint_ge(set->daemons->len, ZONES);
+		ck_assert_uint_le(set->daemons->len, 26);
+		for (j = 0; j < set->daemons->len; j++) {
+			unsigned d = g_array_index(set->daemons, unsigned, j);
+
+			load[d]++;
+			a_zone[d % ZONES]++;
+		}
+		for (j = 0; j < ZONES; j++)
+			ck_assert_uint_eq(a_zone[j], set->daemons->len / ZONES);
+	}
+	for (i = 0; i < 87; i++)
+		ck_assert_uint_le(load[i], 1);
+	g_hash_table_destroy(plan);
+}
+END_TEST
+
+/* Guards against daemons that come to different plans from one roster. */
+START_TEST(test_any_order)
+{
+	struct home_daemon turned[87];
+	GHashTable *a, *b;
+	unsigned i, j;
+
+	start(87, 26);
+	for (i = 0; i < 87; i++)
+		turned[i] = daemons[86 - i];
+	a = home_plan(daemons, 87, services, SERVICES);
+	b = home_plan(turned, 87, services, SERVICES);
+	for (i = 0; i < SERVICES; i++) {
+		const struct home_set *x =
+			g_hash_table_lookup(a, service_names[i]);
+		const struct home_set *y =
+			g_hash_table_lookup(b, service_names[i]);
+
+		ck_assert_uint_eq(x->daemons->len, y->daemons->len);
+		for (j = 0; j < 87; j++)
+			ck_assert(has(x, names[j], daemons) ==
+				  has(y, names[j], turned));
+	}
+	g_hash_table_destroy(a);
+	g_hash_table_destroy(b);
+}
+END_TEST
+
+/* Guards against a daemon's leave that moves most services. */
+START_TEST(test_few_moves)
+{
+	unsigned moved = 0, kept = 0;
+	GHashTable *a, *b;
+	unsigned i, j;
+
+	start(87, 26);
+	a = home_plan(daemons, 87, services, SERVICES);
+	b = home_plan(daemons, 86, services, SERVICES);
+	for (i = 0; i < SERVICES; i++) {
+		const struct home_set *x =
+			g_hash_table_lookup(a, service_names[i]);
+		const struct home_set *y =
+			g_hash_table_lookup(b, service_names[i]);
+
+		for (j = 0; j < 86; j++) {
+			if (!has(x, names[j], daemons))
+				continue;
+			if (has(y, names[j], daemons))
+				kept++;
+			else
+				moved++;
+		}
+	}
+	ck_assert_uint_gt(kept, 10 * moved);
+	g_hash_table_destroy(a);
+	g_hash_table_destroy(b);
+}
+END_TEST
+
+/* Guards against a plan without daemons, services or connections. */
+START_TEST(test_edges)
+{
+	const struct home_set *set;
+	GHashTable *plan = home_plan(NULL, 0, NULL, 0);
+
+	ck_assert_uint_eq(g_hash_table_size(plan), 0);
+	g_hash_table_destroy(plan);
+	start(30, 1);
+	plan = home_plan(daemons, 30, services, SERVICES);
+	set = g_hash_table_lookup(plan, "s3");
+	ck_assert_uint_eq(set->daemons->len, ZONES);
+	g_hash_table_destroy(plan);
+}
+END_TEST
+
+TEST_MAIN("home_policy", test_everyone, test_balance, test_any_order,
+	  test_few_moves, test_edges)
