Keep the queue in the daemon and serve the urgent first

A window for each upstream (send_window, pure) keeps back what would only queue there: it grows while statements take up to 2.5 times the least of late and shrinks when they take longer or are refused. What waits is served by urgency (pure): in time before late, then priority, cheaper kinds, least time left. While a window is full a statement is refused when its caller's wanted time is over, not at 60% of its time-out. Each daemon logs a summary for each service every 5 s.

test_send_window plays twice the capacity: more than half of the callers in time, under a tenth by arrival.

--- /dev/null
+++ b/coordination/send_window.c
@@ -0,0 +1,46 @@
+#include "send_window.h"
+
+/* Part of a new observation in the smoothed time, one in so many. */
+#define LATENCY_PARTS 8
+#define SLOW_FACTOR 0.85
+#define REFUSED_FACTOR 0.6
+
+void send_window_init(struct send_window *w)
+{
+	*w = (struct send_window){ .size = SEND_WINDOW_FIRST,
+				   .reduced_us = INT64_MIN / 2 };
+}
+
+static void reduce(struct send_window *w, double factor, int64_t now_us)
+{
+	if (now_us - w->reduced_us < SEND_WINDOW_PAUSE_US)
+		return;
+	w->reduced_us = now_us;
+	w->size *= factor;
+	if (w->size < SEND_WINDOW_LEAST)
+		w->size = SEND_WINDOW_LEAST;
+}
+
+void send_window_answered(struct send_window *w, int64_t us, int64_t now_us)
+{
+	if (!w->latency_us)
+		w->latency_us = us;
+	w->latency_us += (us - w->latency_us) / LATENCY_PARTS;
+	w->base_us += w->base_us / SEND_WINDOW_BASE_PARTS;
+	if (!w->base_us || w->latency_us < w->base_us)
+		w->base_us = w->latency_us;
+	if (w->latency_us * 100 > w->base_us * SEND_WINDOW_SLOW_PERCENT)
+		reduce(w, SLOW_FACTOR, now_us);
+	else if (w->size < SEND_WINDOW_MOST)
+		w->size += 1.0 / (4.0 * w->size);
+}
+
+void send_window_refused(struct send_window *w, int64_t now_us)
+{
+	reduce(w, REFUSED_FACTOR, now_us);
+}
+
+bool send_window_allows(const struct send_window *w, unsigned out)
+{
+	return (double)(out + 1) <= w->size;
+}
--- /dev/null
+++ b/coordination/urgency.c
@@ -0,0 +1,27 @@
+#include "urgency.h"
+
+/* Times that differ by less are the same kind of work, percent. */
+#define COST_SAME_PERCENT 130
+
+bool urgency_in_time(const struct urgency *u)
+{
+	return u->left_us >= u->cost_us;
+}
+
+static bool is_cheaper(const struct urgency *a, const struct urgency *b)
+{
+	return a->cost_us * COST_SAME_PERCENT < b->cost_us * 100;
+}
+
+bool urgency_before(const struct urgency *a, const struct urgency *b)
+{
+	bool a_in_time = urgency_in_time(a);
+
+	if (a_in_time != urgency_in_time(b))
+		return a_in_time;
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	if (is_cheaper(a, b) || is_cheaper(b, a))
+		return is_cheaper(a, b);
+	return a->left_us < b->left_us;
+}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -52,6 +52,7 @@
 	guests_tick(entry);
 	hosts_tick(entry, now_us);
 	sessions_tick(entry, now_us);
+	services_summarize(entry, now_us);
 	sightings_expire(&entry->sightings, now_us);
 	if (!entry->was_ready && entry_ready(entry)) {
 		entry->was_ready = true;
--- a/entry/guest.c
+++ b/entry/guest.c
@@ -109,6 +109,7 @@
 		.service = g_strdup(in->service),
 		.rule = MIN(in->rule, READ_BOUNDED),
 		.statement_us = (int64_t)in->statement_us,
+		.target_us = (int64_t)in->target_us,
 		.staleness_us = (int64_t)in->staleness_us,
 		.priority = in->priority,
 	};
--- a/entry/host.c
+++ b/entry/host.c
@@ -7,10 +7,6 @@
 #include <jansson.h>
 #include <string.h>
 
-/* Time of a statement at an upstream that was not used yet, microseconds. */
-#define LATENCY_FIRST_US (10 * 1000ll)
-/* Part of a new observation in the smoothed time, one in so many. */
-#define LATENCY_PARTS 8
 /* First and longest pause before another attempt to connect, microseconds. */
 #define CONNECT_PAUSE_US (50 * 1000ll)
 #define CONNECT_PAUSE_MAX_US (800 * 1000ll)
@@ -64,7 +60,7 @@
 	host->address = g_strdup(one->address);
 	host->service = service_get(entry, one->service);
 	host->links = g_ptr_array_new();
-	host->latency_us = LATENCY_FIRST_US;
+	send_window_init(&host->window);
 	host->answered_us = INT64_MIN / 2;
 	host->lag_at_us = INT64_MIN / 2;
 	host->lacked_at_us = INT64_MIN / 2;
@@ -236,9 +232,17 @@
 	host->connect_after_us = now_us + MIN(pause, CONNECT_PAUSE_MAX_US);
 }
 
-void host_note_latency(struct host *host, int64_t us)
+unsigned host_out(const struct host *host)
 {
-	host->latency_us += (us - host->latency_us) / LATENCY_PARTS;
+	unsigned nr = 0;
+	guint i;
+
+	for (i = 0; i < host->links->len; i++) {
+		const struct link *link = host->links->pdata[i];
+
+		nr += link->state == LINK_READY && link->steps->len > 0;
+	}
+	return nr;
 }
 
 /* Asks the primary where its log stands when no caller has of late. */
@@ -284,7 +288,8 @@
 
 static void check_host(struct host *host, int64_t now_us)
 {
-	guint keep = home_is_local(host->entry, host->service->name) ? 1 : 0;
+	bool local = home_is_local(host->entry, host->service->name);
+	guint keep = local ? MAX(share_of(host) / 2, 1) : 0;
 	guint i;
 
 	for (i = host->links->len; i-- > 0;) {
@@ -302,6 +307,40 @@
 	}
 }
 
+static void summarize(struct service *svc, int64_t now_us)
+{
+	struct service_summary *sum = &svc->summary;
+
+	svc->summary_us = now_us;
+	if (!sum->done && !sum->not_done)
+		return;
+	event_log("service_summary",
+		  "{s:s, s:i, s:i, s:i, s:I, s:I, s:i, s:i, s:i, s:i, s:i}",
+		  "service", svc->name, "done", (int)sum->done, "writes",
+		  (int)sum->writes, "not_done", (int)sum->not_done,
+		  "mean_wait_us",
+		  (json_int_t)(sum->waited_us / MAX(sum->done, 1)),
+		  "mean_upstream_us",
+		  (json_int_t)(sum->upstream_us / MAX(sum->done, 1)), "waiting",
+		  (int)svc->waiting.length, "busy",
+		  (int)sum->refusals[REFUSAL_BUSY], "behind",
+		  (int)sum->refusals[REFUSAL_BEHIND], "not_primary",
+		  (int)sum->refusals[REFUSAL_NOT_PRIMARY], "failed",
+		  (int)sum->refusals[REFUSAL_FAILED]);
+	memset(sum, 0, sizeof(*sum));
+}
+
+void services_summarize(struct entry *entry, int64_t now_us)
+{
+	struct service *svc;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, entry->services);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&svc))
+		if (now_us - svc->summary_us >= ENTRY_SUMMARY_US)
+			summarize(svc, now_us);
+}
+
 void hosts_tick(struct entry *entry, int64_t now_us)
 {
 	struct service *svc;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -7,6 +7,8 @@
 #include "home_policy.h"
 #include "histogram.h"
 #include "read_bound.h"
+#include "send_window.h"
+#include "urgency.h"
 
 /** Time between looks at timers of links, hosts and sessions, microseconds. */
 #define ENTRY_TICK_US (50 * 1000ll)
@@ -56,7 +58,7 @@
  * @far: whether it is in another availability zone
  * @revision: of the sighting that was last followed
  * @links: struct link, open or being opened
- * @latency_us: time of a statement there of late, smoothed
+ * @window: statements that may be out there at once
  * @seen: newest log position seen there, at @seen_us
  * @answered_us: when it last answered anything
  * @failing_us: first failure since then, 0 if none
@@ -77,7 +79,7 @@
 	bool leaving;
 	bool gone;
 	GPtrArray *links;
-	int64_t latency_us;
+	struct send_window window;
 	struct position seen;
 	int64_t seen_us;
 	int64_t answered_us;
@@ -93,9 +95,30 @@
 	int64_t not_primary_until_us;
 };
 
+/** Time between summaries of the ordinary course, microseconds. */
+#define ENTRY_SUMMARY_US (5 * 1000000ll)
+
+/**
+ * struct service_summary - what happened since the last summary
+ * @writes: successes that wrote or committed
+ * @waited_us: sum over successes, from arrival until a connection was found
+ * @upstream_us: sum over successes of the time at the upstream
+ * @refusals: by upstreams, by kind
+ */
+struct service_summary {
+	unsigned done;
+	unsigned writes;
+	unsigned not_done;
+	int64_t waited_us;
+	int64_t upstream_us;
+	unsigned refusals[REFUSAL_NR];
+};
+
 /**
  * struct service - the upstreams of one service and who waits for them
- * @waiting: struct session, in order of service
+ * @waiting: struct session, in any order
+ * @cost_us: time that a statement takes, by read rule, smoothed
+ * @full_us: when work was last kept back for a full window
  * @used_us: when a session last asked for it
  */
 struct service {
@@ -104,8 +127,13 @@
 	GPtrArray *hosts;
 	struct read_samples samples;
 	GQueue waiting;
+	int64_t cost_us[3];
+	int64_t full_us;
 	int64_t used_us;
 	bool dispatching;
+	uint64_t dispatches;
+	struct service_summary summary;
+	int64_t summary_us;
 };
 
 enum link_state {
@@ -177,6 +205,7 @@
  * @tx_ran: whether a statement of the transaction was answered
  * @tx_wrote: whether a statement of the transaction wrote
  * @arrived_us: when the outstanding statement came
+ * @dispatched: dispatch of its service in which it was last looked at
  * @classified: whether the three below are set
  * @needs_primary: whether only the primary can run it
  * @proof: whether a single read is wrapped in a transaction that only the
@@ -213,6 +242,7 @@
 	enum request_phase phase;
 	int64_t arrived_us;
 	int64_t placed_us;
+	uint64_t dispatched;
 	int timer;
 	struct link *link;
 	GList waiting;
@@ -326,6 +356,7 @@
 /* host.c */
 struct service *service_get(struct entry *entry, const char *name);
 void service_free(void *data);
+void services_summarize(struct entry *entry, int64_t now_us);
 void hosts_update(struct entry *entry);
 struct host *host_primary(struct service *svc, int64_t now_us);
 /** host_room() - connections that may still be opened there */
@@ -335,7 +366,8 @@
 void host_answered(struct host *host, const struct statement_answer *answer,
 		   int64_t now_us);
 void host_failed(struct host *host, int64_t now_us);
-void host_note_latency(struct host *host, int64_t us);
+/** host_out() - statements that it has not answered */
+unsigned host_out(const struct host *host);
 void hosts_tick(struct entry *entry, int64_t now_us);
 void host_free(struct host *host);
 
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -46,6 +46,7 @@
 	out->service = s->route->service;
 	out->rule = s->route->rule;
 	out->statement_us = (uint64_t)s->route->statement_us;
+	out->target_us = (uint64_t)s->route->target_us;
 	out->staleness_us = (uint64_t)s->route->staleness_us;
 	out->priority = s->route->priority;
 	out->arrived_age_us = age(s->arrived_us, now_us);
--- a/entry/request.c
+++ b/entry/request.c
@@ -14,6 +14,14 @@
 #define BUSY_PAUSE_US (15 * 1000ll)
 /* A replica's lag is taken for what it was for so long, microseconds. */
 #define LAG_KNOWN_US (200 * 1000ll)
+/* Time of a statement at an upstream that was not used yet, microseconds. */
+#define LATENCY_LEAST_US (2 * 1000ll)
+/* Waiting reads of replicas that one dispatch may fail to place. */
+#define MISSES_MAX 3
+/* Least time that a statement waits for room, microseconds. */
+#define ROOM_LEAST_US (100 * 1000ll)
+/* Work that was kept back so recently waits for room, not for an upstream. */
+#define FULL_US (60 * 1000ll)
 /* Pause before a replica that lacked a position is asked for it again. */
 #define LACKED_PAUSE_US (40 * 1000ll)
 /* Pause before an upstream that does not lead is asked again. */
@@ -133,6 +141,7 @@
 }
 
 static void on_time_out(int64_t now_us, void *data);
+static int64_t room_until_us(const struct session *s);
 
 static void arm(struct session *s, int64_t at_us)
 {
@@ -140,22 +149,10 @@
 	s->timer = timer_subscribe(s->entry->timers, at_us, 0, on_time_out, s);
 }
 
-static void enqueue(struct session *s, bool first)
+static void enqueue(struct session *s)
 {
-	GQueue *queue = &s->service->waiting;
-	GList *at = queue->head;
-
 	s->phase = REQUEST_WAITING;
-	while (at) {
-		const struct session *other = at->data;
-
-		if (other->route->priority > s->route->priority ||
-		    (other->route->priority == s->route->priority &&
-		     (first || other->arrived_us > s->arrived_us)))
-			break;
-		at = at->next;
-	}
-	g_queue_insert_before_link(queue, at, &s->waiting);
+	g_queue_push_tail_link(&s->service->waiting, &s->waiting);
 }
 
 static int64_t wait_until_us(const struct session *s)
@@ -193,7 +190,7 @@
 }
 
 /* Looks for who runs the statement: a home daemon, or an upstream here. */
-static void seek(struct session *s, bool again)
+static void seek(struct session *s)
 {
 	struct home_link *home = NULL;
 
@@ -207,8 +204,8 @@
 	s->service->used_us = clock_now_us();
 	if (!s->classified)
 		classify(s);
-	arm(s, wait_until_us(s));
-	enqueue(s, again);
+	arm(s, MIN(wait_until_us(s), room_until_us(s)));
+	enqueue(s);
 	service_dispatch(s->service);
 }
 
@@ -224,7 +221,7 @@
 		return;
 	}
 	entry_count(s->entry, ENTRY_COUNT_RETRIES, 1);
-	seek(s, true);
+	seek(s);
 }
 
 void request_start(struct session *s)
@@ -243,7 +240,7 @@
 	else if (s->home)
 		relay(s, s->home);
 	else
-		seek(s, false);
+		seek(s);
 }
 
 static void send_statement(struct session *s)
@@ -330,10 +327,16 @@
 			.idle = host_idle_link(host, NULL) != NULL,
 			.busy = host_busy(host),
 			.room = host_room(host, now_us),
-			.latency_us = host->latency_us,
+			.latency_us =
+				MAX(host->window.latency_us, LATENCY_LEAST_US),
 		};
 		if (host == s->avoid && !s->needs_primary)
 			o->usable = false;
+		if (o->usable &&
+		    !send_window_allows(&host->window, host_out(host))) {
+			o->usable = false;
+			svc->full_us = now_us;
+		}
 		hosts[nr++] = host;
 	}
 	return nr;
@@ -382,22 +385,80 @@
 	return true;
 }
 
-/* Gives free connections to those who wait, in their order. */
+static struct urgency urgency_of(const struct session *s, int64_t now_us)
+{
+	int64_t since_us = s->tx == TX_OPEN ? s->tx_arrived_us : s->arrived_us;
+
+	return (struct urgency){
+		.priority = s->route->priority,
+		.left_us = since_us + s->route->target_us - now_us,
+		.cost_us = s->service->cost_us[s->route->rule],
+	};
+}
+
+/* The most urgent one that this dispatch has not looked at. */
+static struct session *next_waiting(const struct service *svc, bool primary,
+				    bool others, int64_t now_us)
+{
+	struct session *best = NULL;
+	struct urgency most = { 0 };
+	GList *at;
+
+	for (at = svc->waiting.head; at; at = at->next) {
+		struct session *s = at->data;
+		struct urgency u;
+
+		if (s->dispatched == svc->dispatches ||
+		    !(s->needs_primary ? primary : others))
+			continue;
+		u = urgency_of(s, now_us);
+		if (best && !urgency_before(&u, &most))
+			continue;
+		best = s;
+		most = u;
+	}
+	return best;
+}
+
+/* Gives free connections to those who wait, the most urgent first. */
 void service_dispatch(struct service *svc)
 {
 	int64_t now_us = clock_now_us();
-	GList *at, *next;
+	bool primary = true;
+	unsigned misses = 0;
+	struct session *s;
 
 	if (svc->dispatching)
 		return;
 	svc->dispatching = true;
-	for (at = svc->waiting.head; at; at = next) {
-		next = at->next;
-		place(at->data, now_us);
+	svc->dispatches++;
+	while ((s = next_waiting(svc, primary, misses < MISSES_MAX, now_us))) {
+		bool needs_primary = s->needs_primary;
+
+		s->dispatched = svc->dispatches;
+		if (place(s, now_us))
+			continue;
+		if (needs_primary)
+			primary = false;
+		else
+			misses++;
 	}
 	svc->dispatching = false;
 }
 
+/* Time until which it is worth waiting for room beside others. */
+static int64_t room_until_us(const struct session *s)
+{
+	return s->arrived_us + MAX(s->route->target_us, ROOM_LEAST_US);
+}
+
+/* More is asked than can be done: the caller knows better what to do next. */
+static bool is_crowded(const struct session *s, int64_t now_us)
+{
+	return now_us - s->service->full_us < FULL_US &&
+	       now_us >= room_until_us(s);
+}
+
 static void on_time_out(int64_t now_us, void *data)
 {
 	struct session *s = data;
@@ -407,6 +468,10 @@
 	case REQUEST_NONE:
 		return;
 	case REQUEST_WAITING:
+		if (now_us < wait_until_us(s) && !is_crowded(s, now_us)) {
+			arm(s, MIN(wait_until_us(s), now_us + FULL_US));
+			return;
+		}
 		if (s->tx == TX_OPEN)
 			session_end_transaction(s, TX_FAILED);
 		refuse(s, REFUSAL_BUSY, "no upstream was free in time");
@@ -453,6 +518,7 @@
 	switch (refusal) {
 	case REFUSAL_BUSY:
 		host->busy_until_us = now_us + BUSY_PAUSE_US;
+		send_window_refused(&host->window, now_us);
 		break;
 	case REFUSAL_BEHIND:
 		host->lacked = s->need.position;
@@ -609,6 +675,37 @@
 	request_conclude(s, &out);
 }
 
+/* Part of a smaller and of a larger observation in the cost, one in so many:
+ * the time that statements take when they do not queue at the upstream. */
+#define COST_SMALLER_PARTS 8
+#define COST_LARGER_PARTS 128
+
+static void note_time(struct session *s, int64_t now_us)
+{
+	int64_t *cost_us = &s->service->cost_us[s->route->rule];
+	int64_t us = now_us - s->placed_us;
+
+	send_window_answered(&s->link->host->window, us, now_us);
+	*cost_us += (us - *cost_us) /
+		    (us < *cost_us ? COST_SMALLER_PARTS : COST_LARGER_PARTS);
+}
+
+static void summarize(struct session *s, const struct statement_answer *answer,
+		      int64_t now_us)
+{
+	struct service_summary *sum = &s->service->summary;
+
+	if (answer->refusal) {
+		sum->refusals[answer->refusal]++;
+		return;
+	}
+	sum->done++;
+	sum->writes += request_is_write(s) ||
+		       s->statement.verb == STATEMENT_COMMIT;
+	sum->waited_us += s->placed_us - s->arrived_us;
+	sum->upstream_us += now_us - s->placed_us;
+}
+
 void request_step(struct session *s, enum link_step step,
 		  const struct statement_answer *answer)
 {
@@ -636,8 +733,9 @@
 	if (s->phase != REQUEST_RUNNING)
 		return;
 	histogram_add(&s->entry->upstream_times, now_us - s->placed_us);
+	summarize(s, answer, now_us);
 	if (!answer->refusal && s->statement.verb != STATEMENT_COMMIT)
-		host_note_latency(s->link->host, now_us - s->placed_us);
+		note_time(s, now_us);
 	if (s->tx == TX_OPEN && answer->refusal)
 		refused_in_transaction(s, answer);
 	else if (s->tx == TX_OPEN && s->statement.verb == STATEMENT_COMMIT)
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -5510,7 +5510,7 @@
   (ProtobufCMessageInit) wire__session_value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__relay_request__field_descriptors[21] =
+static const ProtobufCFieldDescriptor wire__relay_request__field_descriptors[22] =
 {
   {
     "session",
@@ -5764,6 +5764,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_us",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, target_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__relay_request__field_indices_by_name[] = {
   19,   /* field[19] = arguments */
@@ -5781,6 +5793,7 @@
   17,   /* field[17] = shape */
   4,   /* field[4] = staleness_us */
   3,   /* field[3] = statement_us */
+  21,   /* field[21] = target_us */
   15,   /* field[15] = text */
   8,   /* field[8] = transaction */
   7,   /* field[7] = transaction_age_us */
@@ -5791,7 +5804,7 @@
 static const ProtobufCIntRange wire__relay_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor wire__relay_request__descriptor =
 {
@@ -5801,7 +5814,7 @@
   "Wire__RelayRequest",
   "wire",
   sizeof(Wire__RelayRequest),
-  21,
+  22,
   wire__relay_request__field_descriptors,
   wire__relay_request__field_indices_by_name,
   1,  wire__relay_request__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -770,10 +770,11 @@
    * Whether the home has begun the transaction.
    */
   protobuf_c_boolean begun;
+  uint64_t target_us;
 };
 #define WIRE__RELAY_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__relay_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Wire__RelayAnswer
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -114,8 +114,8 @@
 	ck_assert_str_eq(sent[0].link->host->id, "p");
 	reply(REFUSAL_NONE, SESSION_IDLE, 41, "DONE");
 	ck_assert_uint_eq(s->own.position.lsn, 41);
-	((struct host *)g_hash_table_lookup(entry->hosts, "p"))->latency_us =
-		10000000;
+	((struct host *)g_hash_table_lookup(entry->hosts, "p"))
+		->window.latency_us = 10000000;
 	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
 	open_all();
 	expect(LINK_FORWARD, "READ 1");
@@ -172,8 +172,8 @@
 	read_samples_add(&service_get(entry, "s")->samples,
 			 clock_now_us() - 100000, (struct position){ 1, 9 });
 	r = g_hash_table_lookup(entry->hosts, "r");
-	((struct host *)g_hash_table_lookup(entry->hosts, "p"))->latency_us =
-		10000000;
+	((struct host *)g_hash_table_lookup(entry->hosts, "p"))
+		->window.latency_us = 10000000;
 	log_end = 3;
 	s = caller("bounded");
 	say(s, STATEMENT_READ, "READ 1", NULL, NULL);
@@ -232,8 +232,8 @@
 	see("q", false, false, 1);
 	read_samples_add(&service_get(entry, "s")->samples, clock_now_us(),
 			 (struct position){ 1, 9 });
-	((struct host *)g_hash_table_lookup(entry->hosts, "p"))->latency_us =
-		10000000;
+	((struct host *)g_hash_table_lookup(entry->hosts, "p"))
+		->window.latency_us = 10000000;
 	s = caller("bounded");
 	say(s, STATEMENT_BEGIN_READ, "BEGIN READ", NULL, NULL);
 	/* Connections are open everywhere, so nothing is waited for. */
--- /dev/null
+++ b/tests/test_send_window.c
@@ -0,0 +1,146 @@
+#include "send_window.h"
+#include "urgency.h"
+#include "test_main.h"
+
+#include <gsl/gsl_randist.h>
+
+#define MS 1000ll
+
+/* Guards against a window that a slow upstream or a refusal does not close,
+ * or that never opens again. */
+START_TEST(test_window)
+{
+	struct send_window w;
+	int64_t now_us = 0;
+	int i;
+
+	send_window_init(&w);
+	ck_assert(send_window_allows(&w, 2));
+	ck_assert(!send_window_allows(&w, 3));
+	for (i = 0; i < 200; i++)
+		send_window_answered(&w, 10 * MS, now_us += 10 * MS);
+	ck_assert(send_window_allows(&w, 8));
+	for (i = 0; i < 200; i++)
+		send_window_answered(&w, 60 * MS, now_us += 10 * MS);
+	ck_assert(send_window_allows(&w, 0));
+	ck_assert(!send_window_allows(&w, 1));
+	for (i = 0; i < 200; i++)
+		send_window_answered(&w, 10 * MS, now_us += 10 * MS);
+	ck_assert(send_window_allows(&w, 5));
+	for (i = 0; i < 20; i++)
+		send_window_refused(&w, now_us += 100 * MS);
+	ck_assert(!send_window_allows(&w, 1));
+}
+END_TEST
+
+/* Guards against several refusals of one moment that close it at once. */
+START_TEST(test_one_moment)
+{
+	struct send_window w;
+	double before;
+	int i;
+
+	send_window_init(&w);
+	send_window_answered(&w, 10 * MS, 0);
+	before = w.size;
+	for (i = 0; i < 10; i++)
+		send_window_refused(&w, MS);
+	ck_assert(w.size > before / 2);
+}
+END_TEST
+
+static struct urgency make(unsigned priority, int64_t left, int64_t cost)
+{
+	return (struct urgency){ priority, left * MS, cost * MS };
+}
+
+/* Guards against work for callers whose time is over before that for callers
+ * who can still be served. */
+START_TEST(test_order)
+{
+	struct urgency late = make(0, 1, 5);
+	struct urgency cheap = make(1, 100, 3);
+	struct urgency dear = make(1, 50, 15);
+	struct urgency dear_old = make(1, 20, 15);
+	struct urgency minor = make(2, 20, 3);
+
+	ck_assert(!urgency_in_time(&late));
+	ck_assert(urgency_before(&cheap, &late));
+	ck_assert(urgency_before(&cheap, &dear));
+	ck_assert(urgency_before(&dear, &minor));
+	ck_assert(urgency_before(&dear_old, &dear));
+	ck_assert(!urgency_before(&dear, &dear));
+}
+END_TEST
+
+struct job {
+	int64_t arrived_us;
+	bool minor;
+	bool taken;
+};
+
+/*
+ * Plays twice what one upstream can do against a queue in the given order and
+ * returns the callers served within 200 ms.
+ */
+static unsigned play(bool by_urgency)
+{
+	static struct job jobs[4000];
+	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
+	unsigned arrived = 0, served = 0, i;
+	int64_t now_us = 0, next_us = 0, wait_us = 200 * MS;
+
+	for (;;) {
+		struct job *best = NULL;
+		struct urgency most = { 0 };
+
+		while (next_us <= now_us && arrived < 4000) {
+			jobs[arrived++] = (struct job){
+				next_us, gsl_rng_uniform(rng) < 0.5, false
+			};
+			next_us += (int64_t)gsl_ran_exponential(rng, 5 * MS);
+		}
+		for (i = 0; i < arrived; i++) {
+			struct urgency u = {
+				.left_us =
+					jobs[i].arrived_us + wait_us - now_us,
+				.cost_us = (jobs[i].minor ? 15 : 5) * MS,
+			};
+
+			/* Nobody waits for longer than a second. */
+			if (jobs[i].taken || u.left_us < -800 * MS)
+				continue;
+			if (best && (!by_urgency || !urgency_before(&u, &most)))
+				continue;
+			best = &jobs[i];
+			most = u;
+		}
+		if (!best && arrived == 4000)
+			break;
+		if (!best) {
+			now_us = next_us;
+			continue;
+		}
+		best->taken = true;
+		now_us += (best->minor ? 15 : 5) * MS;
+		served += now_us <= best->arrived_us + wait_us;
+	}
+	gsl_rng_free(rng);
+	return served;
+}
+
+/* Guards against an order under which nobody is served in time when more is
+ * asked than can be done: first come, first served is that order. */
+START_TEST(test_overload)
+{
+	unsigned naive = play(false);
+	unsigned urgent = play(true);
+
+	ck_assert_uint_lt(naive, 400);
+	/* The cheap half alone takes half of the time there is. */
+	ck_assert_uint_gt(urgent, 2000);
+}
+END_TEST
+
+TEST_MAIN("send_window", test_window, test_one_moment, test_order,
+	  test_overload)
