Hand a primary over instead of replacing it

And a primary that left was replaced while it still took commits, so that some of those it had acknowledged were rolled back.

A primary that can still be asked is handed over: one of the daemons that use it makes it a replica, waits until the successor has received all of its log, and reports; only then the leader orders the promotion. If the successor does not follow within 0.7 s, the former primary is appointed again. The leader hands over when the primary announces its leave, and when all replicas have been over 2 s behind for 1.2 s by the reports of most daemons (promotion_lagging, pure), at most every 12 s a service.

test_handover, test_lagging, test_status.

--- a/control/internal.h
+++ b/control/internal.h
@@ -93,6 +93,7 @@
 
 struct control_report {
 	int64_t failing_us;
+	int64_t lag_us;
 	struct position position;
 	int64_t at_us;
 };
@@ -105,10 +106,26 @@
 	void *data;
 };
 
-/** struct control_order - the last order of this leader for a service */
+/**
+ * struct control_order - what this leader last ordered for a service
+ * @id: upstream that was to lead
+ * @unclear: orders in a row that got no answer
+ * @pending: whether the platform has not answered yet
+ * @handover: number of the handover under way, 0 for none
+ * @executor: daemon that carries it out
+ * @from: primary that it stops
+ * @until_us: when the handover is given up
+ * @behind_since_us: since when all replicas have been behind, 0 if not
+ */
 struct control_order {
 	char *service;
 	char *id;
+	uint64_t handover;
+	char *executor;
+	char *from;
+	int64_t until_us;
+	int64_t behind_since_us;
+	int64_t relieved_us;
 	int64_t at_us;
 	unsigned unclear;
 	bool pending;
@@ -155,6 +172,7 @@
 	GHashTable *orders;
 	uint64_t saved_revision;
 	int64_t save_after_us;
+	uint64_t last_handover;
 	bool views_due;
 	bool stopping;
 	ev_io listener;
@@ -229,5 +247,10 @@
 /* promotions.c */
 void control_promotions_tick(struct control_node *node, int64_t now_us);
 void control_order_free(void *data);
+/** control_handovers_fill() - what @daemon is to carry out */
+void control_handovers_fill(const struct control_node *node, const char *daemon,
+			    Wire__View *view);
+void control_handover_result(struct control_node *node,
+			     const Wire__HandoverResult *result);
 
 #endif
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -10,6 +10,8 @@
 /* Unclear orders before another upstream is tried: an order that got no
  * answer may be carried out late and would then undo a newer one. */
 #define UNCLEAR_MAX 4
+/* Time for a handover, with the way there and back, microseconds. */
+#define HANDOVER_US (1000 * 1000ll)
 /* Pause after an order that was refused, microseconds. */
 #define RETRY_US (300 * 1000ll)
 
@@ -19,6 +21,8 @@
 
 	g_free(order->service);
 	g_free(order->id);
+	g_free(order->executor);
+	g_free(order->from);
 	g_free(order);
 }
 
@@ -39,6 +43,8 @@
 			out->failing++;
 		else if (!report->failing_us)
 			out->answered++;
+		if (!report->failing_us && report->lag_us > PROMOTION_LAG_US)
+			out->behind++;
 		out->position = position_max(out->position, report->position);
 	}
 }
@@ -73,19 +79,29 @@
 	return out;
 }
 
+static struct control_order *order_of(struct control_node *node,
+				      const char *service)
+{
+	struct control_order *o = g_hash_table_lookup(node->orders, service);
+
+	if (o)
+		return o;
+	o = g_new0(struct control_order, 1);
+	o->service = g_strdup(service);
+	o->at_us = INT64_MIN / 2;
+	o->relieved_us = INT64_MIN / 2;
+	g_hash_table_insert(node->orders, o->service, o);
+	return o;
+}
+
 static void order(struct control_node *node, const char *service,
 		  const char *id, enum promotion_reason reason,
 		  const struct promotion_view *view)
 {
 	const struct promotion_upstream *p =
 		view->primary >= 0 ? &view->upstreams[view->primary] : NULL;
-	struct control_order *o = g_hash_table_lookup(node->orders, service);
+	struct control_order *o = order_of(node, service);
 
-	if (!o) {
-		o = g_new0(struct control_order, 1);
-		o->service = g_strdup(service);
-		g_hash_table_insert(node->orders, o->service, o);
-	}
 	if (!o->id || strcmp(o->id, id)) {
 		g_free(o->id);
 		o->id = g_strdup(id);
@@ -118,17 +134,163 @@
 	return false;
 }
 
+/* A daemon that both upstreams answer. */
+static const struct control_watcher *executor(const struct control_node *node,
+					      const char *from, const char *to,
+					      int64_t now_us)
+{
+	guint i;
+
+	for (i = 0; i < node->watchers->len; i++) {
+		const struct control_watcher *w = node->watchers->pdata[i];
+		const struct control_report *a =
+			g_hash_table_lookup(w->reports, from);
+		const struct control_report *b =
+			g_hash_table_lookup(w->reports, to);
+
+		if (w->name && !w->draining && a && b && !a->failing_us &&
+		    !b->failing_us && now_us - w->heard_us < CONTROL_WATCHER_US)
+			return w;
+	}
+	return NULL;
+}
+
+/*
+ * A primary that can still be asked is stopped first, so that its successor
+ * holds all that it acknowledged. Return: false if nobody can do it.
+ */
+static bool hand_over(struct control_node *node, const char *service,
+		      const struct promotion_view *view, int chosen,
+		      enum promotion_reason reason, int64_t now_us)
+{
+	const char *from = view->upstreams[view->primary].id;
+	const char *to = view->upstreams[chosen].id;
+	const struct control_watcher *w = executor(node, from, to, now_us);
+	struct control_order *o = order_of(node, service);
+
+	if (!w)
+		return false;
+	g_free(o->executor);
+	g_free(o->from);
+	g_free(o->id);
+	o->executor = g_strdup(w->name);
+	o->from = g_strdup(from);
+	o->id = g_strdup(to);
+	o->unclear = 0;
+	o->handover = node->lead_term << 32 | ++node->last_handover;
+	o->until_us = now_us + HANDOVER_US;
+	event_log_always("handover_ordered", "{s:s, s:s, s:s, s:s, s:s}",
+			 "service", service, "from", from, "to", to, "daemon",
+			 o->executor, "why", promotion_reason_text(reason));
+	node->views_due = true;
+	return true;
+}
+
+void control_handovers_fill(const struct control_node *node, const char *daemon,
+			    Wire__View *view)
+{
+	struct control_order *o;
+	GHashTableIter it;
+
+	view->handovers =
+		g_new(Wire__Handover *, g_hash_table_size(node->orders) + 1);
+	g_hash_table_iter_init(&it, node->orders);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&o)) {
+		Wire__Handover *out;
+
+		if (!o->handover || strcmp(o->executor, daemon))
+			continue;
+		out = g_new(Wire__Handover, 1);
+		wire__handover__init(out);
+		out->number = o->handover;
+		out->daemon = o->executor;
+		out->from = o->from;
+		out->to = o->id;
+		view->handovers[view->n_handovers++] = out;
+	}
+}
+
+static void end_handover(struct control_node *node, struct control_order *o,
+			 bool complete)
+{
+	struct promotion_view view = { .primary = -1 };
+	g_autofree char *id = g_strdup(complete ? o->id : o->from);
+
+	o->handover = 0;
+	/* If it was not stopped it leads on, and nothing changes. */
+	order(node, o->service, id,
+	      complete ? PROMOTION_LEAVING : PROMOTION_NO_PRIMARY, &view);
+}
+
+void control_handover_result(struct control_node *node,
+			     const Wire__HandoverResult *result)
+{
+	struct control_order *o;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, node->orders);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&o))
+		if (o->handover && o->handover == result->number) {
+			end_handover(node, o, result->complete);
+			return;
+		}
+}
+
+/* Return: whether all replicas have been behind for too long. */
+static bool is_behind(struct control_order *o,
+		      const struct promotion_view *view, int64_t now_us)
+{
+	if (!promotion_lagging(view)) {
+		o->behind_since_us = 0;
+		return false;
+	}
+	if (!o->behind_since_us)
+		o->behind_since_us = now_us;
+	if (now_us - o->behind_since_us < PROMOTION_LAG_BORNE_US ||
+	    now_us - o->relieved_us < PROMOTION_LAG_AGAIN_US ||
+	    view->since_order_us < PROMOTION_SETTLE_US)
+		return false;
+	o->relieved_us = now_us;
+	return true;
+}
+
+static void change_primary(struct control_node *node, struct control_order *o,
+			   const struct promotion_view *view,
+			   enum promotion_reason reason, int64_t now_us)
+{
+	int chosen = promotion_candidate(view);
+	bool planned = reason == PROMOTION_LEAVING ||
+		       reason == PROMOTION_REPLICAS_BEHIND;
+
+	if (repeats(o, view)) {
+		g_autofree char *id = g_strdup(o->id);
+
+		order(node, o->service, id, reason, view);
+		return;
+	}
+	if (chosen < 0 || (planned && hand_over(node, o->service, view, chosen,
+						reason, now_us)))
+		return;
+	if (reason != PROMOTION_REPLICAS_BEHIND)
+		order(node, o->service, view->upstreams[chosen].id, reason,
+		      view);
+}
+
 static void consider(struct control_node *node, const char *service,
 		     int64_t now_us)
 {
-	struct control_order *o = g_hash_table_lookup(node->orders, service);
-	struct promotion_view view = { .since_order_us = INT64_MAX };
+	struct control_order *o = order_of(node, service);
+	struct promotion_view view = { 0 };
 	enum promotion_reason reason;
 	GArray *upstreams;
-	int chosen;
 
-	if (o && o->pending)
+	if (o->pending)
+		return;
+	if (o->handover) {
+		if (now_us > o->until_us)
+			end_handover(node, o, false);
 		return;
+	}
 	upstreams = upstreams_of(node, service, &view.primary, now_us);
 	view.upstreams = (struct promotion_upstream *)(void *)upstreams->data;
 	view.nr = upstreams->len;
@@ -137,17 +299,12 @@
 			node->ops->sync_replicas(node->reg.document, service,
 						 node->data) :
 			0;
-	if (o)
-		view.since_order_us = now_us - o->at_us;
+	view.since_order_us = now_us - o->at_us;
 	reason = promotion_needed(&view);
-	if (reason != PROMOTION_NOT_NEEDED) {
-		chosen = promotion_candidate(&view);
-		if (repeats(o, &view))
-			order(node, service, o->id, reason, &view);
-		else if (chosen >= 0)
-			order(node, service, view.upstreams[chosen].id, reason,
-			      &view);
-	}
+	if (reason == PROMOTION_NOT_NEEDED && is_behind(o, &view, now_us))
+		reason = PROMOTION_REPLICAS_BEHIND;
+	if (reason != PROMOTION_NOT_NEEDED)
+		change_primary(node, o, &view, reason, now_us);
 	g_array_free(upstreams, TRUE);
 }
 
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -118,7 +118,10 @@
 		g_free(view->roster[i]);
 	g_free(view->sightings);
 	g_free(view->primaries);
+	for (i = 0; i < view->n_handovers; i++)
+		g_free(view->handovers[i]);
 	g_free(view->roster);
+	g_free(view->handovers);
 }
 
 static void send_view(struct control_watcher *watcher, bool asked)
@@ -142,6 +145,7 @@
 	add_config(watcher, &view, asked);
 	control_view_fill(node, watcher->sent_revision, &view);
 	control_roster_fill(node, watcher->sent_roster, &view);
+	control_handovers_fill(node, watcher->name, &view);
 	watcher->sent_roster = node->roster_revision;
 	watcher->sent_revision = node->sightings.revision;
 	envelope.body_case = WIRE__ENVELOPE__BODY_VIEW;
@@ -164,6 +168,7 @@
 			g_new0(struct control_report, 1);
 
 		report->failing_us = (int64_t)in->failing_us;
+		report->lag_us = (int64_t)in->lag_us;
 		report->at_us = now_us;
 		if (in->position)
 			report->position =
@@ -177,6 +182,7 @@
 		       const Wire__Watch *watch)
 {
 	struct control_node *node = watcher->node;
+	size_t i;
 
 	if (!watcher->name) {
 		watcher->name = g_strdup(watch->daemon);
@@ -191,6 +197,8 @@
 	watcher->config_version =
 		MAX(watcher->config_version, watch->config_version);
 	take_reports(watcher, watch);
+	for (i = 0; i < watch->n_handovers; i++)
+		control_handover_result(node, watch->handovers[i]);
 	send_view(watcher, true);
 }
 
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -69,6 +69,26 @@
 	return best;
 }
 
+bool promotion_lagging(const struct promotion_view *view)
+{
+	unsigned replicas = 0;
+	unsigned i;
+
+	if (view->primary < 0 || view->upstreams[view->primary].failing ||
+	    !view->upstreams[view->primary].answered)
+		return false;
+	for (i = 0; i < view->nr; i++) {
+		const struct promotion_upstream *p = &view->upstreams[i];
+
+		if ((int)i == view->primary || p->leaving)
+			continue;
+		replicas++;
+		if (p->behind * 2 <= p->answered || p->failing)
+			return false;
+	}
+	return replicas > 0;
+}
+
 const char *promotion_reason_text(enum promotion_reason reason)
 {
 	switch (reason) {
@@ -80,6 +100,8 @@
 		return "silent";
 	case PROMOTION_NO_PRIMARY:
 		return "no primary";
+	case PROMOTION_REPLICAS_BEHIND:
+		return "replicas behind";
 	case PROMOTION_NOT_NEEDED:
 		break;
 	}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -49,6 +49,7 @@
 
 	watch_connect(entry, now_us);
 	homes_tick(entry, now_us);
+	handover_tick(entry, now_us);
 	guests_tick(entry);
 	hosts_tick(entry, now_us);
 	sessions_tick(entry, now_us);
@@ -71,6 +72,7 @@
 	entry->timers = timers;
 	entry->config = *config;
 	entry->report_timer = TIMER_NONE;
+	entry->handover.timer = TIMER_NONE;
 	entry->random = g_random_int();
 	entry->control = g_ptr_array_new();
 	entry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -109,6 +111,7 @@
 	guests_close(entry);
 	watch_stop(entry);
 	homes_finish(entry);
+	handover_finish(entry);
 	g_hash_table_destroy(entry->hosts);
 	g_hash_table_destroy(entry->services);
 	sightings_finish(&entry->sightings);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -92,6 +92,10 @@
 	LINK_RESET,
 	LINK_SET,
 	LINK_PREPARE,
+	/** asks where its log ends, see upstream_ops.read_status */
+	LINK_STATUS,
+	/** makes a primary of a term below @after.term a replica */
+	LINK_DEMOTE,
 	/** a caller's statement */
 	LINK_FORWARD,
 };
@@ -114,6 +118,15 @@
 
 struct link;
 
+/**
+ * struct upstream_status - what an upstream says of its log
+ * @received: end of the log that it holds, applied or not
+ */
+struct upstream_status {
+	bool primary;
+	struct position received;
+};
+
 /**
  * struct upstream_ops - a protocol towards upstreams
  * @open: connect and log in; reports link_opened() or link_closed() later.
@@ -121,6 +134,7 @@
  * @send: queue one command; each gets one link_replied()
  * @flush: write what was queued
  * @close: close without a report
+ * @read_status: decode the answer to LINK_STATUS or LINK_DEMOTE
  */
 struct upstream_ops {
 	void *(*open)(struct link *link, const char *address,
@@ -128,6 +142,8 @@
 	void (*send)(void *wire, const struct link_command *command);
 	void (*flush)(void *wire);
 	void (*close)(void *wire);
+	bool (*read_status)(const struct statement_answer *answer,
+			    struct upstream_status *status);
 };
 
 void link_opened(struct link *link, struct position position);
--- /dev/null
+++ b/entry/handover.c
@@ -0,0 +1,160 @@
+#include "internal.h"
+
+#include "clock.h"
+#include "event_log.h"
+
+#include <jansson.h>
+
+/* Time in which a successor catches up with a primary that has stopped. */
+#define HANDOVER_US (700 * 1000ll)
+/* Time between two questions to the successor, microseconds. */
+#define POLL_US (20 * 1000ll)
+/* A result is repeated for so long, microseconds. */
+#define REPEAT_US (2500 * 1000ll)
+
+static void finish(struct entry *entry, bool complete)
+{
+	struct handover *h = &entry->handover;
+
+	h->phase = HANDOVER_DONE;
+	h->complete = complete;
+	h->until_us = clock_now_us() + REPEAT_US;
+	event_log_always("handover_finished", "{s:s, s:s, s:b, s:I, s:I}",
+			 "from", h->from, "to", h->to, "complete",
+			 (int)complete, "term", (json_int_t)h->end.term,
+			 "position", (json_int_t)h->end.lsn);
+	watch_soon(entry, clock_now_us());
+}
+
+static void ask(struct entry *entry, const char *id,
+		const struct link_command *command)
+{
+	struct handover *h = &entry->handover;
+	struct host *host = g_hash_table_lookup(entry->hosts, id);
+	struct link *link;
+
+	if (!host || host->gone) {
+		finish(entry, false);
+		return;
+	}
+	link = host_idle_link(host, NULL);
+	if (!link) {
+		if (!host->links->len)
+			link_open(host);
+		return;
+	}
+	h->asked = true;
+	link_send(link, STEP_HANDOVER, command);
+	link_flush(link);
+}
+
+static void proceed(struct entry *entry)
+{
+	struct handover *h = &entry->handover;
+	struct link_command command = { .verb = LINK_STATUS };
+	const struct host *from;
+
+	if (h->asked || h->phase == HANDOVER_DONE)
+		return;
+	if (h->phase == HANDOVER_FOLLOWING) {
+		ask(entry, h->to, &command);
+		return;
+	}
+	from = g_hash_table_lookup(entry->hosts, h->from);
+	command.verb = LINK_DEMOTE;
+	command.after.term = from ? from->seen.term + 1 : 0;
+	ask(entry, h->from, &command);
+}
+
+static void on_poll(int64_t now_us, void *data)
+{
+	struct entry *entry = data;
+
+	entry->handover.timer = TIMER_NONE;
+	handover_tick(entry, now_us);
+}
+
+static void poll_again(struct entry *entry)
+{
+	struct handover *h = &entry->handover;
+
+	if (h->timer == TIMER_NONE)
+		h->timer = timer_subscribe(entry->timers,
+					   clock_now_us() + POLL_US, 0, on_poll,
+					   entry);
+}
+
+void handover_tick(struct entry *entry, int64_t now_us)
+{
+	struct handover *h = &entry->handover;
+
+	if (!h->number || h->phase == HANDOVER_DONE)
+		return;
+	if (now_us > h->until_us) {
+		finish(entry, false);
+		return;
+	}
+	proceed(entry);
+}
+
+void handover_answered(struct entry *entry,
+		       const struct statement_answer *answer)
+{
+	struct handover *h = &entry->handover;
+	struct upstream_status status;
+
+	h->asked = false;
+	if (h->phase == HANDOVER_DONE)
+		return;
+	if (answer->refusal ||
+	    !entry->config.upstream_ops->read_status(answer, &status)) {
+		poll_again(entry);
+		return;
+	}
+	if (h->phase == HANDOVER_STOPPING) {
+		h->end = status.received;
+		h->phase = HANDOVER_FOLLOWING;
+		proceed(entry);
+		return;
+	}
+	if (position_compare(status.received, h->end) >= 0)
+		finish(entry, true);
+	else
+		poll_again(entry);
+}
+
+void handover_lost(struct entry *entry)
+{
+	entry->handover.asked = false;
+	poll_again(entry);
+}
+
+void handover_start(struct entry *entry, const Wire__Handover *in)
+{
+	struct handover *h = &entry->handover;
+
+	/* It is repeated until its result has arrived. */
+	if (in->number == h->number ||
+	    g_strcmp0(in->daemon, entry->config.name))
+		return;
+	if (h->timer != TIMER_NONE)
+		timer_cancel(entry->timers, &h->timer);
+	g_free(h->from);
+	g_free(h->to);
+	*h = (struct handover){ .number = in->number,
+				.from = g_strdup(in->from),
+				.to = g_strdup(in->to),
+				.until_us = clock_now_us() + HANDOVER_US,
+				.timer = TIMER_NONE };
+	event_log_always("handover_started", "{s:s, s:s, s:I}", "from", h->from,
+			 "to", h->to, "number", (json_int_t)h->number);
+	proceed(entry);
+}
+
+void handover_finish(struct entry *entry)
+{
+	if (entry->handover.timer != TIMER_NONE)
+		timer_cancel(entry->timers, &entry->handover.timer);
+	g_free(entry->handover.from);
+	g_free(entry->handover.to);
+}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -147,6 +147,8 @@
 	STEP_STATEMENT,
 	STEP_ROLLBACK,
 	STEP_SAMPLE,
+	/** of a handover, for no session */
+	STEP_HANDOVER,
 	/** its session has been answered already */
 	STEP_ABANDONED,
 };
@@ -295,6 +297,31 @@
 	uint32_t ip;
 };
 
+enum handover_phase {
+	HANDOVER_STOPPING,
+	HANDOVER_FOLLOWING,
+	HANDOVER_DONE,
+};
+
+/**
+ * struct handover - an order of control to stop a primary for its successor
+ * @number: of the order, 0 for none yet
+ * @end: end of the log of the primary that was stopped
+ * @until_us: when it is given up; once done, until when it is reported
+ * @asked: whether a command has no answer yet
+ */
+struct handover {
+	uint64_t number;
+	enum handover_phase phase;
+	char *from;
+	char *to;
+	struct position end;
+	int64_t until_us;
+	bool asked;
+	bool complete;
+	int timer;
+};
+
 /** struct control_link - the connection to one control VM */
 struct control_link {
 	struct entry *entry;
@@ -326,6 +353,7 @@
 	bool plan_due;
 	GHashTable *homes;
 	GQueue guest_links;
+	struct handover handover;
 	ev_io listener;
 	GHashTable *services;
 	GHashTable *hosts;
@@ -430,6 +458,15 @@
 void guests_tick(struct entry *entry);
 void guests_close(struct entry *entry);
 
+/* handover.c */
+void handover_start(struct entry *entry, const Wire__Handover *in);
+void handover_tick(struct entry *entry, int64_t now_us);
+void handover_answered(struct entry *entry,
+		       const struct statement_answer *answer);
+/** handover_lost() - the connection that was asked broke */
+void handover_lost(struct entry *entry);
+void handover_finish(struct entry *entry);
+
 /* session.c */
 void session_answer(struct session *s, const struct statement_answer *answer);
 void session_end_transaction(struct session *s, enum transaction to);
--- a/entry/link.c
+++ b/entry/link.c
@@ -47,14 +47,24 @@
 	g_free(link);
 }
 
+static bool serves_handover(const struct link *link)
+{
+	return link->steps->len &&
+	       g_array_index(link->steps, enum link_step, 0) == STEP_HANDOVER;
+}
+
 void link_close(struct link *link)
 {
 	struct session *s = link->session;
+	struct entry *entry = link->host->entry;
+	bool handover = serves_handover(link);
 
 	link->session = NULL;
 	if (link->wire)
 		link->host->entry->config.upstream_ops->close(link->wire);
 	link_free(link);
+	if (handover)
+		handover_lost(entry);
 	if (s) {
 		s->link = NULL;
 		request_link_lost(s);
@@ -256,6 +266,11 @@
 		return;
 	}
 	g_array_remove_index(link->steps, 0);
+	if (step == STEP_HANDOVER) {
+		handover_answered(host->entry, answer);
+		service_dispatch(svc);
+		return;
+	}
 	note_transaction(link, step, answer);
 	if (step == STEP_ROLLBACK && answer->refusal) {
 		link_close(link);
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -14,6 +14,8 @@
 #define FORGET_US (15 * 1000000ll)
 /* Control VMs that are watched at once. */
 #define LINKS_MAX 9
+/* A lag that is reported as no less, microseconds. */
+#define LAG_MAX_US (3600 * 1000000ll)
 /* Largest configuration document, bytes. */
 #define DOCUMENT_MAX (4u * 1024 * 1024)
 
@@ -146,6 +148,8 @@
 		take_primary(entry, view->primaries[i], now_us);
 	if (entry->sightings.revision != revision)
 		hosts_update(entry);
+	for (i = 0; i < view->n_handovers; i++)
+		handover_start(entry, view->handovers[i]);
 }
 
 static void send_watch(struct control_link *link);
@@ -257,6 +261,7 @@
 		wire__position__init(out->position);
 		out->position->term = host->seen.term;
 		out->position->lsn = host->seen.lsn;
+		out->lag_us = (uint64_t)MIN(host->lag_us, LAG_MAX_US);
 		watch->upstreams[watch->n_upstreams++] = out;
 	}
 }
@@ -266,6 +271,8 @@
 	struct entry *entry = link->entry;
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__Watch watch = WIRE__WATCH__INIT;
+	Wire__HandoverResult result = WIRE__HANDOVER_RESULT__INIT;
+	Wire__HandoverResult *results = &result;
 	size_t i;
 
 	watch.daemon = (char *)entry->config.name;
@@ -274,6 +281,13 @@
 	watch.draining = entry->drain_us != 0;
 	watch.config_version = entry->table ? entry->table->version : 0;
 	fill_health(entry, &watch, clock_now_us());
+	if (entry->handover.phase == HANDOVER_DONE &&
+	    clock_now_us() < entry->handover.until_us) {
+		result.number = entry->handover.number;
+		result.complete = entry->handover.complete;
+		watch.handovers = &results;
+		watch.n_handovers = 1;
+	}
 	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
 	envelope.watch = &watch;
 	channel_send(&link->channel, &envelope);
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -19,6 +19,12 @@
 #define PROMOTION_DOUBT_US (2000 * 1000ll)
 /** A candidate was heard within this time. */
 #define PROMOTION_CANDIDATE_US (3000 * 1000ll)
+/** A replica further behind answers few reads, microseconds. */
+#define PROMOTION_LAG_US (2000 * 1000ll)
+/** Lag of all replicas is borne so long before the primary is changed. */
+#define PROMOTION_LAG_BORNE_US (1200 * 1000ll)
+/** Time between two changes for the sake of lag, microseconds. */
+#define PROMOTION_LAG_AGAIN_US (12 * 1000000ll)
 /** Time that an order has to take effect before another may follow. */
 #define PROMOTION_SETTLE_US (2500 * 1000ll)
 /** One daemon in so many that is cut off from the primary is enough. */
@@ -29,6 +35,7 @@
  * @silent_us: time since its last announcement
  * @answered: entry daemons that it answered of late
  * @failing: entry daemons that it has not answered for PROMOTION_FAILING_US
+ * @behind: entry daemons that saw it further behind than PROMOTION_LAG_US
  * @position: newest position seen there
  */
 struct promotion_upstream {
@@ -37,6 +44,7 @@
 	int64_t silent_us;
 	unsigned answered;
 	unsigned failing;
+	unsigned behind;
 	struct position position;
 };
 
@@ -60,6 +68,7 @@
 	PROMOTION_UNREACHABLE,
 	PROMOTION_SILENT,
 	PROMOTION_NO_PRIMARY,
+	PROMOTION_REPLICAS_BEHIND,
 };
 
 /** promotion_needed() - why the primary is to be replaced now */
@@ -75,6 +84,16 @@
  */
 int promotion_candidate(const struct promotion_view *view);
 
+/**
+ * promotion_lagging() - whether all replicas are too far behind for reads
+ *
+ * Answers the load in which replicas apply the log late, one old entry after
+ * the other, for much longer than the cause lasts: the primary then runs every
+ * read. A replica holds what it has received, so as the primary it is not
+ * behind, and the former primary becomes a replica that is not behind either.
+ */
+bool promotion_lagging(const struct promotion_view *view);
+
 const char *promotion_reason_text(enum promotion_reason reason);
 
 #endif
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -1222,6 +1222,96 @@
   assert(message->base.descriptor == &wire__upstream_health__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__handover__init
+                     (Wire__Handover         *message)
+{
+  static const Wire__Handover init_value = WIRE__HANDOVER__INIT;
+  *message = init_value;
+}
+size_t wire__handover__get_packed_size
+                     (const Wire__Handover *message)
+{
+  assert(message->base.descriptor == &wire__handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__handover__pack
+                     (const Wire__Handover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__handover__pack_to_buffer
+                     (const Wire__Handover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Handover *
+       wire__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Handover *)
+     protobuf_c_message_unpack (&wire__handover__descriptor,
+                                allocator, len, data);
+}
+void   wire__handover__free_unpacked
+                     (Wire__Handover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__handover_result__init
+                     (Wire__HandoverResult         *message)
+{
+  static const Wire__HandoverResult init_value = WIRE__HANDOVER_RESULT__INIT;
+  *message = init_value;
+}
+size_t wire__handover_result__get_packed_size
+                     (const Wire__HandoverResult *message)
+{
+  assert(message->base.descriptor == &wire__handover_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__handover_result__pack
+                     (const Wire__HandoverResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__handover_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__handover_result__pack_to_buffer
+                     (const Wire__HandoverResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__handover_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__HandoverResult *
+       wire__handover_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__HandoverResult *)
+     protobuf_c_message_unpack (&wire__handover_result__descriptor,
+                                allocator, len, data);
+}
+void   wire__handover_result__free_unpacked
+                     (Wire__HandoverResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__handover_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__watch__init
                      (Wire__Watch         *message)
 {
@@ -5009,7 +5099,7 @@
   (ProtobufCMessageInit) wire__sighting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__upstream_health__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__upstream_health__field_descriptors[4] =
 {
   {
     "id",
@@ -5047,16 +5137,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lag_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamHealth, lag_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__upstream_health__field_indices_by_name[] = {
   1,   /* field[1] = failing_us */
   0,   /* field[0] = id */
+  3,   /* field[3] = lag_us */
   2,   /* field[2] = position */
 };
 static const ProtobufCIntRange wire__upstream_health__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__upstream_health__descriptor =
 {
@@ -5066,14 +5169,142 @@
   "Wire__UpstreamHealth",
   "wire",
   sizeof(Wire__UpstreamHealth),
-  3,
+  4,
   wire__upstream_health__field_descriptors,
   wire__upstream_health__field_indices_by_name,
   1,  wire__upstream_health__number_ranges,
   (ProtobufCMessageInit) wire__upstream_health__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__watch__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__handover__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "daemon",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover, daemon),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover, from),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover, to),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__handover__field_indices_by_name[] = {
+  1,   /* field[1] = daemon */
+  2,   /* field[2] = from */
+  0,   /* field[0] = number */
+  3,   /* field[3] = to */
+};
+static const ProtobufCIntRange wire__handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Handover",
+  "Handover",
+  "Wire__Handover",
+  "wire",
+  sizeof(Wire__Handover),
+  4,
+  wire__handover__field_descriptors,
+  wire__handover__field_indices_by_name,
+  1,  wire__handover__number_ranges,
+  (ProtobufCMessageInit) wire__handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__handover_result__field_descriptors[2] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__HandoverResult, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__HandoverResult, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__handover_result__field_indices_by_name[] = {
+  1,   /* field[1] = complete */
+  0,   /* field[0] = number */
+};
+static const ProtobufCIntRange wire__handover_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__handover_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.HandoverResult",
+  "HandoverResult",
+  "Wire__HandoverResult",
+  "wire",
+  sizeof(Wire__HandoverResult),
+  2,
+  wire__handover_result__field_descriptors,
+  wire__handover_result__field_indices_by_name,
+  1,  wire__handover_result__number_ranges,
+  (ProtobufCMessageInit) wire__handover_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__watch__field_descriptors[7] =
 {
   {
     "daemon",
@@ -5147,19 +5378,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handovers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Watch, n_handovers),
+    offsetof(Wire__Watch, handovers),
+    &wire__handover_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__watch__field_indices_by_name[] = {
   1,   /* field[1] = availability_zone */
   2,   /* field[2] = config_version */
   0,   /* field[0] = daemon */
   5,   /* field[5] = draining */
+  6,   /* field[6] = handovers */
   4,   /* field[4] = ip */
   3,   /* field[3] = upstreams */
 };
 static const ProtobufCIntRange wire__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__watch__descriptor =
 {
@@ -5169,7 +5413,7 @@
   "Wire__Watch",
   "wire",
   sizeof(Wire__Watch),
-  6,
+  7,
   wire__watch__field_descriptors,
   wire__watch__field_indices_by_name,
   1,  wire__watch__number_ranges,
@@ -5317,7 +5561,7 @@
   (ProtobufCMessageInit) wire__service_primary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__view__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__view__field_descriptors[10] =
 {
   {
     "fresh",
@@ -5427,6 +5671,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handovers",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__View, n_handovers),
+    offsetof(Wire__View, handovers),
+    &wire__handover__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__view__field_indices_by_name[] = {
   2,   /* field[2] = config */
@@ -5434,6 +5690,7 @@
   1,   /* field[1] = config_version */
   6,   /* field[6] = control */
   0,   /* field[0] = fresh */
+  9,   /* field[9] = handovers */
   7,   /* field[7] = leader */
   5,   /* field[5] = primaries */
   8,   /* field[8] = roster */
@@ -5442,7 +5699,7 @@
 static const ProtobufCIntRange wire__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__view__descriptor =
 {
@@ -5452,7 +5709,7 @@
   "Wire__View",
   "wire",
   sizeof(Wire__View),
-  9,
+  10,
   wire__view__field_descriptors,
   wire__view__field_indices_by_name,
   1,  wire__view__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -42,6 +42,8 @@
 typedef struct Wire__Envelope Wire__Envelope;
 typedef struct Wire__Sighting Wire__Sighting;
 typedef struct Wire__UpstreamHealth Wire__UpstreamHealth;
+typedef struct Wire__Handover Wire__Handover;
+typedef struct Wire__HandoverResult Wire__HandoverResult;
 typedef struct Wire__Watch Wire__Watch;
 typedef struct Wire__RosterEntry Wire__RosterEntry;
 typedef struct Wire__ServicePrimary Wire__ServicePrimary;
@@ -618,10 +620,42 @@
    * Newest log position seen there.
    */
   Wire__Position *position;
+  /*
+   * How far its log is behind the primary's as far as known, 0 if it is not.
+   */
+  uint64_t lag_us;
 };
 #define WIRE__UPSTREAM_HEALTH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__upstream_health__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0, NULL, 0 }
+
+
+/*
+ * Asks one entry daemon to stop a primary and wait until its successor holds
+ * all of its log.
+ */
+struct  Wire__Handover
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *daemon;
+  char *from;
+  char *to;
+};
+#define WIRE__HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__handover__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Wire__HandoverResult
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  protobuf_c_boolean complete;
+};
+#define WIRE__HANDOVER_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__handover_result__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -644,10 +678,12 @@
    * Whether it takes no new work.
    */
   protobuf_c_boolean draining;
+  size_t n_handovers;
+  Wire__HandoverResult **handovers;
 };
 #define WIRE__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__watch__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
@@ -713,10 +749,12 @@
    */
   size_t n_roster;
   Wire__RosterEntry **roster;
+  size_t n_handovers;
+  Wire__Handover **handovers;
 };
 #define WIRE__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__view__descriptor) \
-    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 struct  Wire__SessionValue
@@ -1538,6 +1576,44 @@
 void   wire__upstream_health__free_unpacked
                      (Wire__UpstreamHealth *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Handover methods */
+void   wire__handover__init
+                     (Wire__Handover         *message);
+size_t wire__handover__get_packed_size
+                     (const Wire__Handover   *message);
+size_t wire__handover__pack
+                     (const Wire__Handover   *message,
+                      uint8_t             *out);
+size_t wire__handover__pack_to_buffer
+                     (const Wire__Handover   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Handover *
+       wire__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__handover__free_unpacked
+                     (Wire__Handover *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__HandoverResult methods */
+void   wire__handover_result__init
+                     (Wire__HandoverResult         *message);
+size_t wire__handover_result__get_packed_size
+                     (const Wire__HandoverResult   *message);
+size_t wire__handover_result__pack
+                     (const Wire__HandoverResult   *message,
+                      uint8_t             *out);
+size_t wire__handover_result__pack_to_buffer
+                     (const Wire__HandoverResult   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__HandoverResult *
+       wire__handover_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__handover_result__free_unpacked
+                     (Wire__HandoverResult *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__Watch methods */
 void   wire__watch__init
                      (Wire__Watch         *message);
@@ -2020,6 +2096,12 @@
 typedef void (*Wire__UpstreamHealth_Closure)
                  (const Wire__UpstreamHealth *message,
                   void *closure_data);
+typedef void (*Wire__Handover_Closure)
+                 (const Wire__Handover *message,
+                  void *closure_data);
+typedef void (*Wire__HandoverResult_Closure)
+                 (const Wire__HandoverResult *message,
+                  void *closure_data);
 typedef void (*Wire__Watch_Closure)
                  (const Wire__Watch *message,
                   void *closure_data);
@@ -2117,6 +2199,8 @@
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
 extern const ProtobufCMessageDescriptor wire__sighting__descriptor;
 extern const ProtobufCMessageDescriptor wire__upstream_health__descriptor;
+extern const ProtobufCMessageDescriptor wire__handover__descriptor;
+extern const ProtobufCMessageDescriptor wire__handover_result__descriptor;
 extern const ProtobufCMessageDescriptor wire__watch__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_entry__descriptor;
 extern const ProtobufCMessageDescriptor wire__service_primary__descriptor;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -58,8 +58,19 @@
 	closes++;
 }
 
+/* The log end that an upstream tells. */
+static struct position status_end;
+
+static bool read_status(const struct statement_answer *answer,
+			struct upstream_status *status)
+{
+	status->received = status_end;
+	return true;
+}
+
 static const struct upstream_ops upstream_ops = { open_wire, send_command,
-						  flush, close_wire };
+						  flush, close_wire,
+						  read_status };
 
 static void on_started(void *wire)
 {
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -506,6 +506,56 @@
 }
 END_TEST
 
+static void order_handover(uint64_t number, const char *daemon)
+{
+	Wire__Handover order = WIRE__HANDOVER__INIT;
+
+	order.number = number;
+	order.daemon = (char *)daemon;
+	order.from = "p";
+	order.to = "r";
+	handover_start(entry, &order);
+}
+
+/* Guards against a successor that leads without what the primary acknowledged
+ * last, and against an order that is carried out twice or for another. */
+START_TEST(test_handover)
+{
+	start();
+	link_open(g_hash_table_lookup(entry->hosts, "p"));
+	link_open(g_hash_table_lookup(entry->hosts, "r"));
+	open_all();
+	order_handover(7, "other");
+	ck_assert_uint_eq(nr_sent, 0);
+	order_handover(7, "e");
+	order_handover(7, "e");
+	ck_assert_uint_eq(nr_sent, 1);
+	expect(LINK_DEMOTE, NULL);
+	ck_assert_str_eq(sent[0].link->host->id, "p");
+	ck_assert_uint_eq(sent[0].after.term, 2);
+	status_end = (struct position){ 1, 50 };
+	done();
+	expect(LINK_STATUS, NULL);
+	ck_assert_str_eq(sent[1].link->host->id, "r");
+	status_end.lsn = 49;
+	done();
+	ck_assert_int_eq(entry->handover.phase, HANDOVER_FOLLOWING);
+	advance(30000);
+	expect(LINK_STATUS, NULL);
+	status_end.lsn = 50;
+	done();
+	ck_assert_int_eq(entry->handover.phase, HANDOVER_DONE);
+	ck_assert(entry->handover.complete);
+	/* One that cannot be completed says so. */
+	order_handover(8, "e");
+	done();
+	handover_tick(entry, clock_now_us() + 800000);
+	ck_assert_int_eq(entry->handover.phase, HANDOVER_DONE);
+	ck_assert(!entry->handover.complete);
+	finish();
+}
+END_TEST
+
 /* Guards against callers that are turned away by a daemon that would have
  * served them as soon as it had heard of its routes. */
 START_TEST(test_early_caller)
@@ -565,4 +615,4 @@
 	  test_refused_begin, test_bounded_needs_sample, test_lost_answers,
 	  test_lost_transaction, test_values_are_cleaned, test_prepared,
 	  test_caller_leaves, test_time_outs, test_leaving, test_route_removed,
-	  test_early_caller, test_drain)
+	  test_early_caller, test_handover, test_drain)
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -204,6 +204,26 @@
 }
 END_TEST
 
+/* Guards against a log end that is read from another field. */
+START_TEST(test_status)
+{
+	static const char row[] =
+		"ROW replica 3 3.1209 0 12 2 17\r\nDONE -\r\n";
+	struct statement_answer answer = { .result = (const uint8_t *)row,
+					   .len = sizeof(row) - 1 };
+	struct upstream_status status;
+
+	ck_assert(line_status(&answer, &status));
+	ck_assert(!status.primary);
+	ck_assert_uint_eq(status.received.term, 3);
+	ck_assert_uint_eq(status.received.lsn, 1209);
+	answer.len = 10;
+	ck_assert(!line_status(&answer, &status));
+	answer.result = NULL;
+	ck_assert(!line_status(&answer, &status));
+}
+END_TEST
+
 /* Guards against an unknown code that is taken for a promise. */
 START_TEST(test_codes)
 {
@@ -237,5 +257,5 @@
 END_TEST
 
 TEST_MAIN("line", test_lines, test_endless_line, test_statements,
-	  test_bad_queries, test_commands, test_answers, test_codes,
-	  test_positions)
+	  test_bad_queries, test_commands, test_answers, test_status,
+	  test_codes, test_positions)
--- a/tests/test_promotion_policy.c
+++ b/tests/test_promotion_policy.c
@@ -96,5 +96,26 @@
 }
 END_TEST
 
+/* Guards against a change of primary for the sake of lag while a replica is
+ * well, while the primary is not, or on the word of few. */
+START_TEST(test_lagging)
+{
+	start();
+	ck_assert(!promotion_lagging(&view));
+	ups[1].behind = 8;
+	ck_assert(!promotion_lagging(&view));
+	ups[2].behind = 5;
+	ck_assert(promotion_lagging(&view));
+	ups[2].behind = 4;
+	ck_assert(!promotion_lagging(&view));
+	ups[2].behind = 8;
+	ups[0].failing = 1;
+	ck_assert(!promotion_lagging(&view));
+	ups[0].failing = 0;
+	view.nr = 1;
+	ck_assert(!promotion_lagging(&view));
+}
+END_TEST
+
 TEST_MAIN("promotion_policy", test_calm, test_needed, test_candidate,
-	  test_synchronous)
+	  test_synchronous, test_lagging)
