Hand over for lag only when the primary is crowded

Daemons report whether they kept work for an upstream back; only a primary that most of them find crowded is relieved. Control VMs also remember the roster of daemons over a restart and connect to each other again after 40 ms, so that services keep their homes when everything comes back at once; a daemon without a reachable home waits 0.4 s before it opens connections of its own.

--- a/control/internal.h
+++ b/control/internal.h
@@ -80,6 +80,7 @@
 
 /**
  * struct control_daemon_entry - an entry daemon that is or was heard
+ * @remembered: read back after a restart and not heard since
  * @revision: value of the node's roster_revision at its last change
  */
 struct control_daemon_entry {
@@ -87,6 +88,7 @@
 	char *availability_zone;
 	uint32_t ip;
 	bool gone;
+	bool remembered;
 	int64_t changed_us;
 	uint64_t revision;
 };
@@ -94,6 +96,7 @@
 struct control_report {
 	int64_t failing_us;
 	int64_t lag_us;
+	bool crowded;
 	struct position position;
 	int64_t at_us;
 };
@@ -171,6 +174,7 @@
 	GPtrArray *puts;
 	GHashTable *orders;
 	uint64_t saved_revision;
+	uint64_t saved_roster;
 	int64_t save_after_us;
 	uint64_t last_handover;
 	bool views_due;
@@ -199,6 +203,7 @@
 /* peers.c */
 struct control_peer *control_peer(struct control_node *node, uint32_t ip);
 void control_peers_tick(struct control_node *node, int64_t now_us);
+void control_peers_connect(struct control_node *node, int64_t now_us);
 void control_peers_free(struct control_node *node);
 void control_send_raft(struct control_node *node,
 		       const struct raft_message *msg);
@@ -238,6 +243,9 @@
 			 const struct control_watcher *watcher, int64_t now_us);
 /** control_roster_update() - find the daemons that are gone */
 void control_roster_update(struct control_node *node, int64_t now_us);
+/** control_roster_remember() - a daemon that took work before a restart */
+void control_roster_remember(struct control_node *node,
+			     const Wire__RosterEntry *in, int64_t now_us);
 void control_roster_fill(const struct control_node *node, uint64_t since,
 			 Wire__View *view);
 
--- a/control/memory.c
+++ b/control/memory.c
@@ -25,6 +25,7 @@
 	uint64_t sum;
 
 	control_view_fill(node, 0, &view);
+	control_roster_fill(node, 0, &view);
 	g_byte_array_set_size(out,
 			      HEAD_LEN + wire__view__get_packed_size(&view));
 	wire__view__pack(&view, out->data + HEAD_LEN);
@@ -54,9 +55,11 @@
 	g_autofree char *fresh = g_strconcat(path, ".new", NULL);
 	GByteArray *bytes;
 
-	if (node->saved_revision == node->sightings.revision || !node->raft ||
-	    now_us < node->save_after_us)
+	if ((node->saved_revision == node->sightings.revision &&
+	     node->saved_roster == node->roster_revision) ||
+	    !node->raft || now_us < node->save_after_us)
 		return;
+	node->saved_roster = node->roster_revision;
 	node->saved_revision = node->sightings.revision;
 	node->save_after_us = now_us + CONTROL_SAVE_US;
 	bytes = pack(node);
@@ -75,6 +78,8 @@
 	int64_t now_us = clock_now_us() - PROMOTION_CANDIDATE_US;
 	size_t i;
 
+	for (i = 0; i < view->n_roster; i++)
+		control_roster_remember(node, view->roster[i], clock_now_us());
 	for (i = 0; i < view->n_sightings; i++)
 		control_take_sighting(node, view->sightings[i], now_us);
 	for (i = 0; i < view->n_primaries; i++)
--- a/control/peers.c
+++ b/control/peers.c
@@ -6,8 +6,9 @@
 
 #include <jansson.h>
 
-/* Time between attempts to reach a control VM, microseconds. */
-#define RETRY_US (150 * 1000ll)
+/* Time between attempts to reach a control VM, microseconds: after a stop of
+ * everything an election waits for the connections. */
+#define RETRY_US (40 * 1000ll)
 /* Time for one attempt: a lost opening packet is sent again only after 1 s. */
 #define CONNECT_US (300 * 1000ll)
 /* Addresses of control VMs that are kept. */
@@ -291,7 +292,13 @@
 						      ->member[i]
 						      .id >>
 					      32));
+	ask_in(node);
+}
+
+void control_peers_connect(struct control_node *node, int64_t now_us)
+{
+	guint i;
+
 	for (i = 0; i < node->peers->len; i++)
 		connect_peer(node->peers->pdata[i], now_us);
-	ask_in(node);
 }
--- a/control/roster.c
+++ b/control/roster.c
@@ -6,6 +6,9 @@
 
 /* A daemon that is gone is told of for so long, microseconds. */
 #define KEEP_US (60 * 1000000ll)
+/* A daemon that is only remembered counts as there for so long: after a stop
+ * of everything the others come back one after the other. */
+#define REMEMBER_US (2500 * 1000ll)
 
 static void entry_free(void *data)
 {
@@ -38,8 +41,10 @@
 	struct control_daemon_entry *one =
 		g_hash_table_lookup(node->roster, watcher->name);
 
-	if (one && !one->gone && one->ip == watcher->ip)
+	if (one && !one->gone && one->ip == watcher->ip) {
+		one->remembered = false;
 		return;
+	}
 	if (!one) {
 		one = g_new0(struct control_daemon_entry, 1);
 		one->name = g_strdup(watcher->name);
@@ -48,6 +53,23 @@
 	g_free(one->availability_zone);
 	one->availability_zone = g_strdup(watcher->availability_zone);
 	one->ip = watcher->ip;
+	one->remembered = false;
+	changed(node, one, false, now_us);
+}
+
+void control_roster_remember(struct control_node *node,
+			     const Wire__RosterEntry *in, int64_t now_us)
+{
+	struct control_daemon_entry *one;
+
+	if (in->gone || g_hash_table_contains(node->roster, in->daemon))
+		return;
+	one = g_new0(struct control_daemon_entry, 1);
+	one->name = g_strdup(in->daemon);
+	one->availability_zone = g_strdup(in->availability_zone);
+	one->ip = in->ip;
+	one->remembered = true;
+	g_hash_table_insert(node->roster, one->name, one);
 	changed(node, one, false, now_us);
 }
 
@@ -89,6 +111,9 @@
 	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
 		if (one->gone && now_us - one->changed_us > KEEP_US)
 			g_hash_table_iter_remove(&it);
+		else if (one->remembered &&
+			 now_us - one->changed_us < REMEMBER_US)
+			continue;
 		else if (!one->gone && !g_hash_table_contains(names, one->name))
 			changed(node, one, true, now_us);
 	}
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -169,6 +169,7 @@
 
 		report->failing_us = (int64_t)in->failing_us;
 		report->lag_us = (int64_t)in->lag_us;
+		report->crowded = in->crowded;
 		report->at_us = now_us;
 		if (in->position)
 			report->position =
--- a/entry/home.c
+++ b/entry/home.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* Time between attempts to reach a home daemon, microseconds. */
-#define RETRY_US (150 * 1000ll)
+#define RETRY_US (50 * 1000ll)
 /* Time for one attempt, microseconds. */
 #define CONNECT_US (300 * 1000ll)
 /* A home that turned a statement away is not asked again for so long. */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -67,6 +67,7 @@
  * @lag_us: how far it was behind the primary, at @lag_at_us
  * @lacked: position for which it refused a read, at @lacked_at_us
  * @full_at_us: when it last took no more connections
+ * @crowded_us: when work for it was last kept back by its window
  * @not_primary_until_us: refused work that only the primary does
  */
 struct host {
@@ -92,6 +93,7 @@
 	struct position lacked;
 	int64_t lacked_at_us;
 	int64_t full_at_us;
+	int64_t crowded_us;
 	int64_t not_primary_until_us;
 };
 
@@ -189,6 +191,8 @@
 	REQUEST_RUNNING,
 	/** at a home daemon */
 	REQUEST_RELAYED,
+	/** until a connection to a home daemon is open */
+	REQUEST_HOMELESS,
 	/** in a transaction, to be sent again on the same link */
 	REQUEST_PAUSED,
 };
--- a/entry/request.c
+++ b/entry/request.c
@@ -8,6 +8,10 @@
 
 /* Upstreams of one service that are looked at. */
 #define OPTIONS_MAX 32
+/* Time that a statement waits for a home before this daemon opens connections
+ * of its own, and time between two looks, microseconds. */
+#define HOMELESS_US (400 * 1000ll)
+#define HOMELESS_POLL_US (30 * 1000ll)
 /* Time that a home daemon's answer may take beyond its own time-out. */
 #define RELAY_SLACK_US (60 * 1000ll)
 /* Pause before a statement that found no room is sent again, microseconds. */
@@ -142,6 +146,7 @@
 
 static void on_time_out(int64_t now_us, void *data);
 static int64_t room_until_us(const struct session *s);
+static void seek(struct session *s);
 
 static void arm(struct session *s, int64_t at_us)
 {
@@ -192,15 +197,22 @@
 /* Looks for who runs the statement: a home daemon, or an upstream here. */
 static void seek(struct session *s)
 {
+	bool away = !s->guest && !home_is_local(s->entry, s->service->name);
 	struct home_link *home = NULL;
 
-	if (!s->guest && !home_is_local(s->entry, s->service->name))
+	if (away)
 		home = home_choose(s->entry, s->service->name, NULL);
 	if (home) {
 		s->attempts++;
 		relay(s, home);
 		return;
 	}
+	/* After a restart the homes come back within some hundred ms. */
+	if (away && clock_now_us() - s->arrived_us < HOMELESS_US) {
+		s->phase = REQUEST_HOMELESS;
+		arm(s, clock_now_us() + HOMELESS_POLL_US);
+		return;
+	}
 	s->service->used_us = clock_now_us();
 	if (!s->classified)
 		classify(s);
@@ -336,6 +348,7 @@
 		    !send_window_allows(&host->window, host_out(host))) {
 			o->usable = false;
 			svc->full_us = now_us;
+			host->crowded_us = now_us;
 		}
 		hosts[nr++] = host;
 	}
@@ -467,6 +480,9 @@
 	switch (s->phase) {
 	case REQUEST_NONE:
 		return;
+	case REQUEST_HOMELESS:
+		seek(s);
+		return;
 	case REQUEST_WAITING:
 		if (now_us < wait_until_us(s) && !is_crowded(s, now_us)) {
 			arm(s, MIN(wait_until_us(s), now_us + FULL_US));
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -7,13 +7,15 @@
 #include <zlib.h>
 
 /* Time between attempts to reach a control VM, microseconds. */
-#define RETRY_US (150 * 1000ll)
+#define RETRY_US (50 * 1000ll)
 /* Time for one attempt: a lost opening packet is sent again only after 1 s. */
 #define CONNECT_US (300 * 1000ll)
 /* A control VM that no view names is forgotten after this time. */
 #define FORGET_US (15 * 1000000ll)
 /* Control VMs that are watched at once. */
 #define LINKS_MAX 9
+/* Work that was kept back so recently counts, microseconds. */
+#define CROWDED_US (400 * 1000ll)
 /* A lag that is reported as no less, microseconds. */
 #define LAG_MAX_US (3600 * 1000000ll)
 /* Largest configuration document, bytes. */
@@ -261,6 +263,7 @@
 		wire__position__init(out->position);
 		out->position->term = host->seen.term;
 		out->position->lsn = host->seen.lsn;
+		out->crowded = now_us - host->crowded_us < CROWDED_US;
 		out->lag_us = (uint64_t)MIN(host->lag_us, LAG_MAX_US);
 		watch->upstreams[watch->n_upstreams++] = out;
 	}
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -5099,7 +5099,7 @@
   (ProtobufCMessageInit) wire__sighting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__upstream_health__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__upstream_health__field_descriptors[5] =
 {
   {
     "id",
@@ -5149,8 +5149,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crowded",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamHealth, crowded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__upstream_health__field_indices_by_name[] = {
+  4,   /* field[4] = crowded */
   1,   /* field[1] = failing_us */
   0,   /* field[0] = id */
   3,   /* field[3] = lag_us */
@@ -5159,7 +5172,7 @@
 static const ProtobufCIntRange wire__upstream_health__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__upstream_health__descriptor =
 {
@@ -5169,7 +5182,7 @@
   "Wire__UpstreamHealth",
   "wire",
   sizeof(Wire__UpstreamHealth),
-  4,
+  5,
   wire__upstream_health__field_descriptors,
   wire__upstream_health__field_indices_by_name,
   1,  wire__upstream_health__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -624,10 +624,14 @@
    * How far its log is behind the primary's as far as known, 0 if it is not.
    */
   uint64_t lag_us;
+  /*
+   * Whether work for it was kept back of late, as it has enough.
+   */
+  protobuf_c_boolean crowded;
 };
 #define WIRE__UPSTREAM_HEALTH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__upstream_health__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, NULL, 0, 0 }
 
 
 /*
--- a/tests/test_promotion_policy.c
+++ b/tests/test_promotion_policy.c
@@ -101,11 +101,16 @@
 START_TEST(test_lagging)
 {
 	start();
+	ups[0].crowded = 4;
 	ck_assert(!promotion_lagging(&view));
 	ups[1].behind = 8;
 	ck_assert(!promotion_lagging(&view));
 	ups[2].behind = 5;
 	ck_assert(promotion_lagging(&view));
+	/* It can do the work of all. */
+	ups[0].crowded = 3;
+	ck_assert(!promotion_lagging(&view));
+	ups[0].crowded = 8;
 	ups[2].behind = 4;
 	ck_assert(!promotion_lagging(&view));
 	ups[2].behind = 8;
