Do not call an upstream silent that was not asked to speak yet

Silence counts from the start of the control VM at the earliest, and a service without a primary waits while an upstream of it has not been heard, for 3 s at most. A primary that daemons report as unreachable is replaced as before.

The fault soak comes with it: comfreywheel-soak plays a database group, callers, the operator and the platform, starts the real daemons, and kills, pauses, stops and wipes them, crashes, silences and resets databases by its seed.

--- /dev/null
+++ b/comfreywheel-soak/database.c
@@ -0,0 +1,516 @@
+#include "soak.h"
+
+#include "net.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Most connections that a database takes. */
+#define CONNECTIONS_MAX 8
+/* Time between heartbeats, microseconds. */
+#define HEARTBEAT_US (400 * 1000ll)
+
+/**
+ * struct soak_database - one member of the group
+ * @received: commits of the log that it holds
+ * @applied: commits that its reads see
+ * @down_us: until when it is crashed
+ * @silent_us: until when it answers nothing
+ */
+struct soak_database {
+	struct soak *soak;
+	int number;
+	char *id;
+	char *address;
+	uint32_t term;
+	unsigned received;
+	unsigned applied;
+	int64_t lag_us;
+	int64_t apply_us;
+	int64_t down_us;
+	int64_t silent_us;
+	int64_t beat_us;
+	uint64_t sequence;
+	int64_t born_ms;
+	ev_io listener;
+	GQueue sessions;
+};
+
+/** struct db_session - one connection; @owner: id prefix inside a transaction */
+struct db_session {
+	struct soak_database *db;
+	struct stream stream;
+	GList member;
+	bool started;
+	bool in_tx;
+	bool plain;
+	bool failed;
+	uint32_t tx_term;
+	char *owner;
+	GPtrArray *writes;
+	GHashTable *prepared;
+};
+
+const char *database_id(const struct soak *soak, int which)
+{
+	return soak->databases[which]->id;
+}
+
+static void commit_free(void *data)
+{
+	struct soak_commit *c = data;
+
+	g_free(c->item);
+	g_free(c->value);
+	g_free(c);
+}
+
+static void session_free(struct db_session *s)
+{
+	g_queue_unlink(&s->db->sessions, &s->member);
+	stream_close(&s->stream);
+	g_ptr_array_free(s->writes, TRUE);
+	g_hash_table_destroy(s->prepared);
+	g_free(s->owner);
+	g_free(s);
+}
+
+static bool leads(const struct soak_database *db)
+{
+	return db->soak->primary == db->number;
+}
+
+static void say(struct db_session *s, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void say(struct db_session *s, const char *fmt, ...)
+{
+	g_autofree char *text = NULL;
+	va_list ap;
+
+	va_start(ap, fmt);
+	text = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	pg_buffer_append(&s->stream.out, text, strlen(text));
+}
+
+static void ready(struct db_session *s)
+{
+	struct soak_database *db = s->db;
+
+	say(s, "READY %s %u.%u\r\n",
+	    !s->in_tx ? "I" :
+	    s->failed ? "E" :
+			"T",
+	    db->term, leads(db) ? db->received : db->applied);
+}
+
+static void refuse(struct db_session *s, const char *code)
+{
+	if (s->in_tx)
+		s->failed = true;
+	say(s, "ERR %s %s\r\n", code, s->db->id);
+	ready(s);
+}
+
+static void end_tx(struct db_session *s)
+{
+	s->in_tx = false;
+	s->failed = false;
+	g_ptr_array_set_size(s->writes, 0);
+	g_clear_pointer(&s->owner, g_free);
+}
+
+static void append(struct soak_database *db, const char *item,
+		   const char *value)
+{
+	struct soak *soak = db->soak;
+	struct soak_commit *c = g_new0(struct soak_commit, 1);
+
+	c->term = soak->term;
+	c->item = g_strdup(item);
+	c->value = g_strdup(value);
+	if (g_hash_table_contains(soak->index_of, value))
+		soak_violation(soak, "%s took effect twice", value);
+	g_ptr_array_add(soak->log, c);
+	g_hash_table_replace(soak->index_of, g_strdup(value),
+			     GUINT_TO_POINTER(soak->log->len));
+	db->received = db->applied = soak->log->len;
+}
+
+static const char *value_of(const struct soak_database *db, const char *item)
+{
+	unsigned i;
+
+	for (i = leads(db) ? db->received : db->applied; i-- > 0;) {
+		const struct soak_commit *c = db->soak->log->pdata[i];
+
+		if (!strcmp(c->item, item))
+			return c->value;
+	}
+	return "-";
+}
+
+/* Statements of one transaction come from one caller. */
+static bool check_owner(struct db_session *s, const char *id)
+{
+	g_autofree char *owner = g_strndup(id, strcspn(id, "-"));
+
+	if (!strcmp(id, "-"))
+		return true;
+	if (s->in_tx && s->owner && strcmp(owner, s->owner))
+		soak_violation(s->db->soak, "%s ran in a transaction of %s", id,
+			       s->owner);
+	if (s->in_tx && !s->owner)
+		s->owner = g_steal_pointer(&owner);
+	return true;
+}
+
+static void write_item(struct db_session *s, const char *item,
+		       const char *value)
+{
+	if (!leads(s->db)) {
+		refuse(s, "READONLY");
+		return;
+	}
+	if (s->in_tx) {
+		g_ptr_array_add(s->writes, g_strdup(item));
+		g_ptr_array_add(s->writes, g_strdup(value));
+	} else {
+		append(s->db, item, value);
+	}
+	say(s, "DONE w.%s\r\n", value);
+	ready(s);
+}
+
+static void commit(struct db_session *s)
+{
+	guint i;
+
+	if (!s->in_tx || s->failed ||
+	    (s->writes->len && (!leads(s->db) || s->tx_term != s->db->term))) {
+		end_tx(s);
+		refuse(s, "READONLY");
+		return;
+	}
+	for (i = 0; i + 1 < s->writes->len; i += 2)
+		append(s->db, s->writes->pdata[i], s->writes->pdata[i + 1]);
+	end_tx(s);
+	say(s, "DONE c.%u\r\n", s->db->received);
+	ready(s);
+}
+
+static void begin(struct db_session *s, bool plain)
+{
+	if (plain && !leads(s->db)) {
+		refuse(s, "READONLY");
+		return;
+	}
+	s->in_tx = true;
+	s->plain = plain;
+	s->tx_term = s->db->term;
+	say(s, "DONE -\r\n");
+	ready(s);
+}
+
+static void status(struct db_session *s, const char *demote)
+{
+	struct soak_database *db = s->db;
+
+	if (demote && leads(db) &&
+	    (uint32_t)strtoul(demote, NULL, 10) > db->term) {
+		db->soak->primary = -1;
+		db->beat_us = 0;
+	}
+	say(s, "ROW %s %u %u.%u 0 0 1 1\r\nDONE -\r\n",
+	    leads(db) ? "primary" : "replica", db->term, db->term,
+	    db->received);
+	ready(s);
+}
+
+/* Whether the log that reads see holds TERM.NUMBER. */
+static bool holds(const struct soak_database *db, const char *text)
+{
+	unsigned term = 0, number = 0;
+
+	if (sscanf(text, "%u.%u", &term, &number) != 2 || term > db->term)
+		return false;
+	return (leads(db) ? db->received : db->applied) >= number;
+}
+
+static void run(struct db_session *s, char **w, const char *id)
+{
+	bool lost = s->in_tx && s->plain &&
+		    (!leads(s->db) || s->tx_term != s->db->term);
+
+	check_owner(s, id);
+	if (w[0] && !strcmp(w[0], "AFTER") && w[1]) {
+		if (!holds(s->db, w[1])) {
+			refuse(s, "LAGGING");
+			return;
+		}
+		w += 2;
+	}
+	if (!w[0])
+		refuse(s, "MALFORMED");
+	else if (!strcmp(w[0], "ROLLBACK") || !strcmp(w[0], "RESET")) {
+		if (!strcmp(w[0], "ROLLBACK"))
+			end_tx(s);
+		else
+			g_hash_table_remove_all(s->prepared);
+		say(s, "DONE -\r\n");
+		ready(s);
+	} else if (!strcmp(w[0], "COMMIT"))
+		commit(s);
+	else if (lost)
+		refuse(s, "READONLY");
+	else if (!strcmp(w[0], "BEGIN"))
+		begin(s, !w[1]);
+	else if (!strcmp(w[0], "READ") && w[1]) {
+		say(s, "ROW %s\r\nDONE r\r\n", value_of(s->db, w[1]));
+		ready(s);
+	} else if (!strcmp(w[0], "WRITE") && w[1] && w[2])
+		write_item(s, w[1], w[2]);
+	else if (!strcmp(w[0], "SET")) {
+		say(s, "DONE -\r\n");
+		ready(s);
+	} else if (!strcmp(w[0], "STATUS"))
+		status(s, NULL);
+	else if (!strcmp(w[0], "DEMOTE"))
+		status(s, w[1]);
+	else
+		refuse(s, "MALFORMED");
+}
+
+static void take_line(struct db_session *s, const char *line)
+{
+	g_auto(GStrv) words = g_strsplit(line, " ", -1);
+	unsigned nr = g_strv_length(words);
+
+	if (!s->started && nr == 4 && !strcmp(words[0], "START")) {
+		if (strcmp(words[3], s->db->id))
+			say(s, "ERR MISROUTED other\r\n");
+		else if (s->db->sessions.length > CONNECTIONS_MAX)
+			say(s, "ERR TOOMANY full\r\n");
+		else
+			s->started = true;
+		if (s->started)
+			ready(s);
+		else
+			stream_finish(&s->stream);
+	} else if (s->started && nr >= 3 && !strcmp(words[0], "QUERY")) {
+		run(s, words + 2, words[1]);
+	}
+}
+
+static void pump(struct db_session *s)
+{
+	struct pg_buffer *in = &s->stream.in;
+
+	if (soak_now() < s->db->silent_us)
+		return;
+	while (pg_buffer_length(in)) {
+		const char *from = (const char *)pg_buffer_head(in);
+		const char *end = memchr(from, '\n', pg_buffer_length(in));
+		g_autofree char *line = NULL;
+
+		if (!end)
+			break;
+		line = g_strndup(from, end - from - 1);
+		pg_buffer_consume(in, end - from + 1);
+		take_line(s, line);
+	}
+	stream_flush(&s->stream);
+}
+
+static void on_input(void *data)
+{
+	pump(data);
+}
+
+static void on_closed(int err, void *data)
+{
+	session_free(data);
+}
+
+static const struct stream_events events = { .input = on_input,
+					     .closed = on_closed };
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct soak_database *db = w->data;
+	int fd;
+
+	while ((fd = net_accept(w->fd)) >= 0) {
+		struct db_session *s;
+
+		if (soak_now() < db->down_us) {
+			close(fd);
+			continue;
+		}
+		s = g_new0(struct db_session, 1);
+		s->db = db;
+		s->member.data = s;
+		s->writes = g_ptr_array_new_with_free_func(g_free);
+		s->prepared = g_hash_table_new(NULL, NULL);
+		g_queue_push_tail_link(&db->sessions, &s->member);
+		stream_init(&s->stream, loop, fd, false, &events, s);
+	}
+}
+
+void database_reset(struct soak *soak, int which)
+{
+	struct soak_database *db = soak->databases[which];
+
+	while (db->sessions.head)
+		session_free(db->sessions.head->data);
+}
+
+void database_crash(struct soak *soak, int which, int64_t until_us)
+{
+	soak->databases[which]->down_us = until_us;
+	database_reset(soak, which);
+}
+
+void database_silence(struct soak *soak, int which, int64_t until_us)
+{
+	soak->databases[which]->silent_us = until_us;
+}
+
+/* What the promoted one has not received is cut off. */
+bool databases_promote(struct soak *soak, const char *id)
+{
+	int64_t now_us = soak_now();
+	int i;
+
+	for (i = 0; i < SOAK_DATABASES; i++)
+		if (!strcmp(soak->databases[i]->id, id))
+			break;
+	if (i == SOAK_DATABASES || now_us < soak->databases[i]->down_us)
+		return false;
+	if (soak->primary == i)
+		return true;
+	soak->promotions++;
+	soak->primary = i;
+	soak->term++;
+	while (soak->log->len > soak->databases[i]->received) {
+		struct soak_commit *c = soak->log->pdata[soak->log->len - 1];
+
+		g_hash_table_add(soak->rolled_back, g_strdup(c->value));
+		g_hash_table_remove(soak->index_of, c->value);
+		g_ptr_array_set_size(soak->log, (int)soak->log->len - 1);
+	}
+	for (i = 0; i < SOAK_DATABASES; i++) {
+		struct soak_database *db = soak->databases[i];
+
+		db->term = soak->term;
+		db->received = MIN(db->received, soak->log->len);
+		db->applied = MIN(db->applied, soak->log->len);
+		db->beat_us = 0;
+	}
+	return true;
+}
+
+static void on_beat(long status, void *data)
+{
+}
+
+static void beat(struct soak_database *db)
+{
+	static const char *const headers[] = { "Content-Type: application/json",
+					       NULL };
+	struct soak *soak = db->soak;
+	const struct soak_process *to =
+		&soak->processes[soak_between(soak, 0, SOAK_CONTROLS)];
+	g_autofree char *url = g_strdup_printf(
+		"http://%s:%d/comfreywheel/instances/%s/heartbeat", to->ip,
+		SOAK_PORT_CONTROL, db->id);
+	g_autofree char *body = g_strdup_printf(
+		"{\"service\":\"svc\",\"address\":\"%s\",\"zone\":\"z1\","
+		"\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
+		"\"cold_remaining_ms\":0,\"db_role\":\"%s\",\"sequence\":%lu,"
+		"\"born\":%ld}",
+		db->address, leads(db) ? "primary" : "replica",
+		(unsigned long)++db->sequence, (long)db->born_ms);
+
+	http_client_post(soak->http, url, headers, body, 900, on_beat, NULL);
+}
+
+static void tick(struct soak_database *db, int64_t now_us)
+{
+	struct soak *soak = db->soak;
+	GList *at, *next;
+
+	if (now_us < db->down_us)
+		return;
+	if (now_us >= db->beat_us) {
+		db->beat_us = now_us + HEARTBEAT_US;
+		beat(db);
+	}
+	if (!leads(db) && now_us >= db->silent_us) {
+		db->received = soak->log->len;
+		if (now_us >= db->apply_us) {
+			db->applied = db->received;
+			db->apply_us = now_us + db->lag_us;
+		}
+	}
+	for (at = db->sessions.head; at; at = next) {
+		next = at->next;
+		pump(at->data);
+	}
+}
+
+void databases_tick(struct soak *soak, int64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < SOAK_DATABASES; i++)
+		tick(soak->databases[i], now_us);
+}
+
+void databases_start(struct soak *soak)
+{
+	GError *error = NULL;
+	int i;
+
+	soak->term = 1;
+	soak->log = g_ptr_array_new_with_free_func(commit_free);
+	for (i = 0; i < SOAK_DATABASES; i++) {
+		struct soak_database *db = g_new0(struct soak_database, 1);
+		int fd;
+
+		soak->databases[i] = db;
+		db->soak = soak;
+		db->number = i;
+		db->term = 1;
+		db->id = g_strdup_printf("i-%d", i);
+		db->address = g_strdup_printf("127.3.2.%d:%d", i + 1,
+					      SOAK_PORT_DATABASE);
+		db->lag_us = soak_between(soak, 5, 120) * 1000;
+		db->born_ms = g_get_real_time() / 1000;
+		fd = net_listen(db->address, &error);
+		if (fd < 0)
+			g_error("%s", error->message);
+		ev_io_init(&db->listener, on_accept, fd, EV_READ);
+		db->listener.data = db;
+		ev_io_start(soak->loop, &db->listener);
+	}
+}
+
+void databases_stop(struct soak *soak)
+{
+	int i;
+
+	for (i = 0; i < SOAK_DATABASES; i++) {
+		struct soak_database *db = soak->databases[i];
+
+		database_reset(soak, i);
+		ev_io_stop(soak->loop, &db->listener);
+		close(db->listener.fd);
+		g_free(db->id);
+		g_free(db->address);
+		g_free(db);
+	}
+	g_ptr_array_free(soak->log, TRUE);
+}
--- /dev/null
+++ b/comfreywheel-soak/main.c
@@ -0,0 +1,234 @@
+#include "soak.h"
+
+#include "clock.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Time between two turns, seconds. */
+#define TURN_S 0.01
+/* Time before the first fault and after the last one, microseconds. */
+#define CALM_US (3000 * 1000ll)
+#define RECOVERY_US (6000 * 1000ll)
+#define EXIT_VIOLATION 1
+
+int64_t soak_now(void)
+{
+	return clock_now_us();
+}
+
+int64_t soak_between(struct soak *soak, int64_t from, int64_t to)
+{
+	return from +
+	       (int64_t)(g_rand_double(soak->random) * (double)(to - from));
+}
+
+void soak_violation(struct soak *soak, const char *fmt, ...)
+{
+	g_autofree char *text = NULL;
+	va_list ap;
+
+	va_start(ap, fmt);
+	text = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	fprintf(stderr, "%.3f violation: %s\n",
+		(double)(soak_now() - soak->begin_us) / 1e6, text);
+	g_ptr_array_add(soak->violations, g_steal_pointer(&text));
+}
+
+static void on_put(long status, void *data)
+{
+	struct soak *soak = data;
+
+	soak->config_pending = false;
+	if (status == 200)
+		soak->config_acked =
+			MAX(soak->config_acked, soak->config_version);
+	else if (status && status != 503 && status != 307)
+		soak_violation(soak, "a valid configuration got %ld", status);
+}
+
+/* The same version again until it is acknowledged, then a higher one. */
+static void put_config(struct soak *soak)
+{
+	static const char *const headers[] = { "Content-Type: application/json",
+					       NULL };
+	const struct soak_process *to =
+		&soak->processes[soak_between(soak, 0, SOAK_CONTROLS)];
+	g_autofree char *url =
+		g_strdup_printf("http://%s:%d/comfreywheel/config/put", to->ip,
+				SOAK_PORT_CONTROL);
+	g_autofree char *body = NULL;
+
+	if (soak->config_pending)
+		return;
+	if (soak->config_acked == soak->config_version)
+		soak->config_version += 1 + soak_between(soak, 0, 3);
+	body = g_strdup_printf(
+		"{\"version\":%lu,\"routes\":["
+		"{\"name\":\"a\",\"database\":\"dbprimary\",\"path_prefix\":\"/"
+		"\",\"route_type\":\"primary\",\"timeout_ms\":800,"
+		"\"service\":\"svc\"},"
+		"{\"name\":\"b\",\"database\":\"dbown\",\"path_prefix\":\"/\","
+		"\"route_type\":\"read_your_writes\",\"timeout_ms\":800,"
+		"\"service\":\"svc\",\"max_staleness_ms\":2500},"
+		"{\"name\":\"c\",\"database\":\"dbbounded\",\"path_prefix\":\"/"
+		"\",\"route_type\":\"bounded_staleness\",\"timeout_ms\":1200,"
+		"\"service\":\"svc\",\"max_staleness_ms\":1500}],"
+		"\"services\":[{\"name\":\"svc\",\"max_conns\":8,"
+		"\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000}}",
+		(unsigned long)soak->config_version);
+	soak->config_pending = true;
+	soak->configs++;
+	http_client_post(soak->http, url, headers, body, 1500, on_put, soak);
+}
+
+static void on_api(struct http_exchange *ex, void *data)
+{
+	struct soak *soak = data;
+	int i;
+
+	for (i = 0; i < SOAK_DATABASES; i++)
+		if (strstr(ex->body->str, database_id(soak, i)))
+			break;
+	if (i < SOAK_DATABASES && databases_promote(soak, database_id(soak, i)))
+		http_answer(ex, 200, "application/json", "{}", 2, NULL);
+	else
+		http_answer(ex, 409, "application/json", "{}", 2, NULL);
+}
+
+static void fault(struct soak *soak, int64_t now_us)
+{
+	int which = (int)soak_between(soak, 0, SOAK_DATABASES);
+	int64_t until_us = now_us + soak_between(soak, 300, 3000) * 1000;
+
+	soak->next_fault_us = now_us + soak_between(soak, 100, 2500) * 1000;
+	switch (soak_between(soak, 0, 6)) {
+	case 0:
+		soak->faults++;
+		database_crash(soak, which, until_us);
+		return;
+	case 1:
+		soak->faults++;
+		database_silence(soak, which, until_us);
+		return;
+	case 2:
+		soak->faults++;
+		database_reset(soak, which);
+		return;
+	default:
+		processes_fault(soak, now_us);
+		return;
+	}
+}
+
+static void check_end(struct soak *soak)
+{
+	GHashTableIter it;
+	const char *value;
+
+	g_hash_table_iter_init(&it, soak->refused);
+	while (g_hash_table_iter_next(&it, (void **)&value, NULL))
+		if (g_hash_table_contains(soak->index_of, value))
+			soak_violation(soak,
+				       "%s was called not kept and is "
+				       "there",
+				       value);
+	if (!soak->config_acked)
+		soak_violation(soak, "no configuration was acknowledged");
+	if (soak->done < 50)
+		soak_violation(soak, "only %u operations were done",
+			       soak->done);
+}
+
+static void on_turn(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct soak *soak = w->data;
+	int64_t now_us = soak_now();
+
+	databases_tick(soak, now_us);
+	clients_tick(soak, now_us);
+	processes_tick(soak, now_us);
+	if (!soak->ending && now_us >= soak->next_config_us) {
+		soak->next_config_us =
+			now_us + soak_between(soak, 200, 1500) * 1000;
+		put_config(soak);
+	}
+	if (!soak->ending && now_us >= soak->next_fault_us &&
+	    now_us < soak->end_us - RECOVERY_US)
+		fault(soak, now_us);
+	if (now_us >= soak->end_us)
+		soak->ending = true;
+	if (soak->ending && processes_stop(soak))
+		ev_break(loop, EVBREAK_ALL);
+}
+
+static void init(struct soak *soak, unsigned seconds)
+{
+	GError *error = NULL;
+
+	signal(SIGPIPE, SIG_IGN);
+	/* The default loop would reap the daemons. */
+	soak->loop = ev_loop_new(EVBACKEND_EPOLL);
+	soak->random = g_rand_new_with_seed((guint32)soak->seed);
+	soak->begin_us = soak_now();
+	soak->end_us = soak->begin_us + (int64_t)seconds * 1000000;
+	soak->next_fault_us = soak->begin_us + CALM_US;
+	soak->violations = g_ptr_array_new_with_free_func(g_free);
+	soak->index_of =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	soak->rolled_back =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	soak->refused =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	soak->acked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	soak->folder = g_dir_make_tmp("cw-soak-XXXXXX", NULL);
+	soak->http = http_client_new(soak->loop);
+	soak->api = http_server_new(soak->loop, SOAK_API, 4096, on_api, soak,
+				    &error);
+	if (!soak->api)
+		g_error("%s", error->message);
+	databases_start(soak);
+	clients_start(soak);
+	processes_start(soak);
+	ev_timer_init(&soak->timer, on_turn, 0., TURN_S);
+	soak->timer.data = soak;
+	ev_timer_start(soak->loop, &soak->timer);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *seed =
+		arg_int1(NULL, "seed", "N", "decides the faults");
+	struct arg_int *seconds = arg_int0(NULL, "seconds", "S", "length, 25");
+	struct arg_file *entry =
+		arg_file1(NULL, "entry", "PROGRAM", "entry daemon");
+	struct arg_file *control =
+		arg_file1(NULL, "control", "PROGRAM", "control daemon");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { seed, seconds, entry, control, end };
+	struct soak soak = { .primary = 0 };
+
+	seconds->ival[0] = 25;
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "comfreywheel-soak");
+		arg_print_syntax(stderr, table, "\n");
+		return 2;
+	}
+	soak.seed = (uint64_t)seed->ival[0];
+	soak.entry_program = entry->filename[0];
+	soak.control_program = control->filename[0];
+	init(&soak, (unsigned)seconds->ival[0]);
+	ev_run(soak.loop, 0);
+	check_end(&soak);
+	printf("seed %lu: %u done, %u not done, %u faults, %u promotions, "
+	       "%u configurations, %u violations, logs in %s\n",
+	       (unsigned long)soak.seed, soak.done, soak.not_done, soak.faults,
+	       soak.promotions, soak.configs, soak.violations->len,
+	       soak.folder);
+	return soak.violations->len ? EXIT_VIOLATION : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/comfreywheel-soak/processes.c
@@ -0,0 +1,221 @@
+#include "soak.h"
+
+#include <errno.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <fcntl.h>
+
+/* Time between a death and the next start, microseconds. */
+#define RESTART_US (300 * 1000ll)
+/* Time that a daemon has to end after SIGTERM, seconds. */
+#define GRACE_S 6
+/* Slack of this machine on that, microseconds. */
+#define GRACE_SLACK_US (2500 * 1000ll)
+
+extern char **environ;
+
+static void write_settings(struct soak_process *p)
+{
+	g_autofree char *role =
+		p->control ? g_strdup_printf("control = %s:%d\n", p->ip,
+					     SOAK_PORT_CONTROL) :
+			     g_strdup_printf("callers = %s:%d\nready = %s:%d\n",
+					     p->ip, SOAK_PORT_CALLERS, p->ip,
+					     SOAK_PORT_READY);
+	g_autofree char *text = g_strdup_printf(
+		"[node]\nname = %s\nzone = z1\nip = %s\ninternal_port = %d\n"
+		"seeds = 127.3.0.1:%d,127.3.0.2:%d,127.3.0.3:%d\n"
+		"bootstrap = %s\ngrace_s = %d\nvm_losses = 1\n"
+		"data_folder = %s\nplatform_api = %s\n[listen]\n%s",
+		p->name, p->ip, SOAK_PORT_INTERNAL, SOAK_PORT_CONTROL,
+		SOAK_PORT_CONTROL, SOAK_PORT_CONTROL,
+		p->first ? "true" : "false", GRACE_S, p->folder, SOAK_API,
+		role);
+
+	g_file_set_contents(p->settings, text, -1, NULL);
+}
+
+static void start(struct soak *soak, struct soak_process *p)
+{
+	g_autofree char *env =
+		g_strdup_printf("COMFREYWHEEL_SETTINGS=%s", p->settings);
+	g_autofree char *log = g_strdup_printf("%s.log", p->settings);
+	const char *program = p->control ? soak->control_program :
+					   soak->entry_program;
+	char *argv[] = { (char *)program, NULL };
+	char *envp[] = { env, NULL };
+	posix_spawn_file_actions_t actions;
+
+	write_settings(p);
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(&actions, 1, log,
+					 O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn_file_actions_adddup2(&actions, 1, 2);
+	if (posix_spawn(&p->pid, program, &actions, NULL, argv, envp))
+		g_error("cannot start %s", program);
+	posix_spawn_file_actions_destroy(&actions);
+	p->start_at_us = 0;
+	p->stopped_us = 0;
+	p->paused = false;
+	p->first = false;
+}
+
+void processes_start(struct soak *soak)
+{
+	int i;
+
+	for (i = 0; i < SOAK_CONTROLS + SOAK_ENTRIES; i++) {
+		struct soak_process *p = &soak->processes[i];
+
+		p->control = i < SOAK_CONTROLS;
+		p->first = true;
+		p->name = g_strdup_printf("%s-%d",
+					  p->control ? "control" : "entry", i);
+		p->ip = p->control ? g_strdup_printf("127.3.0.%d", i + 1) :
+				     g_strdup_printf("127.3.1.%d",
+						     i - SOAK_CONTROLS + 1);
+		p->folder = g_build_filename(soak->folder, p->name, NULL);
+		p->settings =
+			g_strdup_printf("%s/%s.conf", soak->folder, p->name);
+		start(soak, p);
+	}
+}
+
+static void note_end(struct soak *soak, struct soak_process *p, int status,
+		     int64_t now_us)
+{
+	bool killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+
+	if (!killed && !p->stopped_us)
+		soak_violation(soak, "%s ended by itself, status %d", p->name,
+			       status);
+	if (p->stopped_us && !killed && status)
+		soak_violation(soak, "%s ended with status %d after SIGTERM",
+			       p->name, status);
+	p->pid = 0;
+	p->start_at_us = now_us + RESTART_US;
+}
+
+static void watch(struct soak *soak, struct soak_process *p, int64_t now_us)
+{
+	int status;
+
+	if (p->pid && waitpid(p->pid, &status, WNOHANG) == p->pid)
+		note_end(soak, p, status, now_us);
+	if (p->pid && p->paused && now_us >= p->resume_us) {
+		kill(p->pid, SIGCONT);
+		p->paused = false;
+	}
+	if (p->pid && p->stopped_us && !p->paused &&
+	    now_us - p->stopped_us > GRACE_S * 1000000ll + GRACE_SLACK_US) {
+		soak_violation(soak, "%s did not end after SIGTERM", p->name);
+		p->stopped_us = now_us;
+		kill(p->pid, SIGKILL);
+	}
+	if (!p->pid && !soak->ending && p->start_at_us &&
+	    now_us >= p->start_at_us)
+		start(soak, p);
+}
+
+void processes_tick(struct soak *soak, int64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < SOAK_CONTROLS + SOAK_ENTRIES; i++)
+		watch(soak, &soak->processes[i], now_us);
+}
+
+static void remove_tree(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *child = g_build_filename(path, name, NULL);
+
+		remove_tree(child);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_remove(path);
+}
+
+/* Of three control VMs one may be lost at a time. */
+static bool may_lose(const struct soak *soak, const struct soak_process *p)
+{
+	int i;
+
+	for (i = 0; p->control && i < SOAK_CONTROLS; i++) {
+		const struct soak_process *other = &soak->processes[i];
+
+		if (other != p &&
+		    (!other->pid || other->paused || other->stopped_us))
+			return false;
+	}
+	return true;
+}
+
+void processes_fault(struct soak *soak, int64_t now_us)
+{
+	struct soak_process *p = &soak->processes[soak_between(
+		soak, 0, SOAK_CONTROLS + SOAK_ENTRIES)];
+
+	if (!p->pid || p->paused || p->stopped_us || !may_lose(soak, p))
+		return;
+	soak->faults++;
+	switch (soak_between(soak, 0, 5)) {
+	case 0:
+		kill(p->pid, SIGKILL);
+		break;
+	case 1:
+		kill(p->pid, SIGTERM);
+		p->stopped_us = now_us;
+		break;
+	case 2:
+		kill(p->pid, SIGSTOP);
+		p->paused = true;
+		p->resume_us = now_us + soak_between(soak, 200, 2500) * 1000;
+		break;
+	case 3:
+		kill(p->pid, SIGHUP);
+		break;
+	default:
+		kill(p->pid, SIGKILL);
+		waitpid(p->pid, NULL, 0);
+		p->pid = 0;
+		p->start_at_us = now_us + RESTART_US;
+		if (p->control)
+			remove_tree(p->folder);
+		break;
+	}
+}
+
+/* Return: whether all have ended. */
+bool processes_stop(struct soak *soak)
+{
+	int64_t now_us = soak_now();
+	bool all = true;
+	int i;
+
+	for (i = 0; i < SOAK_CONTROLS + SOAK_ENTRIES; i++) {
+		struct soak_process *p = &soak->processes[i];
+
+		if (!p->pid)
+			continue;
+		all = false;
+		if (p->paused) {
+			kill(p->pid, SIGCONT);
+			p->paused = false;
+		}
+		if (!p->stopped_us) {
+			kill(p->pid, SIGTERM);
+			p->stopped_us = now_us;
+		}
+	}
+	return all;
+}
--- a/control/node.c
+++ b/control/node.c
@@ -139,6 +139,7 @@
 	struct control_node *node = g_new0(struct control_node, 1);
 	int64_t now_us = clock_now_us();
 
+	node->started_us = now_us;
 	node->loop = loop;
 	node->timers = timers;
 	node->config = *config;
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -53,7 +53,8 @@
 
 /* Return: struct promotion_upstream of one service. */
 static GArray *upstreams_of(const struct control_node *node,
-			    const char *service, int *primary, int64_t now_us)
+			    const char *service, struct promotion_view *view,
+			    int64_t now_us)
 {
 	const struct sighting *lead =
 		sightings_primary(&node->sightings, service);
@@ -62,19 +63,22 @@
 	struct sighting *one;
 	GHashTableIter it;
 
-	*primary = -1;
+	view->primary = -1;
 	g_hash_table_iter_init(&it, node->sightings.by_id);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
 		struct promotion_upstream up = {
 			.id = one->id,
 			.leaving = one->leaving,
-			.silent_us = now_us - one->heard_us,
+			.silent_us =
+				now_us - MAX(one->heard_us, node->started_us),
 		};
 
 		if (one->gone || strcmp(one->service, service))
 			continue;
 		if (one == lead)
-			*primary = (int)out->len;
+			view->primary = (int)out->len;
+		if (one->heard_us < node->started_us)
+			view->unheard++;
 		count_reports(node, one->id, &up, now_us);
 		g_array_append_val(out, up);
 	}
@@ -293,7 +297,7 @@
 			end_handover(node, o, false);
 		return;
 	}
-	upstreams = upstreams_of(node, service, &view.primary, now_us);
+	upstreams = upstreams_of(node, service, &view, now_us);
 	view.upstreams = (struct promotion_upstream *)(void *)upstreams->data;
 	view.nr = upstreams->len;
 	view.sync_replicas =
@@ -302,6 +306,7 @@
 						 node->data) :
 			0;
 	view.since_order_us = now_us - o->at_us;
+	view.up_us = now_us - node->started_us;
 	reason = promotion_needed(&view);
 	if (reason == PROMOTION_NOT_NEEDED && is_behind(o, &view, now_us))
 		reason = PROMOTION_REPLICAS_BEHIND;
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -16,6 +16,10 @@
 
 	if (view->since_order_us < PROMOTION_SETTLE_US)
 		return PROMOTION_NOT_NEEDED;
+	/* One that was not heard yet may be the primary. */
+	if (view->primary < 0 && view->unheard &&
+	    view->up_us < PROMOTION_HEAR_US)
+		return PROMOTION_NOT_NEEDED;
 	if (view->primary < 0)
 		return PROMOTION_NO_PRIMARY;
 	p = &view->upstreams[view->primary];
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -25,6 +25,8 @@
 #define PROMOTION_LAG_BORNE_US (1200 * 1000ll)
 /** Time between two changes for the sake of lag, microseconds. */
 #define PROMOTION_LAG_AGAIN_US (12 * 1000000ll)
+/** A control VM that has just started waits so long for announcements. */
+#define PROMOTION_HEAR_US (3000 * 1000ll)
 /** Time that an order has to take effect before another may follow. */
 #define PROMOTION_SETTLE_US (2500 * 1000ll)
 /** One daemon in so many that is cut off from the primary is enough. */
@@ -32,7 +34,8 @@
 
 /**
  * struct promotion_upstream - one upstream of the service
- * @silent_us: time since its last announcement
+ * @silent_us: time since its last announcement, or since this control VM
+ *             started if that is less
  * @answered: entry daemons that it answered of late
  * @failing: entry daemons that it has not answered for PROMOTION_FAILING_US
  * @behind: entry daemons that saw it further behind than PROMOTION_LAG_US
@@ -53,6 +56,8 @@
 /**
  * struct promotion_view - one service
  * @primary: index into @upstreams, -1 if none is known
+ * @unheard: upstreams that were not heard since this control VM started
+ * @up_us: time since then
  * @since_order_us: time since the last order, INT64_MAX if there was none
  * @sync_replicas: replicas that hold a commit before it is acknowledged
  */
@@ -60,6 +65,8 @@
 	const struct promotion_upstream *upstreams;
 	unsigned nr;
 	int primary;
+	unsigned unheard;
+	int64_t up_us;
 	int64_t since_order_us;
 	unsigned sync_replicas;
 };
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -396,6 +396,17 @@
 	ck_assert_str_eq(
 		sightings_primary(control_sightings(vms[2].node), "s")->id,
 		"a");
+	/* Its next announcement is still to come: it is not called silent,
+	 * although the other one is there to replace it. */
+	orders = 0;
+	ck_assert(run_until(has_leader, 5));
+	b = upstream("b", false, 2);
+	control_sighting(vms[0].node, &b);
+	run_until(NULL, 2);
+	ck_assert_uint_eq(orders, 0);
+	a = upstream("a", false, 2);
+	control_sighting(vms[0].node, &a);
+	ck_assert(run_until(was_ordered, 3));
 	finish();
 }
 END_TEST
