Do not appoint a former primary that went on alone

The former primary had gone on to 1.109 on its side. When it could be reached again and the new one was missed for a moment, it was appointed, and its commits, which reads in between had not seen, were back.

An upstream whose log went past the end of its successor's when that one was appointed, or is of an older term where nothing is known of the switch, is not a candidate.

test_diverged and test_unknown_daemons.

The line of a statement that was not done names the last upstream tried and the reason.

--- a/control/internal.h
+++ b/control/internal.h
@@ -80,6 +80,7 @@
 
 /**
  * struct control_daemon_entry - an entry daemon that is or was heard
+ * @drained: whether it said that it leaves
  * @remembered: read back after a restart and not heard since
  * @revision: value of the node's roster_revision at its last change
  */
@@ -89,6 +90,7 @@
 	uint32_t ip;
 	bool gone;
 	bool remembered;
+	bool drained;
 	int64_t changed_us;
 	uint64_t revision;
 };
@@ -118,6 +120,9 @@
  * @executor: daemon that carries it out
  * @from: primary that it stops
  * @until_us: when the handover is given up
+ * @head: upstream that this leader appointed last, NULL for none
+ * @ordered: end of the log of @id when the order was given
+ * @base: end of the log of @head when it was appointed
  * @behind_since_us: since when all replicas have been behind, 0 if not
  */
 struct control_order {
@@ -129,6 +134,9 @@
 	int64_t until_us;
 	int64_t behind_since_us;
 	int64_t relieved_us;
+	char *head;
+	struct position ordered;
+	struct position base;
 	int64_t at_us;
 	unsigned unclear;
 	bool pending;
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -14,6 +14,8 @@
 #define HANDOVER_US (1000 * 1000ll)
 /* Pause after an order that was refused, microseconds. */
 #define RETRY_US (300 * 1000ll)
+/* A daemon that is not heard may be served elsewhere for so long. */
+#define UNKNOWN_US (10 * 1000000ll)
 
 void control_order_free(void *data)
 {
@@ -22,6 +24,7 @@
 	g_free(order->service);
 	g_free(order->id);
 	g_free(order->executor);
+	g_free(order->head);
 	g_free(order->from);
 	g_free(order);
 }
@@ -85,6 +88,41 @@
 	return out;
 }
 
+/* Daemons that took work of late and do not report now. */
+static unsigned count_unknown(const struct control_node *node, int64_t now_us)
+{
+	struct control_daemon_entry *one;
+	GHashTableIter it;
+	unsigned nr = 0;
+
+	g_hash_table_iter_init(&it, node->roster);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one))
+		nr += one->remembered ||
+		      (one->gone && !one->drained &&
+		       now_us - one->changed_us < UNKNOWN_US);
+	return nr;
+}
+
+static void mark_diverged(GArray *upstreams, const struct control_order *o)
+{
+	struct position newest = { 0 };
+	guint i;
+
+	for (i = 0; i < upstreams->len; i++)
+		newest = position_max(
+			newest,
+			g_array_index(upstreams, struct promotion_upstream, i)
+				.position);
+	for (i = 0; i < upstreams->len; i++) {
+		struct promotion_upstream *up =
+			&g_array_index(upstreams, struct promotion_upstream, i);
+
+		up->diverged =
+			g_strcmp0(up->id, o->head) &&
+			promotion_diverged(up->position, o->base, newest);
+	}
+}
+
 static struct control_order *order_of(struct control_node *node,
 				      const char *service)
 {
@@ -100,6 +138,16 @@
 	return o;
 }
 
+/* Newest position that daemons saw at an upstream. */
+static struct position position_of(const struct control_node *node,
+				   const char *id)
+{
+	struct promotion_upstream up = { 0 };
+
+	count_reports(node, id, &up, clock_now_us());
+	return up.position;
+}
+
 static void order(struct control_node *node, const char *service,
 		  const char *id, enum promotion_reason reason,
 		  const struct promotion_view *view)
@@ -115,6 +163,7 @@
 	}
 	o->at_us = clock_now_us();
 	o->pending = true;
+	o->ordered = position_of(node, id);
 	event_log_always("promotion_ordered",
 			 "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:I}", "service",
 			 service, "upstream", id, "was", p ? p->id : "", "why",
@@ -305,6 +354,8 @@
 			node->ops->sync_replicas(node->reg.document, service,
 						 node->data) :
 			0;
+	mark_diverged(upstreams, o);
+	view.unknown = count_unknown(node, now_us);
 	view.since_order_us = now_us - o->at_us;
 	view.up_us = now_us - node->started_us;
 	reason = promotion_needed(&view);
@@ -356,6 +407,12 @@
 	if (result == PROMOTION_DONE) {
 		o->at_us = now_us;
 		o->unclear = 0;
+		/* The one that leads already was only confirmed. */
+		if (g_strcmp0(o->head, id)) {
+			g_free(o->head);
+			o->head = g_strdup(id);
+			o->base = o->ordered;
+		}
 		return;
 	}
 	o->at_us = now_us - PROMOTION_SETTLE_US + RETRY_US;
--- a/control/roster.c
+++ b/control/roster.c
@@ -28,6 +28,7 @@
 		    bool gone, int64_t now_us)
 {
 	one->gone = gone;
+	one->drained = false;
 	one->changed_us = now_us;
 	/* Not urgent: it goes out with the next answer to each daemon. */
 	one->revision = ++node->roster_revision;
@@ -83,6 +84,8 @@
 		note(node, watcher, now_us);
 	else if (one && !one->gone)
 		changed(node, one, true, now_us);
+	if (one && watcher->draining)
+		one->drained = true;
 }
 
 /* Names of the daemons that are heard and take work. */
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -1,8 +1,20 @@
 #include "promotion_policy.h"
 
-static bool is_cut_off(const struct promotion_upstream *p)
+bool promotion_diverged(struct position position, struct position base,
+			struct position newest)
 {
-	unsigned heard = p->answered + p->failing;
+	if (!position.term)
+		return false;
+	if (base.term && position.term == base.term)
+		return position.lsn > base.lsn;
+	/* Of an older term, with nothing known of the switch. */
+	return position.term < newest.term &&
+	       (!base.term || position.term < base.term);
+}
+
+static bool is_cut_off(const struct promotion_upstream *p, unsigned unknown)
+{
+	unsigned heard = p->answered + p->failing + unknown;
 
 	if (!p->failing || p->failing * PROMOTION_QUORUM_DIVISOR < heard)
 		return false;
@@ -25,7 +37,7 @@
 	p = &view->upstreams[view->primary];
 	if (p->leaving)
 		return PROMOTION_LEAVING;
-	if (is_cut_off(p))
+	if (is_cut_off(p, view->unknown))
 		return PROMOTION_UNREACHABLE;
 	if (p->silent_us > PROMOTION_SILENT_US && !p->answered)
 		return PROMOTION_SILENT;
@@ -36,7 +48,7 @@
 {
 	const struct promotion_upstream *p = &view->upstreams[i];
 
-	if ((int)i == view->primary || p->leaving)
+	if ((int)i == view->primary || p->leaving || p->diverged)
 		return false;
 	if (p->silent_us > PROMOTION_CANDIDATE_US)
 		return false;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -218,6 +218,7 @@
  *         primary grants
  * @need: position that the upstream must hold, term 0 for none
  * @avoid: upstream that failed it, NULL for none
+ * @tried: name of the last upstream that it was sent to, NULL for none
  */
 struct session {
 	struct entry *entry;
@@ -257,6 +258,7 @@
 	bool proof;
 	struct read_need need;
 	const struct host *avoid;
+	char *tried;
 	unsigned attempts;
 	unsigned setup;
 	enum refusal last_refusal;
--- a/entry/request.c
+++ b/entry/request.c
@@ -86,12 +86,15 @@
 							    ENTRY_COUNT_UNKNOWN,
 			1);
 		event_log("request_not_done",
-			  "{s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}", "id",
-			  s->statement.id, "outcome",
-			  refusal_text(answer->refusal), "last",
+			  "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}",
+			  "id", s->statement.id, "outcome",
+			  refusal_text(answer->refusal), "why",
+			  answer->detail ? answer->detail : "", "last",
 			  refusal_text(s->last_refusal), "service",
-			  s->service->name, "attempts", (int)s->attempts,
-			  "after_us", (json_int_t)(now_us - s->arrived_us),
+			  s->service->name, "upstream",
+			  s->tried ? s->tried : "", "attempts",
+			  (int)s->attempts, "after_us",
+			  (json_int_t)(now_us - s->arrived_us),
 			  "in_transaction", (int)s->tx, "config",
 			  (json_int_t)s->table->version);
 	}
@@ -245,6 +248,7 @@
 		s->arrived_us = now_us;
 	s->attempts = 0;
 	s->classified = false;
+	g_clear_pointer(&s->tried, g_free);
 	s->avoid = NULL;
 	s->last_refusal = REFUSAL_NONE;
 	if (is_bound(s))
@@ -393,6 +397,8 @@
 	g_queue_unlink(&s->service->waiting, &s->waiting);
 	histogram_add(&s->entry->wait_times, now_us - s->arrived_us);
 	s->attempts++;
+	g_free(s->tried);
+	s->tried = g_strdup(hosts[chosen]->id);
 	link_bind(link, s);
 	request_resume(s);
 	return true;
--- a/entry/session.c
+++ b/entry/session.c
@@ -55,6 +55,7 @@
 	g_hash_table_destroy(s->values);
 	g_hash_table_destroy(s->prepared);
 	g_free(s->database);
+	g_free(s->tried);
 	g_free(s);
 }
 
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -41,6 +41,9 @@
  * @behind: entry daemons that saw it further behind than PROMOTION_LAG_US
  * @crowded: entry daemons that kept work for it back of late
  * @position: newest position seen there
+ * @diverged: whether its log went on after it was replaced: as the primary it
+ *            would bring back what its successor did not have, and take what
+ *            that one acknowledged
  */
 struct promotion_upstream {
 	const char *id;
@@ -51,11 +54,14 @@
 	unsigned behind;
 	unsigned crowded;
 	struct position position;
+	bool diverged;
 };
 
 /**
  * struct promotion_view - one service
  * @primary: index into @upstreams, -1 if none is known
+ * @unknown: daemons that were heard of late and are not now; they may still be
+ *           served by the primary
  * @unheard: upstreams that were not heard since this control VM started
  * @up_us: time since then
  * @since_order_us: time since the last order, INT64_MAX if there was none
@@ -65,6 +71,7 @@
 	const struct promotion_upstream *upstreams;
 	unsigned nr;
 	int primary;
+	unsigned unknown;
 	unsigned unheard;
 	int64_t up_us;
 	int64_t since_order_us;
@@ -80,6 +87,15 @@
 	PROMOTION_REPLICAS_BEHIND,
 };
 
+/**
+ * promotion_diverged() - whether a log went on after it was replaced
+ * @position: end of that log
+ * @base: end of the successor's log when it was appointed, term 0 if unknown
+ * @newest: newest position of any upstream of the service
+ */
+bool promotion_diverged(struct position position, struct position base,
+			struct position newest);
+
 /** promotion_needed() - why the primary is to be replaced now */
 enum promotion_reason promotion_needed(const struct promotion_view *view);
 
--- a/tests/test_promotion_policy.c
+++ b/tests/test_promotion_policy.c
@@ -96,6 +96,48 @@
 }
 END_TEST
 
+static struct position at(uint32_t term, uint64_t number)
+{
+	return (struct position){ term, number };
+}
+
+/* Guards against the appointment of a former primary that went on alone behind
+ * a partition: its commits came back, and reads in between had missed them. */
+START_TEST(test_diverged)
+{
+	/* Replaced at 1.79 while it went on to 1.109. */
+	ck_assert(promotion_diverged(at(1, 109), at(1, 79), at(1, 109)));
+	ck_assert(promotion_diverged(at(1, 109), at(1, 79), at(2, 90)));
+	ck_assert(!promotion_diverged(at(1, 79), at(1, 79), at(2, 90)));
+	ck_assert(!promotion_diverged(at(2, 85), at(1, 79), at(2, 90)));
+	/* A new leader knows no switch. */
+	ck_assert(promotion_diverged(at(1, 109), at(0, 0), at(2, 90)));
+	ck_assert(!promotion_diverged(at(2, 80), at(0, 0), at(2, 90)));
+	ck_assert(!promotion_diverged(at(0, 0), at(1, 79), at(2, 90)));
+	start();
+	ups[1].diverged = true;
+	ck_assert_int_eq(promotion_candidate(&view), 2);
+	ups[2].diverged = true;
+	ck_assert_int_eq(promotion_candidate(&view), -1);
+}
+END_TEST
+
+/* Guards against a change of primary on the word of one daemon while the others
+ * are only not heard, since they may be served by it. */
+START_TEST(test_unknown_daemons)
+{
+	start();
+	ups[0].answered = 0;
+	ups[0].failing = 1;
+	ups[0].silent_us = PROMOTION_DOUBT_US + 1;
+	ck_assert_int_eq(promotion_needed(&view), PROMOTION_UNREACHABLE);
+	view.unknown = 7;
+	ck_assert_int_eq(promotion_needed(&view), PROMOTION_NOT_NEEDED);
+	ups[0].silent_us = PROMOTION_SILENT_US + 1;
+	ck_assert_int_eq(promotion_needed(&view), PROMOTION_SILENT);
+}
+END_TEST
+
 /* Guards against a change of primary for the sake of lag while a replica is
  * well, while the primary is not, or on the word of few. */
 START_TEST(test_lagging)
@@ -123,4 +165,4 @@
 END_TEST
 
 TEST_MAIN("promotion_policy", test_calm, test_needed, test_candidate,
-	  test_synchronous, test_lagging)
+	  test_synchronous, test_diverged, test_unknown_daemons, test_lagging)
