Connect to other processes in one place

Cause: three parts dialled the same way, and two decoded a sighting.

channel_dial and sighting_wire serve all.

Unit tests as before.

--- a/control/internal.h
+++ b/control/internal.h
@@ -212,12 +212,10 @@
 /* peers.c */
 struct control_peer *control_peer(struct control_node *node, uint32_t ip);
 void control_peers_tick(struct control_node *node, int64_t now_us);
-void control_peers_connect(struct control_node *node, int64_t now_us);
+void control_peers_connect(struct control_node *node);
 void control_peers_free(struct control_node *node);
 void control_send_raft(struct control_node *node,
 		       const struct raft_message *msg);
-void control_fill_sighting(Wire__Sighting *out, const struct sighting *one,
-			   int64_t now_us);
 /** control_take_sighting() - ages count from @now_us */
 void control_take_sighting(struct control_node *node, const Wire__Sighting *in,
 			   int64_t now_us);
--- a/control/node.c
+++ b/control/node.c
@@ -80,7 +80,7 @@
 {
 	struct control_node *node = data;
 
-	control_peers_connect(node, now_us);
+	control_peers_connect(node);
 	reopen_store(node, now_us);
 	if (!node->raft)
 		return;
--- a/control/peers.c
+++ b/control/peers.c
@@ -1,25 +1,12 @@
 #include "internal.h"
 
 #include "clock.h"
-#include "event_log.h"
 #include "raft_wire.h"
+#include "sighting_wire.h"
 
-#include <jansson.h>
-
-/* Time between attempts to reach a control VM, microseconds: after a stop of
- * everything an election waits for the connections. */
-#define RETRY_US (40 * 1000ll)
-/* Time for one attempt: a lost opening packet is sent again only after 1 s. */
-#define CONNECT_US (300 * 1000ll)
 /* Addresses of control VMs that are kept. */
 #define PEERS_MAX 32
 
-static void host_of(uint32_t ip, char host[16])
-{
-	g_snprintf(host, 16, "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255,
-		   ip >> 8 & 255, ip & 255);
-}
-
 static void on_message(struct channel *ch, const Wire__Envelope *envelope)
 {
 	struct control_peer *peer = ch->data;
@@ -31,7 +18,7 @@
 {
 	struct control_peer *peer = ch->data;
 
-	peer->retry_us = clock_now_us() + RETRY_US;
+	peer->retry_us = clock_now_us() + CHANNEL_RETRY_US;
 }
 
 static const struct channel_events peer_events = {
@@ -39,21 +26,11 @@
 	.closed = on_closed,
 };
 
-static void connect_peer(struct control_peer *peer, int64_t now_us)
+static void connect_peer(struct control_peer *peer)
 {
-	struct stream *stream = &peer->channel.stream;
-	char host[16];
-
-	if (stream_is_open(stream) && stream->connecting &&
-	    now_us >= peer->retry_us + CONNECT_US - RETRY_US)
-		channel_close(&peer->channel);
-	if (stream_is_open(stream) || now_us < peer->retry_us)
-		return;
-	peer->retry_us = now_us + RETRY_US;
-	host_of(peer->ip, host);
-	if (!channel_connect(&peer->channel, peer->node->loop, host,
-			     peer->node->config.port, &peer_events, peer))
-		event_log("peer_unreachable", "{s:s}", "address", host);
+	channel_dial(&peer->channel, peer->node->loop, peer->ip,
+		     peer->node->config.port, &peer_events, peer,
+		     &peer->retry_us);
 }
 
 /* Return: NULL for the own address, or when too many are known. */
@@ -76,7 +53,7 @@
 	peer->ip = ip;
 	peer->channel.stream.fd = -1;
 	g_ptr_array_add(node->peers, peer);
-	connect_peer(peer, clock_now_us());
+	connect_peer(peer);
 	return peer;
 }
 
@@ -100,7 +77,7 @@
 
 	if (!peer)
 		return;
-	connect_peer(peer, clock_now_us());
+	connect_peer(peer);
 	channel_send(&peer->channel, envelope);
 }
 
@@ -117,30 +94,13 @@
 	raft_wire_finish(&wire);
 }
 
-void control_fill_sighting(Wire__Sighting *out, const struct sighting *one,
-			   int64_t now_us)
-{
-	wire__sighting__init(out);
-	out->id = one->id;
-	out->service = one->service;
-	out->address = one->address;
-	out->availability_zone = one->availability_zone;
-	out->primary = one->primary;
-	out->leaving = one->leaving;
-	out->gone = one->gone;
-	out->born_ms = one->born_ms;
-	out->sequence = one->sequence;
-	out->age_us = (uint64_t)MAX(now_us - one->heard_us, 0);
-	out->claim_age_us = (uint64_t)MAX(now_us - one->claimed_us, 0);
-}
-
 void control_tell_peers(struct control_node *node, const struct sighting *one)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__Sighting sighting;
 	guint i;
 
-	control_fill_sighting(&sighting, one, clock_now_us());
+	sighting_pack(one, clock_now_us(), &sighting);
 	envelope.body_case = WIRE__ENVELOPE__BODY_SIGHTING;
 	envelope.sighting = &sighting;
 	for (i = 0; i < node->peers->len; i++) {
@@ -166,20 +126,9 @@
 void control_take_sighting(struct control_node *node, const Wire__Sighting *in,
 			   int64_t now_us)
 {
-	struct sighting one = {
-		.id = in->id,
-		.service = in->service,
-		.address = in->address,
-		.availability_zone = in->availability_zone,
-		.primary = in->primary,
-		.leaving = in->leaving,
-		.gone = in->gone,
-		.born_ms = in->born_ms,
-		.sequence = in->sequence,
-		.heard_us = now_us - (int64_t)in->age_us,
-		.claimed_us = now_us - (int64_t)in->claim_age_us,
-	};
+	struct sighting one;
 
+	sighting_unpack(in, now_us, &one);
 	if (sightings_merge(&node->sightings, &one) == SIGHTING_CHANGED)
 		node->views_due = true;
 }
@@ -295,10 +244,10 @@
 	ask_in(node);
 }
 
-void control_peers_connect(struct control_node *node, int64_t now_us)
+void control_peers_connect(struct control_node *node)
 {
 	guint i;
 
 	for (i = 0; i < node->peers->len; i++)
-		connect_peer(node->peers->pdata[i], now_us);
+		connect_peer(node->peers->pdata[i]);
 }
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "event_log.h"
+#include "sighting_wire.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -89,7 +90,7 @@
 		if (one->revision <= since)
 			continue;
 		out = g_new(Wire__Sighting, 1);
-		control_fill_sighting(out, one, now_us);
+		sighting_pack(one, now_us, out);
 		view->sightings[view->n_sightings++] = out;
 	}
 	view->primaries = g_new(Wire__ServicePrimary *,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -47,8 +47,8 @@
 {
 	struct entry *entry = data;
 
-	watch_connect(entry, now_us);
-	homes_tick(entry, now_us);
+	watch_connect(entry);
+	homes_tick(entry);
 	handover_tick(entry, now_us);
 	guests_tick(entry);
 	hosts_tick(entry, now_us);
--- a/entry/home.c
+++ b/entry/home.c
@@ -1,15 +1,9 @@
 #include "internal.h"
 
 #include "clock.h"
-#include "event_log.h"
 
-#include <jansson.h>
 #include <string.h>
 
-/* Time between attempts to reach a home daemon, microseconds. */
-#define RETRY_US (50 * 1000ll)
-/* Time for one attempt, microseconds. */
-#define CONNECT_US (300 * 1000ll)
 /* A home that turned a statement away is not asked again for so long. */
 #define TURNED_AWAY_US (1000 * 1000ll)
 /* Connections to one upstream that a daemon may hold at the most. */
@@ -140,7 +134,7 @@
 {
 	struct home_link *home = ch->data;
 
-	home->connect_us = clock_now_us() + RETRY_US;
+	home->connect_us = clock_now_us() + CHANNEL_RETRY_US;
 	relay_home_lost(home);
 }
 
@@ -149,22 +143,11 @@
 	.closed = on_closed,
 };
 
-static void connect_home(struct home_link *home, int64_t now_us)
+static void connect_home(struct home_link *home)
 {
-	struct stream *stream = &home->channel.stream;
-	char host[16];
-
-	if (stream_is_open(stream) && stream->connecting &&
-	    now_us >= home->connect_us + CONNECT_US - RETRY_US)
-		channel_close(&home->channel);
-	if (stream_is_open(stream) || now_us < home->connect_us)
-		return;
-	home->connect_us = now_us + RETRY_US;
-	g_snprintf(host, sizeof(host), "%u.%u.%u.%u", home->ip >> 24,
-		   home->ip >> 16 & 255, home->ip >> 8 & 255, home->ip & 255);
-	if (!channel_connect(&home->channel, home->entry->loop, host,
-			     home->entry->config.port, &home_events, home))
-		event_log("home_unreachable", "{s:s}", "address", host);
+	channel_dial(&home->channel, home->entry->loop, home->ip,
+		     home->entry->config.port, &home_events, home,
+		     &home->connect_us);
 }
 
 static struct home_link *home_link(struct entry *entry, uint32_t ip)
@@ -181,7 +164,7 @@
 	home->turned_away_us = INT64_MIN / 2;
 	home->sessions = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_hash_table_insert(entry->homes, GUINT_TO_POINTER(ip), home);
-	connect_home(home, clock_now_us());
+	connect_home(home);
 	return home;
 }
 
@@ -238,7 +221,7 @@
 }
 
 /* Connections to the homes of the own zone are kept open for the next call. */
-static void connect_near(struct entry *entry, int64_t now_us)
+static void connect_near(struct entry *entry)
 {
 	struct home_set *set;
 	GHashTableIter it;
@@ -254,16 +237,16 @@
 			if (one->ip != entry->config.ip &&
 			    !strcmp(one->availability_zone,
 				    entry->config.availability_zone))
-				connect_home(home_link(entry, one->ip), now_us);
+				connect_home(home_link(entry, one->ip));
 		}
 	}
 }
 
-void homes_tick(struct entry *entry, int64_t now_us)
+void homes_tick(struct entry *entry)
 {
 	if (entry->plan_due)
 		plan(entry);
-	connect_near(entry, now_us);
+	connect_near(entry);
 }
 
 void homes_init(struct entry *entry)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -444,7 +444,7 @@
 bool home_is_local(struct entry *entry, const char *service);
 /** home_share() - connections to one upstream that this daemon may hold */
 unsigned home_share(struct entry *entry, const struct entry_pool *pool);
-void homes_tick(struct entry *entry, int64_t now_us);
+void homes_tick(struct entry *entry);
 void homes_init(struct entry *entry);
 void homes_finish(struct entry *entry);
 /** home_choose() - a home of the service that can be reached, or NULL */
@@ -486,7 +486,7 @@
 void watch_start(struct entry *entry);
 void watch_tick(int64_t now_us, void *data);
 /** watch_connect() - connect to control VMs that are not connected */
-void watch_connect(struct entry *entry, int64_t now_us);
+void watch_connect(struct entry *entry);
 void watch_stop(struct entry *entry);
 /** watch_soon() - report again at @at_us, for news that cannot wait */
 void watch_soon(struct entry *entry, int64_t at_us);
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -2,14 +2,11 @@
 
 #include "clock.h"
 #include "event_log.h"
+#include "sighting_wire.h"
 
 #include <jansson.h>
 #include <zlib.h>
 
-/* Time between attempts to reach a control VM, microseconds. */
-#define RETRY_US (50 * 1000ll)
-/* Time for one attempt: a lost opening packet is sent again only after 1 s. */
-#define CONNECT_US (300 * 1000ll)
 /* A control VM that no view names is forgotten after this time. */
 #define FORGET_US (15 * 1000000ll)
 /* Control VMs that are watched at once. */
@@ -62,20 +59,9 @@
 static void take_sighting(struct entry *entry, const Wire__Sighting *in,
 			  int64_t now_us)
 {
-	struct sighting one = {
-		.id = in->id,
-		.service = in->service,
-		.address = in->address,
-		.availability_zone = in->availability_zone,
-		.primary = in->primary,
-		.leaving = in->leaving,
-		.gone = in->gone,
-		.born_ms = in->born_ms,
-		.sequence = in->sequence,
-		.heard_us = now_us - (int64_t)in->age_us,
-		.claimed_us = now_us - (int64_t)in->claim_age_us,
-	};
+	struct sighting one;
 
+	sighting_unpack(in, now_us, &one);
 	sightings_merge(&entry->sightings, &one);
 }
 
@@ -178,7 +164,7 @@
 {
 	struct control_link *link = ch->data;
 
-	link->connect_us = clock_now_us() + RETRY_US;
+	link->connect_us = clock_now_us() + CHANNEL_RETRY_US;
 	if (link->fresh)
 		event_log("control_lost", "{s:I}", "ip", (json_int_t)link->ip);
 	link->fresh = false;
@@ -219,24 +205,6 @@
 	return link;
 }
 
-static void connect_control(struct control_link *link, int64_t now_us)
-{
-	struct stream *stream = &link->channel.stream;
-	char host[16];
-
-	if (stream_is_open(stream) && stream->connecting &&
-	    now_us >= link->connect_us + CONNECT_US - RETRY_US)
-		channel_close(&link->channel);
-	if (stream_is_open(stream) || now_us < link->connect_us)
-		return;
-	link->connect_us = now_us + RETRY_US;
-	g_snprintf(host, sizeof(host), "%u.%u.%u.%u", link->ip >> 24,
-		   link->ip >> 16 & 255, link->ip >> 8 & 255, link->ip & 255);
-	if (!channel_connect(&link->channel, link->entry->loop, host,
-			     link->entry->config.port, &control_events, link))
-		event_log("control_unreachable", "{s:s}", "address", host);
-}
-
 /* What callers are served by: upstreams that were used of late. */
 static void fill_health(struct entry *entry, Wire__Watch *watch, int64_t now_us)
 {
@@ -316,12 +284,19 @@
 	g_free(link);
 }
 
-void watch_connect(struct entry *entry, int64_t now_us)
+static void dial(struct control_link *link)
+{
+	channel_dial(&link->channel, link->entry->loop, link->ip,
+		     link->entry->config.port, &control_events, link,
+		     &link->connect_us);
+}
+
+void watch_connect(struct entry *entry)
 {
 	guint i;
 
 	for (i = 0; i < entry->control->len; i++)
-		connect_control(entry->control->pdata[i], now_us);
+		dial(entry->control->pdata[i]);
 }
 
 void watch_tick(int64_t now_us, void *data)
--- a/include/channel.h
+++ b/include/channel.h
@@ -19,6 +19,12 @@
 /** Unacknowledged data ends a connection after this time, milliseconds. */
 #define CHANNEL_USER_TIMEOUT_MS 1500
 
+/** Time between two attempts to connect, microseconds: after a stop of
+ * everything an election and the first callers wait for the connections. */
+#define CHANNEL_RETRY_US (40 * 1000ll)
+/** Time for one attempt: a lost opening packet is sent again only after 1 s. */
+#define CHANNEL_CONNECT_US (300 * 1000ll)
+
 struct channel;
 
 /**
@@ -50,6 +56,16 @@
 bool channel_connect(struct channel *ch, struct ev_loop *loop, const char *host,
 		     uint16_t port, const struct channel_events *events,
 		     void *data);
+/**
+ * channel_dial() - connect unless connected; to be called again and again
+ * @ip: IPv4 address, host order
+ * @next_us: earliest next attempt, kept by the caller; 0 at first
+ *
+ * An attempt that takes longer than CHANNEL_CONNECT_US is begun anew.
+ */
+void channel_dial(struct channel *ch, struct ev_loop *loop, uint32_t ip,
+		  uint16_t port, const struct channel_events *events,
+		  void *data, int64_t *next_us);
 void channel_accept(struct channel *ch, struct ev_loop *loop, int fd,
 		    const struct channel_events *events, void *data);
 /** channel_send() - send or queue; dropped when closed or full */
--- a/tests/event_table.sh
+++ b/tests/event_table.sh
@@ -3,7 +3,7 @@
 # although no source writes it.
 set -eu
 cd "$1"
-code=$(cat entry/*.c control/*.c platform/*.c common/event_log.c | tr '\n' ' ' |
+code=$(cat entry/*.c control/*.c platform/*.c transport/channel.c common/event_log.c | tr '\n' ' ' |
 	grep -oE '(event_log(_always)?\( *|"event", *)"[a-z_]+"' |
 	grep -oE '"[a-z_]+"$' | tr -d '"' | sort -u)
 page=$(sed -n '/^## Events/,/^## Outcomes/p' docs/OPERATIONS.md |
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -73,7 +73,7 @@
 	home = make(0x7f020002, &home_timers);
 	name_home(edge, home->config.ip);
 	name_home(home, home->config.ip);
-	homes_tick(edge, clock_now_us());
+	homes_tick(edge);
 	run();
 }
 
--- a/transport/channel.c
+++ b/transport/channel.c
@@ -1,8 +1,11 @@
 #include "channel.h"
 
+#include "clock.h"
+#include "event_log.h"
 #include "net.h"
 
 #include <arpa/inet.h>
+#include <jansson.h>
 #include <string.h>
 
 #define HEAD_LEN 4u
@@ -95,6 +98,26 @@
 	return true;
 }
 
+void channel_dial(struct channel *ch, struct ev_loop *loop, uint32_t ip,
+		  uint16_t port, const struct channel_events *events,
+		  void *data, int64_t *next_us)
+{
+	struct stream *stream = &ch->stream;
+	int64_t now_us = clock_now_us();
+	char host[16];
+
+	if (stream_is_open(stream) && stream->connecting &&
+	    now_us >= *next_us - CHANNEL_RETRY_US + CHANNEL_CONNECT_US)
+		channel_close(ch);
+	if (stream_is_open(stream) || now_us < *next_us)
+		return;
+	*next_us = now_us + CHANNEL_RETRY_US;
+	g_snprintf(host, sizeof(host), "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255,
+		   ip >> 8 & 255, ip & 255);
+	if (!channel_connect(ch, loop, host, port, events, data))
+		event_log("peer_unreachable", "{s:s}", "address", host);
+}
+
 void channel_accept(struct channel *ch, struct ev_loop *loop, int fd,
 		    const struct channel_events *events, void *data)
 {
