Fuzz the platform's decoders, split dispatch off the requests

"Crowded" is called saturated, "homeless" no home. clang builds test_platform_config (its string lists are parenthesised; the cases are the same).

--- a/control/internal.h
+++ b/control/internal.h
@@ -98,7 +98,7 @@
 struct control_report {
 	int64_t failing_us;
 	int64_t lag_us;
-	bool crowded;
+	bool saturated;
 	struct position position;
 	int64_t at_us;
 };
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -48,8 +48,8 @@
 			out->answered++;
 		if (!report->failing_us && report->lag_us > PROMOTION_LAG_US)
 			out->behind++;
-		if (!report->failing_us && report->crowded)
-			out->crowded++;
+		if (!report->failing_us && report->saturated)
+			out->saturated++;
 		out->position = position_max(out->position, report->position);
 	}
 }
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -170,7 +170,7 @@
 
 		report->failing_us = (int64_t)in->failing_us;
 		report->lag_us = (int64_t)in->lag_us;
-		report->crowded = in->crowded;
+		report->saturated = in->saturated;
 		report->at_us = now_us;
 		if (in->position)
 			report->position =
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -91,8 +91,8 @@
 	unsigned i;
 
 	if (view->primary < 0 || view->upstreams[view->primary].failing ||
-	    !view->upstreams[view->primary].crowded ||
-	    view->upstreams[view->primary].crowded * 2 <
+	    !view->upstreams[view->primary].saturated ||
+	    view->upstreams[view->primary].saturated * 2 <
 		    view->upstreams[view->primary].answered)
 		return false;
 	for (i = 0; i < view->nr; i++) {
--- a/entry/host.c
+++ b/entry/host.c
@@ -65,7 +65,7 @@
 	host->lag_at_us = INT64_MIN / 2;
 	host->lacked_at_us = INT64_MIN / 2;
 	host->full_at_us = INT64_MIN / 2;
-	host->crowded_us = INT64_MIN / 2;
+	host->saturated_us = INT64_MIN / 2;
 	host->seen_us = INT64_MIN / 2;
 	g_ptr_array_add(host->service->hosts, host);
 	g_hash_table_insert(entry->hosts, host->id, host);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -67,7 +67,7 @@
  * @lag_us: how far it was behind the primary, at @lag_at_us
  * @lacked: position for which it refused a read, at @lacked_at_us
  * @full_at_us: when it last took no more connections
- * @crowded_us: when work for it was last kept back by its window
+ * @saturated_us: when work for it was last kept back by its window
  * @not_primary_until_us: refused work that only the primary does
  */
 struct host {
@@ -93,7 +93,7 @@
 	struct position lacked;
 	int64_t lacked_at_us;
 	int64_t full_at_us;
-	int64_t crowded_us;
+	int64_t saturated_us;
 	int64_t not_primary_until_us;
 };
 
@@ -192,7 +192,7 @@
 	/** at a home daemon */
 	REQUEST_RELAYED,
 	/** until a connection to a home daemon is open */
-	REQUEST_HOMELESS,
+	REQUEST_NO_HOME,
 	/** in a transaction, to be sent again on the same link */
 	REQUEST_PAUSED,
 };
@@ -436,7 +436,6 @@
 		  const struct statement_answer *answer);
 void request_link_lost(struct session *s);
 void request_resume(struct session *s);
-void service_dispatch(struct service *svc);
 void request_silent(struct session *s);
 
 /* home.c */
@@ -473,6 +472,10 @@
 void handover_lost(struct entry *entry);
 void handover_finish(struct entry *entry);
 
+/* dispatch.c */
+/** service_dispatch() - give free connections to those who wait */
+void service_dispatch(struct service *svc);
+
 /* session.c */
 void session_answer(struct session *s, const struct statement_answer *answer);
 void session_end_transaction(struct session *s, enum transaction to);
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -12,7 +12,7 @@
 /* Control VMs that are watched at once. */
 #define LINKS_MAX 9
 /* Work that was kept back so recently counts, microseconds. */
-#define CROWDED_US (400 * 1000ll)
+#define SATURATED_US (400 * 1000ll)
 /* A lag that is reported as no less, microseconds. */
 #define LAG_MAX_US (3600 * 1000000ll)
 /* Largest configuration document, bytes. */
@@ -231,7 +231,7 @@
 		wire__position__init(out->position);
 		out->position->term = host->seen.term;
 		out->position->lsn = host->seen.lsn;
-		out->crowded = now_us - host->crowded_us < CROWDED_US;
+		out->saturated = now_us - host->saturated_us < SATURATED_US;
 		out->lag_us = (uint64_t)MIN(host->lag_us, LAG_MAX_US);
 		watch->upstreams[watch->n_upstreams++] = out;
 	}
--- /dev/null
+++ b/fuzz/fuzz_line.c
@@ -0,0 +1,64 @@
+#include "fuzz.h"
+#include "platform/line.h"
+
+/* A statement that was read is sent on as one line, with its text unchanged. */
+static void check_query(const char *line)
+{
+	struct link_command command = { .verb = LINK_FORWARD };
+	struct statement st;
+	struct pg_buffer out;
+	size_t len, whole;
+
+	if (!line_query(line, &st))
+		return;
+	command.statement = &st;
+	command.name = "alias";
+	pg_buffer_init(&out);
+	line_put_command(&out, &command);
+	g_assert_cmpint(line_next(&out, 0, &len, &whole), ==, LINE_READY);
+	g_assert_cmpuint(whole, ==, pg_buffer_length(&out));
+	if (st.verb != STATEMENT_EXECUTE)
+		g_assert_true(
+			!memcmp(pg_buffer_head(&out), line, strlen(line)));
+	pg_buffer_finish(&out);
+	statement_clear(&st);
+}
+
+static void check_answers(struct pg_buffer *in)
+{
+	struct line_reader reader = { 0 };
+	struct statement_answer answer;
+	struct upstream_status status;
+
+	while (line_read_answer(&reader, in, &answer) == LINE_READY) {
+		g_assert_cmpuint(answer.len, <=, pg_buffer_length(in));
+		g_assert_false(answer.refusal && answer.result);
+		line_status(&answer, &status);
+		line_answer_done(&reader, in);
+	}
+	g_free(reader.detail);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct pg_buffer in;
+	char *database = NULL;
+	size_t at = 0, len, whole;
+
+	pg_buffer_init(&in);
+	pg_buffer_append(&in, data, size);
+	while (size && line_next(&in, at, &len, &whole) == LINE_READY) {
+		char *line =
+			g_strndup((const char *)pg_buffer_head(&in) + at, len);
+
+		if (line_start(line, &database))
+			g_free(database);
+		check_query(line);
+		g_free(line);
+		at += whole;
+	}
+	if (size)
+		check_answers(&in);
+	pg_buffer_finish(&in);
+	return 0;
+}
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -39,7 +39,7 @@
  * @answered: entry daemons that it answered of late
  * @failing: entry daemons that it has not answered for PROMOTION_FAILING_US
  * @behind: entry daemons that saw it further behind than PROMOTION_LAG_US
- * @crowded: entry daemons that kept work for it back of late
+ * @saturated: entry daemons that kept work for it back of late
  * @position: newest position seen there
  * @diverged: whether its log went on after it was replaced: as the primary it
  *            would bring back what its successor did not have, and take what
@@ -52,7 +52,7 @@
 	unsigned answered;
 	unsigned failing;
 	unsigned behind;
-	unsigned crowded;
+	unsigned saturated;
 	struct position position;
 	bool diverged;
 };
@@ -110,7 +110,7 @@
 int promotion_candidate(const struct promotion_view *view);
 
 /**
- * promotion_lagging() - whether a crowded primary has no replica to help it
+ * promotion_lagging() - whether a saturated primary has no replica to help it
  *
  * Answers the load in which replicas apply the log late, one old entry after
  * the other, for much longer than the cause lasts: the primary then runs every
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -5150,12 +5150,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crowded",
+    "saturated",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__UpstreamHealth, crowded),
+    offsetof(Wire__UpstreamHealth, saturated),
     NULL,
     NULL,
     0,             /* flags */
@@ -5163,11 +5163,11 @@
   },
 };
 static const unsigned wire__upstream_health__field_indices_by_name[] = {
-  4,   /* field[4] = crowded */
   1,   /* field[1] = failing_us */
   0,   /* field[0] = id */
   3,   /* field[3] = lag_us */
   2,   /* field[2] = position */
+  4,   /* field[4] = saturated */
 };
 static const ProtobufCIntRange wire__upstream_health__number_ranges[1 + 1] =
 {
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -627,7 +627,7 @@
   /*
    * Whether work for it was kept back of late, as it has enough.
    */
-  protobuf_c_boolean crowded;
+  protobuf_c_boolean saturated;
 };
 #define WIRE__UPSTREAM_HEALTH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__upstream_health__descriptor) \
--- a/tests/test_platform_config.c
+++ b/tests/test_platform_config.c
@@ -62,28 +62,28 @@
 	static const char *const texts[] = {
 		"",
 		"[]",
-		"{\"version\":7,\"routes\":[" ROUTE("a", "") "]," SERVICES,
-		"{\"routes\":[]," SERVICES "}",
-		"{\"version\":0,\"routes\":[]," SERVICES "}",
-		"{\"version\":\"7\",\"routes\":[]," SERVICES "}",
-		"{\"version\":7,\"routes\":{}," SERVICES "}",
+		("{\"version\":7,\"routes\":[" ROUTE("a", "") "]," SERVICES),
+		("{\"routes\":[]," SERVICES "}"),
+		("{\"version\":0,\"routes\":[]," SERVICES "}"),
+		("{\"version\":\"7\",\"routes\":[]," SERVICES "}"),
+		("{\"version\":7,\"routes\":{}," SERVICES "}"),
 		"{\"version\":7,\"routes\":[]}",
-		"{\"version\":7,\"routes\":[" ROUTE("a", "") "," ROUTE(
-			"a", "") "]," SERVICES "}",
-		"{\"version\":7,\"routes\":[" ROUTE("a",
-						    "") "],\"services\":[]}",
-		"{\"version\":7,\"routes\":[" ROUTE(
-			"a", ",\"priority\":-1") "]," SERVICES "}",
-		"{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
-		"\"s1\",\"route_type\":\"primary\",\"timeout_ms\":0}]," SERVICES
-		"}",
-		"{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
-		"\"s1\",\"route_type\":\"primary\"}]," SERVICES "}",
-		"{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
-		"\"s1\",\"route_type\":\"other\",\"timeout_ms\":5}]," SERVICES
-		"}",
-		"{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"s\"},"
-		"{\"name\":\"s\"}]}",
+		("{\"version\":7,\"routes\":[" ROUTE("a", "") "," ROUTE(
+			"a", "") "]," SERVICES "}"),
+		("{\"version\":7,\"routes\":[" ROUTE("a",
+						     "") "],\"services\":[]}"),
+		("{\"version\":7,\"routes\":[" ROUTE(
+			"a", ",\"priority\":-1") "]," SERVICES "}"),
+		("{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
+		 "\"s1\",\"route_type\":\"primary\",\"timeout_ms\":0}]," SERVICES
+		 "}"),
+		("{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
+		 "\"s1\",\"route_type\":\"primary\"}]," SERVICES "}"),
+		("{\"version\":7,\"routes\":[{\"database\":\"a\",\"service\":"
+		 "\"s1\",\"route_type\":\"other\",\"timeout_ms\":5}]," SERVICES
+		 "}"),
+		("{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"s\"},"
+		 "{\"name\":\"s\"}]}"),
 	};
 	uint64_t version;
 	size_t i;
--- a/tests/test_promotion_policy.c
+++ b/tests/test_promotion_policy.c
@@ -143,16 +143,16 @@
 START_TEST(test_lagging)
 {
 	start();
-	ups[0].crowded = 4;
+	ups[0].saturated = 4;
 	ck_assert(!promotion_lagging(&view));
 	ups[1].behind = 8;
 	ck_assert(!promotion_lagging(&view));
 	ups[2].behind = 5;
 	ck_assert(promotion_lagging(&view));
 	/* It can do the work of all. */
-	ups[0].crowded = 3;
+	ups[0].saturated = 3;
 	ck_assert(!promotion_lagging(&view));
-	ups[0].crowded = 8;
+	ups[0].saturated = 8;
 	ups[2].behind = 4;
 	ck_assert(!promotion_lagging(&view));
 	ups[2].behind = 8;
