--- a/control/node.c
+++ b/control/node.c
@@ -116,11 +116,7 @@
 
 static bool listen_for_peers(struct control_node *node, GError **error)
 {
-	g_autofree char *address = g_strdup_printf(
-		"%u.%u.%u.%u:%u", node->config.ip >> 24,
-		node->config.ip >> 16 & 255, node->config.ip >> 8 & 255,
-		node->config.ip & 255, node->config.port);
-	int fd = net_listen(address, error);
+	int fd = net_listen_ip(node->config.ip, node->config.port, error);
 
 	if (fd < 0)
 		return false;
--- a/entry/guest.c
+++ b/entry/guest.c
@@ -296,11 +296,7 @@
 
 bool guests_listen(struct entry *entry, GError **error)
 {
-	g_autofree char *address = g_strdup_printf(
-		"%u.%u.%u.%u:%u", entry->config.ip >> 24,
-		entry->config.ip >> 16 & 255, entry->config.ip >> 8 & 255,
-		entry->config.ip & 255, entry->config.port);
-	int fd = net_listen(address, error);
+	int fd = net_listen_ip(entry->config.ip, entry->config.port, error);
 
 	if (fd < 0)
 		return false;
--- a/include/channel.h
+++ b/include/channel.h
@@ -52,10 +52,6 @@
 	uint64_t malformed;
 };
 
-/** channel_connect() - Return: false if no socket could be made */
-bool channel_connect(struct channel *ch, struct ev_loop *loop, const char *host,
-		     uint16_t port, const struct channel_events *events,
-		     void *data);
 /**
  * channel_dial() - connect unless connected; to be called again and again
  * @ip: IPv4 address, host order
--- a/include/net.h
+++ b/include/net.h
@@ -15,8 +15,20 @@
  */
 bool net_split(const char *address, char *host, uint16_t *port);
 
+/** Room for an IPv4 address in dotted form, bytes. */
+#define NET_IP_TEXT 16
+
+/**
+ * net_ip_text() - an IPv4 address in dotted form
+ * @ip: host order
+ * @text: room for NET_IP_TEXT bytes
+ */
+void net_ip_text(uint32_t ip, char *text);
+
 /** net_listen() - Return: listening socket, or -1 with CW_ERROR_IO */
 int net_listen(const char *address, GError **error);
+/** net_listen_ip() - as net_listen(), at an IPv4 address in host order */
+int net_listen_ip(uint32_t ip, uint16_t port, GError **error);
 
 /** net_accept() - Return: non-blocking socket, or -1 if none is waiting */
 int net_accept(int listener);
--- a/transport/channel.c
+++ b/transport/channel.c
@@ -86,25 +86,14 @@
 	stream_init(&ch->stream, loop, fd, connecting, &stream_events, ch);
 }
 
-bool channel_connect(struct channel *ch, struct ev_loop *loop, const char *host,
-		     uint16_t port, const struct channel_events *events,
-		     void *data)
-{
-	int fd = net_connect(host, port);
-
-	if (fd < 0)
-		return false;
-	start(ch, loop, fd, true, events, data);
-	return true;
-}
-
 void channel_dial(struct channel *ch, struct ev_loop *loop, uint32_t ip,
 		  uint16_t port, const struct channel_events *events,
 		  void *data, int64_t *next_us)
 {
 	struct stream *stream = &ch->stream;
 	int64_t now_us = clock_now_us();
-	char host[16];
+	char host[NET_IP_TEXT];
+	int fd;
 
 	if (stream_is_open(stream) && stream->connecting &&
 	    now_us >= *next_us - CHANNEL_RETRY_US + CHANNEL_CONNECT_US)
@@ -112,9 +101,11 @@
 	if (stream_is_open(stream) || now_us < *next_us)
 		return;
 	*next_us = now_us + CHANNEL_RETRY_US;
-	g_snprintf(host, sizeof(host), "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255,
-		   ip >> 8 & 255, ip & 255);
-	if (!channel_connect(ch, loop, host, port, events, data))
+	net_ip_text(ip, host);
+	fd = net_connect(host, port);
+	if (fd >= 0)
+		start(ch, loop, fd, true, events, data);
+	else
 		event_log("peer_unreachable", "{s:s}", "address", host);
 }
 
--- a/transport/net.c
+++ b/transport/net.c
@@ -37,6 +37,13 @@
 	return true;
 }
 
+void net_ip_text(uint32_t ip, char *text)
+{
+	struct in_addr addr = { .s_addr = htonl(ip) };
+
+	inet_ntop(AF_INET, &addr, text, NET_IP_TEXT);
+}
+
 static bool fill_address(const char *host, uint16_t port,
 			 struct sockaddr_storage *ss, socklen_t *len)
 {
@@ -100,6 +107,16 @@
 	return fd;
 }
 
+int net_listen_ip(uint32_t ip, uint16_t port, GError **error)
+{
+	char host[NET_IP_TEXT];
+	g_autofree char *address = NULL;
+
+	net_ip_text(ip, host);
+	address = g_strdup_printf("%s:%u", host, port);
+	return net_listen(address, error);
+}
+
 int net_accept(int listener)
 {
 	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
