Drop what the entry daemon had twice or not at all

Cause: struct roster_entry was allocated, copied and freed by hand in home.c and watch.c; relay.c raised a session's own position with the test that request.c has; link_replied() took off the oldest step in two places. watch_start() and ENTRY_CONNECT_US had no definition or no use, and the comment on plan_daemons named another owner than the code.

Change: roster_entry_new(), roster_entry_free() and request_note_own() are called instead; the step is taken off once; request_abort() is static, as only request.c calls it. Behaviour stays. The fixture of test_relay.c builds its home with roster_entry_new(); no assertion changes.

--- a/entry/home.c
+++ b/entry/home.c
@@ -27,7 +27,18 @@
 	return found;
 }
 
-static void roster_entry_free(void *data)
+struct roster_entry *
+roster_entry_new(const char *name, const char *availability_zone, uint32_t ip)
+{
+	struct roster_entry *one = g_new0(struct roster_entry, 1);
+
+	one->name = g_strdup(name);
+	one->availability_zone = g_strdup(availability_zone);
+	one->ip = ip;
+	return one;
+}
+
+void roster_entry_free(void *data)
 {
 	struct roster_entry *one = data;
 
@@ -44,14 +55,11 @@
 
 	g_ptr_array_set_size(entry->plan_daemons, 0);
 	g_hash_table_iter_init(&it, from->roster);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
-		struct roster_entry *copy = g_new0(struct roster_entry, 1);
-
-		copy->name = g_strdup(one->name);
-		copy->availability_zone = g_strdup(one->availability_zone);
-		copy->ip = one->ip;
-		g_ptr_array_add(entry->plan_daemons, copy);
-	}
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one))
+		g_ptr_array_add(entry->plan_daemons,
+				roster_entry_new(one->name,
+						 one->availability_zone,
+						 one->ip));
 }
 
 static void plan(struct entry *entry)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -14,8 +14,6 @@
 #define ENTRY_TICK_US (50 * 1000ll)
 /** Time between reports to control when there is no news, microseconds. */
 #define ENTRY_WATCH_US (800 * 1000ll)
-/** Time to connect to an upstream, microseconds: some round trips. */
-#define ENTRY_CONNECT_US (400 * 1000ll)
 /** Time to connect and log in, microseconds: log-ins queue for a slot. */
 #define ENTRY_LOGIN_US (1500 * 1000ll)
 /** A host that answered nothing for so long is tried elsewhere. */
@@ -342,7 +340,7 @@
 /**
  * struct entry - an entry daemon
  * @plan: service to struct home_set, by @plan_daemons
- * @plan_daemons: struct roster_entry, owned by a control link
+ * @plan_daemons: struct roster_entry, copies: control VMs come and go
  * @plan_due: whether the roster or the pools changed since
  * @homes: address to struct home_link
  */
@@ -428,9 +426,9 @@
 void request_conclude(struct session *s, const struct statement_answer *answer);
 /** request_again() - another attempt after one that kept nothing */
 void request_again(struct session *s, enum refusal refusal);
-/** request_abort() - the transaction is rolled back */
-void request_abort(struct session *s, const char *detail);
 bool request_is_write(const struct session *s);
+/** request_note_own() - the session committed up to the answer's position */
+void request_note_own(struct session *s, const struct statement_answer *answer);
 void request_cancel(struct session *s);
 void request_step(struct session *s, enum link_step step,
 		  const struct statement_answer *answer);
@@ -439,6 +437,9 @@
 void request_silent(struct session *s);
 
 /* home.c */
+struct roster_entry *
+roster_entry_new(const char *name, const char *availability_zone, uint32_t ip);
+void roster_entry_free(void *data);
 /** home_is_local() - whether this daemon holds the service's connections */
 bool home_is_local(struct entry *entry, const char *service);
 /** home_share() - connections to one upstream that this daemon may hold */
@@ -486,7 +487,6 @@
 void sessions_tick(struct entry *entry, int64_t now_us);
 
 /* watch.c */
-void watch_start(struct entry *entry);
 void watch_tick(int64_t now_us, void *data);
 /** watch_connect() - connect to control VMs that are not connected */
 void watch_connect(struct entry *entry);
--- a/entry/link.c
+++ b/entry/link.c
@@ -61,7 +61,7 @@
 
 	link->session = NULL;
 	if (link->wire)
-		link->host->entry->config.upstream_ops->close(link->wire);
+		entry->config.upstream_ops->close(link->wire);
 	link_free(link);
 	if (handover)
 		handover_lost(entry);
@@ -258,14 +258,13 @@
 		return;
 	}
 	step = g_array_index(link->steps, enum link_step, 0);
+	g_array_remove_index(link->steps, 0);
 	host_answered(host, answer, now_us);
 	if (step == STEP_SAMPLE) {
-		g_array_remove_index(link->steps, 0);
 		sampled(link, answer, now_us);
-		service_dispatch(host->service);
+		service_dispatch(svc);
 		return;
 	}
-	g_array_remove_index(link->steps, 0);
 	if (step == STEP_HANDOVER) {
 		handover_answered(host->entry, answer);
 		service_dispatch(svc);
@@ -274,7 +273,7 @@
 	note_transaction(link, step, answer);
 	if (step == STEP_ROLLBACK && answer->refusal) {
 		link_close(link);
-		service_dispatch(host->service);
+		service_dispatch(svc);
 		return;
 	}
 	if (link->session && step != STEP_ROLLBACK && step != STEP_ABANDONED) {
@@ -291,7 +290,7 @@
 	if (link->in_transaction)
 		roll_back(link);
 	else
-		service_dispatch(host->service);
+		service_dispatch(svc);
 }
 
 void link_closed(struct link *link, enum refusal refusal)
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -128,9 +128,8 @@
 		s->tx_ran = true;
 		s->tx_wrote = s->tx_wrote || write;
 	}
-	if (((commit && s->tx_wrote) || (write && s->tx == TX_NONE)) &&
-	    position_compare(answer->position, s->own.position) > 0)
-		s->own = (struct read_need){ answer->position, clock_now_us() };
+	if ((commit && s->tx_wrote) || (write && s->tx == TX_NONE))
+		request_note_own(s, answer);
 }
 
 void relay_answered(struct home_link *home, const Wire__RelayAnswer *in)
--- a/entry/request.c
+++ b/entry/request.c
@@ -99,7 +99,7 @@
 }
 
 /* The transaction cannot go on; nothing of it is kept. */
-void request_abort(struct session *s, const char *detail)
+static void abort_transaction(struct session *s, const char *detail)
 {
 	if (s->tx == TX_OPEN)
 		session_end_transaction(s, TX_FAILED);
@@ -137,8 +137,6 @@
 }
 
 static void on_time_out(int64_t now_us, void *data);
-static int64_t room_until_us(const struct session *s);
-static void seek(struct session *s);
 
 static void arm(struct session *s, int64_t at_us)
 {
@@ -157,6 +155,12 @@
 	return s->arrived_us + s->route->statement_us * WAIT_PERCENT / 100;
 }
 
+/* Time until which it is worth waiting for room beside others. */
+static int64_t room_until_us(const struct session *s)
+{
+	return s->arrived_us + MAX(s->route->target_us, ROOM_LEAST_US);
+}
+
 /* What the statement, or its transaction, asks of the upstream. */
 static void classify(struct session *s)
 {
@@ -293,12 +297,6 @@
 	link_flush(s->link);
 }
 
-/* Time until which it is worth waiting for room beside others. */
-static int64_t room_until_us(const struct session *s)
-{
-	return s->arrived_us + MAX(s->route->target_us, ROOM_LEAST_US);
-}
-
 /* More is asked than can be done: the caller knows better what to do next. */
 static bool is_saturated(const struct session *s, int64_t now_us)
 {
@@ -329,7 +327,7 @@
 	case REQUEST_SETUP:
 		leave_link(s);
 		if (s->tx == TX_OPEN)
-			request_abort(s, "the upstream did not answer");
+			abort_transaction(s, "the upstream did not answer");
 		else
 			refuse(s, REFUSAL_BUSY, "the upstream did not answer");
 		return;
@@ -339,7 +337,7 @@
 			request_resume(s);
 			return;
 		}
-		request_abort(s, "the upstream had no room");
+		abort_transaction(s, "the upstream had no room");
 		return;
 	case REQUEST_RUNNING:
 	case REQUEST_RELAYED:
@@ -356,7 +354,7 @@
 		refuse(s, REFUSAL_IN_DOUBT, "the commit was not answered");
 	} else {
 		close_link(s);
-		request_abort(s, "the upstream did not answer");
+		abort_transaction(s, "the upstream did not answer");
 	}
 }
 
@@ -430,7 +428,7 @@
 	request_again(s, answer->refusal);
 }
 
-static void note_own(struct session *s, const struct statement_answer *answer)
+void request_note_own(struct session *s, const struct statement_answer *answer)
 {
 	if (position_compare(answer->position, s->own.position) <= 0)
 		return;
@@ -445,7 +443,7 @@
 
 	note_sample(s, write || s->proof, answer);
 	if (write)
-		note_own(s, answer);
+		request_note_own(s, answer);
 	entry_count(s->entry,
 		    s->needs_primary ? ENTRY_COUNT_PRIMARY_READS :
 				       ENTRY_COUNT_REPLICA_READS,
@@ -481,7 +479,7 @@
 	if (!answer->refusal) {
 		note_sample(s, s->tx_plain && s->tx_wrote, answer);
 		if (s->tx_wrote)
-			note_own(s, answer);
+			request_note_own(s, answer);
 	}
 	session_end_transaction(s, TX_NONE);
 	request_conclude(s, &out);
@@ -511,7 +509,7 @@
 		finish_commit(s, answer);
 		return;
 	}
-	request_abort(s, refusal_text(refusal));
+	abort_transaction(s, refusal_text(refusal));
 }
 
 static void finish_in_transaction(struct session *s,
@@ -614,7 +612,7 @@
 			session_end_transaction(s, TX_NONE);
 			refuse(s, REFUSAL_IN_DOUBT, "the upstream was lost");
 		} else if (s->tx_ran || sent) {
-			request_abort(s, "the upstream was lost");
+			abort_transaction(s, "the upstream was lost");
 		} else {
 			request_again(s, REFUSAL_BUSY);
 		}
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -83,15 +83,6 @@
 
 static struct control_link *control_link(struct entry *entry, uint32_t ip);
 
-static void roster_entry_free(void *data)
-{
-	struct roster_entry *one = data;
-
-	g_free(one->name);
-	g_free(one->availability_zone);
-	g_free(one);
-}
-
 static void take_roster(struct control_link *link, const Wire__View *view)
 {
 	size_t i;
@@ -103,10 +94,8 @@
 		g_hash_table_remove(link->roster, in->daemon);
 		if (in->gone)
 			continue;
-		one = g_new0(struct roster_entry, 1);
-		one->name = g_strdup(in->daemon);
-		one->availability_zone = g_strdup(in->availability_zone);
-		one->ip = in->ip;
+		one = roster_entry_new(in->daemon, in->availability_zone,
+				       in->ip);
 		g_hash_table_insert(link->roster, one->name, one);
 	}
 	if (view->n_roster)
@@ -338,10 +327,7 @@
 {
 	guint i;
 
-	for (i = 0; i < entry->control->len; i++) {
-		struct control_link *link = entry->control->pdata[i];
-
-		control_link_free(link);
-	}
+	for (i = 0; i < entry->control->len; i++)
+		control_link_free(entry->control->pdata[i]);
 	g_ptr_array_free(entry->control, TRUE);
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -51,13 +51,10 @@
 /* Names the second daemon as the only home of the service. */
 static void name_home(struct entry *entry, uint32_t ip)
 {
-	struct roster_entry *one = g_new0(struct roster_entry, 1);
+	struct roster_entry *one = roster_entry_new("home", "z", ip);
 	struct home_set *set = g_new0(struct home_set, 1);
 	unsigned index = 0;
 
-	one->name = g_strdup("home");
-	one->availability_zone = g_strdup("z");
-	one->ip = ip;
 	g_ptr_array_add(entry->plan_daemons, one);
 	set->daemons = g_array_new(FALSE, FALSE, sizeof(unsigned));
 	g_array_append_val(set->daemons, index);
