Write for Raft in one place for both control programs

Cause: comfreywheeld/control_raft.c and control/storage.c each carried out the write callbacks of Raft, tracked what was appended but not synced, kept the flag of a failed store and wrote the first state of a group, with the same logic.

Change: struct raft_disk in coordination/raft_disk.c does all of it; both programs call it and differ only in how they report a failure. Order of writes and syncs, the limit of 8 syncs a turn and what happens after a failure stay.

--- a/comfreywheeld/control_core.h
+++ b/comfreywheeld/control_core.h
@@ -6,9 +6,8 @@
 #include "control_view.h"
 #include "failover.h"
 #include "lease.h"
-#include "raft.h"
+#include "raft_disk.h"
 #include "settings.h"
-#include "store.h"
 
 /**
  * DOC: Inner structures of the control task, comfreywheeld/control_*.c.
@@ -84,9 +83,7 @@
 
 /**
  * struct control - the task
- * @failed: the store cannot be trusted; nothing is sent or answered
- * @appended: last entry handed to the store
- * @dirty: whether entries wait to be synced
+ * @disk: once it failed nothing is sent or answered
  * @lead_term: Raft term this node leads, 0 if it does not
  * @ready: whether an entry of @lead_term was applied here
  * @runs_loaded: whether @runs were taken from the agreed state
@@ -101,13 +98,10 @@
 	ev_timer tick;
 	ev_prepare prepare;
 	struct bus *bus;
-	struct store *store;
+	struct raft_disk disk;
 	struct raft *raft;
 	struct control_state state;
 	struct lease_table leases;
-	bool failed;
-	uint64_t appended;
-	bool dirty;
 	uint64_t lead_term;
 	bool ready;
 	bool runs_loaded;
@@ -127,8 +121,6 @@
 
 /* control_task.c */
 int64_t control_now(void);
-/** control_fail() - stop to trust the store and leave the group */
-void control_fail(struct control *control, GError *error);
 /** control_leads() - whether no other node can lead at this moment */
 bool control_leads(const struct control *control);
 /** control_confirmed() - whether it leads a group that may promise something */
--- a/comfreywheeld/control_members.c
+++ b/comfreywheeld/control_members.c
@@ -107,12 +107,11 @@
 /* One voter and learners: a group no other VM has to agree to. */
 static void found_group(struct control *c)
 {
-	struct raft_recovered rec = { .snapshot_index = 1, .snapshot_term = 1 };
+	struct raft_recovered rec = { 0 };
 	g_autofree uint8_t *bytes = NULL;
 	GError *error = NULL;
 	guint i;
 
-	rec.hard_state.term = 1;
 	rec.members.member[rec.members.nr++] =
 		(struct raft_member){ c->settings->control_id, true };
 	for (i = 0; i < c->links->len && rec.members.nr < RAFT_NODES_MAX; i++)
@@ -121,11 +120,8 @@
 		};
 	bytes = control_state_pack(&c->state, &rec.snapshot_len);
 	rec.snapshot = bytes;
-	/* Without the snapshot the folder still counts as empty. */
-	if (!store_save_hard_state(c->store, &rec.hard_state, &error) ||
-	    !store_save_snapshot(c->store, 1, 1, &rec.members, bytes,
-				 rec.snapshot_len, &error)) {
-		control_fail(c, error);
+	if (!raft_disk_found(&c->disk, &rec, &error)) {
+		raft_disk_fail(&c->disk, error);
 		return;
 	}
 	log_notice("control VM %" PRIu64 " founds the group",
--- a/comfreywheeld/control_raft.c
+++ b/comfreywheeld/control_raft.c
@@ -7,8 +7,6 @@
 #define SNAPSHOT_ENTRIES 1000
 /* Heartbeats of the leader in one election timeout. */
 #define HEARTBEATS 3
-/* Syncs in one turn of the loop; committed entries may cause new ones. */
-#define SYNCS_MAX 8
 
 static void send_to(struct control *c, const struct control_link *link,
 		    const struct raft_message *msg)
@@ -49,32 +47,22 @@
 	struct control *c = data;
 	const struct control_link *link = control_link(c, msg->to);
 
-	if (!c->failed && link)
+	if (!c->disk.failed && link)
 		send_to(c, link, msg);
 }
 
 static void on_save_hard_state(const struct raft_hard_state *hs, void *data)
 {
 	struct control *c = data;
-	GError *error = NULL;
 
-	if (!c->failed && !store_save_hard_state(c->store, hs, &error))
-		control_fail(c, error);
+	raft_disk_save_hard_state(&c->disk, hs);
 }
 
 static void on_append(const struct raft_entry *entries, size_t nr, void *data)
 {
 	struct control *c = data;
-	GError *error = NULL;
 
-	if (c->failed)
-		return;
-	if (!store_append(c->store, entries, nr, &error)) {
-		control_fail(c, error);
-		return;
-	}
-	c->appended = entries[nr - 1].index;
-	c->dirty = true;
+	raft_disk_append(&c->disk, entries, nr);
 }
 
 static void on_apply(const struct raft_entry *entry, void *data)
@@ -92,11 +80,8 @@
 			     const uint8_t *bytes, size_t len, void *data)
 {
 	struct control *c = data;
-	GError *error = NULL;
 
-	if (!c->failed && !store_save_snapshot(c->store, index, term, members,
-					       bytes, len, &error))
-		control_fail(c, error);
+	raft_disk_save_snapshot(&c->disk, index, term, members, bytes, len);
 }
 
 static void on_restore_snapshot(const uint8_t *bytes, size_t len, void *data)
@@ -107,7 +92,7 @@
 	control_state_finish(&c->state);
 	control_state_init(&c->state);
 	if (!control_state_unpack(&c->state, bytes, len, &error))
-		control_fail(c, error);
+		raft_disk_fail(&c->disk, error);
 }
 
 static const struct raft_ops ops = {
@@ -143,9 +128,9 @@
 	if (g_mkdir_with_parents(c->settings->data_folder, 0700))
 		log_warning("data folder %s cannot be created",
 			    c->settings->data_folder);
-	c->store = store_open(folder, &store_posix_file_ops, NULL,
-			      c->settings->control_id, &rec, error);
-	if (!c->store)
+	c->disk.store = store_open(folder, &store_posix_file_ops, NULL,
+				   c->settings->control_id, &rec, error);
+	if (!c->disk.store)
 		return false;
 	control_raft_start(c, &rec);
 	log_notice("control VM %" PRIu64 " starts in term %" PRIu64 " with "
@@ -217,16 +202,7 @@
 {
 	unsigned i;
 
-	for (i = 0; c->dirty && !c->failed && i < SYNCS_MAX; i++) {
-		uint64_t until = c->appended;
-		GError *error = NULL;
-
-		c->dirty = false;
-		if (!store_sync(c->store, &error)) {
-			control_fail(c, error);
-			return;
-		}
-		raft_persisted(c->raft, until);
+	for (i = 0; i < RAFT_DISK_SYNCS && raft_disk_sync(&c->disk, c->raft);
+	     i++)
 		update_lead(c);
-	}
 }
--- a/comfreywheeld/control_task.c
+++ b/comfreywheeld/control_task.c
@@ -12,17 +12,17 @@
 	return clock_now_us();
 }
 
-void control_fail(struct control *c, GError *error)
+static void on_disk_failure(const GError *error, void *data)
 {
-	if (!c->failed)
+	const struct control *c = data;
+
+	if (!c->disk.failed)
 		log_error("control role stops: %s", error->message);
-	c->failed = true;
-	g_error_free(error);
 }
 
 bool control_leads(const struct control *c)
 {
-	return !c->failed && c->ready && raft_is_leader(c->raft) &&
+	return !c->disk.failed && c->ready && raft_is_leader(c->raft) &&
 	       control_now() < raft_lease_until_us(c->raft);
 }
 
@@ -62,7 +62,7 @@
 {
 	struct control *c = data;
 
-	if (c->failed)
+	if (c->disk.failed)
 		return;
 	switch (envelope->body_case) {
 	case WIRE__ENVELOPE__BODY_HEARTBEAT:
@@ -88,7 +88,7 @@
 {
 	struct control *c = data;
 
-	if (!c->failed &&
+	if (!c->disk.failed &&
 	    envelope->body_case == WIRE__ENVELOPE__BODY_QUERY_REPLY)
 		control_bootstrap_reply(c, handle, envelope->query_reply);
 }
@@ -117,7 +117,7 @@
 	struct control *c = timer->data;
 	int64_t now_us = control_now();
 
-	if (c->failed)
+	if (c->disk.failed)
 		return;
 	control_raft_tick(c);
 	if (c->ready) {
@@ -196,7 +196,7 @@
 	g_ptr_array_free(c->waiters, TRUE);
 	g_hash_table_destroy(c->found_us);
 	raft_free(c->raft);
-	store_close(c->store);
+	store_close(c->disk.store);
 	g_ptr_array_free(c->links, TRUE);
 	if (c->bus)
 		bus_free(c->bus);
@@ -212,6 +212,8 @@
 {
 	struct control *c = g_new0(struct control, 1);
 
+	c->disk.on_failure = on_disk_failure;
+	c->disk.data = c;
 	c->settings = settings;
 	c->loop = ev_loop_new(EVBACKEND_EPOLL);
 	init_state(c);
--- a/control/internal.h
+++ b/control/internal.h
@@ -4,6 +4,7 @@
 #include "group_policy.h"
 #include "node.h"
 #include "position.h"
+#include "raft_disk.h"
 
 #include <ev.h>
 
@@ -144,9 +145,7 @@
 
 /**
  * struct control_node - state of a control VM
- * @raft: NULL while the store cannot be used
- * @appended: last entry handed to the store
- * @dirty: whether entries wait for a sync
+ * @raft: NULL while the disk cannot be used
  * @lead_term: term in which this VM leads, 0 otherwise
  * @settled: whether an entry of @lead_term was applied
  * @packed: deflated document of @packed_version
@@ -162,12 +161,9 @@
 	void *data;
 	char *folder;
 	uint64_t id;
-	struct store *store;
+	struct raft_disk disk;
 	struct raft *raft;
-	bool store_failed;
 	int64_t store_retry_us;
-	uint64_t appended;
-	bool dirty;
 	uint64_t lead_term;
 	bool settled;
 	uint64_t leader_seen;
@@ -205,7 +201,8 @@
 /* storage.c */
 bool control_storage_open(struct control_node *node, GError **error);
 void control_storage_close(struct control_node *node);
-void control_storage_failed(struct control_node *node, GError *error);
+/** control_storage_on_failure() - report a failure of the disk */
+void control_storage_on_failure(const GError *error, void *data);
 void control_storage_flush(struct control_node *node);
 void control_lead_update(struct control_node *node);
 
--- a/control/node.c
+++ b/control/node.c
@@ -73,7 +73,7 @@
 		return;
 	node->store_retry_us = now_us + CONTROL_STORE_RETRY_US;
 	if (!control_storage_open(node, &error))
-		control_storage_failed(node, error);
+		raft_disk_fail(&node->disk, error);
 }
 
 static void on_tick(int64_t now_us, void *data)
@@ -143,6 +143,8 @@
 	node->folder = g_strdup(config->folder);
 	node->ops = ops;
 	node->data = data;
+	node->disk.on_failure = control_storage_on_failure;
+	node->disk.data = node;
 	node->peers = g_ptr_array_new();
 	node->watchers = g_ptr_array_new();
 	node->puts = g_ptr_array_new();
--- a/control/storage.c
+++ b/control/storage.c
@@ -13,8 +13,6 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-/* Syncs in one turn of the loop; committed entries may cause new ones. */
-#define SYNCS_MAX 8
 /* Number of the identities that the first start gives to the seeds. */
 #define FOUNDER 1u
 
@@ -23,45 +21,32 @@
 	return (uint64_t)ip << 32 | number;
 }
 
-void control_storage_failed(struct control_node *node, GError *error)
+void control_storage_on_failure(const GError *error, void *data)
 {
 	event_log_always("store_failed", "{s:s}", "why", error->message);
-	g_error_free(error);
-	control_count(node, CONTROL_COUNT_STORE_FAILURES, 1);
-	node->store_failed = true;
+	control_count(data, CONTROL_COUNT_STORE_FAILURES, 1);
 }
 
 static void on_send(const struct raft_message *msg, void *data)
 {
 	struct control_node *node = data;
 
-	if (!node->store_failed)
+	if (!node->disk.failed)
 		control_send_raft(node, msg);
 }
 
 static void on_save_hard_state(const struct raft_hard_state *hs, void *data)
 {
 	struct control_node *node = data;
-	GError *error = NULL;
 
-	if (!node->store_failed &&
-	    !store_save_hard_state(node->store, hs, &error))
-		control_storage_failed(node, error);
+	raft_disk_save_hard_state(&node->disk, hs);
 }
 
 static void on_append(const struct raft_entry *entries, size_t nr, void *data)
 {
 	struct control_node *node = data;
-	GError *error = NULL;
 
-	if (node->store_failed)
-		return;
-	if (!store_append(node->store, entries, nr, &error)) {
-		control_storage_failed(node, error);
-		return;
-	}
-	node->appended = entries[nr - 1].index;
-	node->dirty = true;
+	raft_disk_append(&node->disk, entries, nr);
 }
 
 static void on_apply(const struct raft_entry *entry, void *data)
@@ -96,12 +81,8 @@
 			     const uint8_t *bytes, size_t len, void *data)
 {
 	struct control_node *node = data;
-	GError *error = NULL;
 
-	if (!node->store_failed &&
-	    !store_save_snapshot(node->store, index, term, members, bytes, len,
-				 &error))
-		control_storage_failed(node, error);
+	raft_disk_save_snapshot(&node->disk, index, term, members, bytes, len);
 }
 
 static void on_restore_snapshot(const uint8_t *bytes, size_t len, void *data)
@@ -203,13 +184,9 @@
 static bool found_group(struct control_node *node, struct raft_recovered *rec,
 			uint8_t **bytes, GError **error)
 {
-	size_t len;
 	guint i;
 
 	memset(rec, 0, sizeof(*rec));
-	rec->hard_state.term = 1;
-	rec->snapshot_index = 1;
-	rec->snapshot_term = 1;
 	for (i = 0; i < node->config.seeds->len && i < RAFT_NODES_MAX; i++)
 		rec->members.member[rec->members.nr++] = (struct raft_member){
 			identity_of(g_array_index(node->config.seeds, uint32_t,
@@ -217,14 +194,11 @@
 				    FOUNDER),
 			true
 		};
-	*bytes = config_change_pack(0, NULL, &len);
+	*bytes = config_change_pack(0, NULL, &rec->snapshot_len);
 	rec->snapshot = *bytes;
-	rec->snapshot_len = len;
 	event_log_always("group_founded", "{s:i}", "voters",
 			 (int)rec->members.nr);
-	return store_save_hard_state(node->store, &rec->hard_state, error) &&
-	       store_save_snapshot(node->store, 1, 1, &rec->members, *bytes,
-				   len, error);
+	return raft_disk_found(&node->disk, rec, error);
 }
 
 static bool open_store(struct control_node *node, GError **error)
@@ -248,16 +222,16 @@
 				    node->folder, g_strerror(errno));
 		return false;
 	}
-	node->store = store_open(folder, &store_posix_file_ops, NULL, node->id,
-				 &rec, error);
-	if (!node->store)
+	node->disk.store = store_open(folder, &store_posix_file_ops, NULL,
+				      node->id, &rec, error);
+	if (!node->disk.store)
 		return false;
 	if (!rec.members.nr && (node->id & UINT32_MAX) == FOUNDER &&
 	    !found_group(node, &rec, &bytes, error))
 		return false;
 	config.id = node->id;
-	node->store_failed = false;
-	node->dirty = false;
+	node->disk.failed = false;
+	node->disk.dirty = false;
 	node->raft = raft_new(&config, &rec, &raft_ops, node, clock_now_us());
 	event_log_always("store_opened", "{s:I, s:I, s:I, s:i, s:I}", "id",
 			 (json_int_t)node->id, "term",
@@ -265,7 +239,7 @@
 			 (json_int_t)(rec.snapshot_index + rec.nr_entries),
 			 "members", (int)rec.members.nr, "config",
 			 (json_int_t)node->reg.version);
-	return !node->store_failed;
+	return !node->disk.failed;
 }
 
 bool control_storage_open(struct control_node *node, GError **error)
@@ -279,8 +253,8 @@
 void control_storage_close(struct control_node *node)
 {
 	g_clear_pointer(&node->raft, raft_free);
-	g_clear_pointer(&node->store, store_close);
-	node->dirty = false;
+	g_clear_pointer(&node->disk.store, store_close);
+	node->disk.dirty = false;
 	node->lead_term = 0;
 	node->settled = false;
 }
@@ -322,20 +296,10 @@
 {
 	unsigned i;
 
-	for (i = 0; node->raft && node->dirty && i < SYNCS_MAX; i++) {
-		uint64_t until = node->appended;
-		GError *error = NULL;
-
-		if (node->store_failed)
-			break;
-		node->dirty = false;
-		if (!store_sync(node->store, &error)) {
-			control_storage_failed(node, error);
-			break;
-		}
-		raft_persisted(node->raft, until);
+	for (i = 0;
+	     i < RAFT_DISK_SYNCS && raft_disk_sync(&node->disk, node->raft);
+	     i++)
 		control_lead_update(node);
-	}
-	if (node->store_failed && node->raft)
+	if (node->disk.failed && node->raft)
 		control_storage_close(node);
 }
