Write the identity of a control VM with the store's own files

Cause: control/storage.c replaced its identity file with an own sequence of open, write, sync, rename and sync of the folder, beside state/store_files.c that does the same, handles short writes and is tested for faults.

Change: store_replace_file() gives that to others; save_identity() calls it.

--- a/control/storage.c
+++ b/control/storage.c
@@ -8,13 +8,13 @@
 #include <fcntl.h>
 #include <inttypes.h>
 #include <jansson.h>
-#include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 /* Number of the identities that the first start gives to the seeds. */
 #define FOUNDER 1u
+/* File that holds the number of the identity. */
+#define IDENTITY "identity"
 
 static uint64_t identity_of(uint32_t ip, uint32_t number)
 {
@@ -104,16 +104,6 @@
 	.restore_snapshot = on_restore_snapshot,
 };
 
-static bool sync_folder(const char *folder)
-{
-	int fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-	bool ok = fd >= 0 && !fsync(fd);
-
-	if (fd >= 0)
-		close(fd);
-	return ok;
-}
-
 static bool is_founder(const struct control_node *node)
 {
 	guint i;
@@ -138,26 +128,13 @@
 	return number;
 }
 
-static bool save_identity(struct control_node *node, const char *path,
-			  GError **error)
+static bool save_identity(struct control_node *node, GError **error)
 {
 	uint32_t number = new_number(node);
-	char text[16];
-	int len = g_snprintf(text, sizeof(text), "%" PRIu32 "\n", number);
-	g_autofree char *fresh = g_strdup_printf("%s.new", path);
-	int fd = open(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-	bool ok = fd >= 0 && write(fd, text, len) == len && !fsync(fd);
+	g_autofree char *text = g_strdup_printf("%" PRIu32 "\n", number);
 
-	if (fd >= 0)
-		close(fd);
-	ok = ok && !rename(fresh, path) && sync_folder(node->folder);
-	if (!ok) {
-		g_set_error(error, CW_ERROR, CW_ERROR_IO,
-			    "%s cannot be written: %s; free space in the data "
-			    "folder",
-			    path, g_strerror(errno));
+	if (!store_replace_file(node->folder, IDENTITY, text, error))
 		return false;
-	}
 	node->id = identity_of(node->config.ip, number);
 	return true;
 }
@@ -165,8 +142,7 @@
 /* An identity of another address is that of a disk moved here. */
 static bool load_identity(struct control_node *node, GError **error)
 {
-	g_autofree char *path =
-		g_build_filename(node->folder, "identity", NULL);
+	g_autofree char *path = g_build_filename(node->folder, IDENTITY, NULL);
 	char text[16] = "";
 	int fd = open(path, O_RDONLY | O_CLOEXEC);
 	ssize_t len = fd >= 0 ? read(fd, text, sizeof(text) - 1) : -1;
@@ -174,7 +150,7 @@
 	if (fd >= 0)
 		close(fd);
 	if (len <= 0 || !strchr(text, '\n'))
-		return save_identity(node, path, error);
+		return save_identity(node, error);
 	node->id = identity_of(node->config.ip,
 			       (uint32_t)g_ascii_strtoull(text, NULL, 10));
 	return true;
--- a/include/store.h
+++ b/include/store.h
@@ -51,6 +51,15 @@
 			 struct raft_recovered *recovered, GError **error);
 void store_close(struct store *store);
 
+/**
+ * store_replace_file() - durable file beside a store
+ * @folder: created if missing
+ *
+ * The file is replaced atomically; it and the folder are synced.
+ */
+bool store_replace_file(const char *folder, const char *name, const char *text,
+			GError **error);
+
 bool store_save_hard_state(struct store *store,
 			   const struct raft_hard_state *hs, GError **error);
 /** store_append() - write entries, replacing any from the first index on */
--- a/state/store_files.c
+++ b/state/store_files.c
@@ -242,3 +242,19 @@
 	files->ops->close(fd, files->data);
 	return ok;
 }
+
+bool store_replace_file(const char *folder, const char *name, const char *text,
+			GError **error)
+{
+	struct store_files files = { .ops = &store_posix_file_ops,
+				     .folder = g_strdup(folder) };
+	GByteArray *bytes = g_byte_array_new();
+	bool ok;
+
+	g_byte_array_append(bytes, (const guint8 *)text, strlen(text));
+	ok = store_files_open(&files, error) &&
+	     store_files_replace(&files, name, bytes, error);
+	g_byte_array_free(bytes, TRUE);
+	store_files_finish(&files);
+	return ok;
+}
