Look up members, free reports and tick gates in one place each

Change: control_state_member(), control_delta_release() and gates_tick() serve all of them. Behaviour stays.

--- a/comfreywheel-bench/failover_members.c
+++ b/comfreywheel-bench/failover_members.c
@@ -21,19 +21,6 @@
 			    "connections = 16\n"
 			    "max_connections = 16\n";
 
-static bool is_member(struct control_vm *vm, const char *name)
-{
-	const struct control_member *m;
-	guint i;
-
-	for (i = 0; i < vm->state.members->len; i++) {
-		m = g_ptr_array_index(vm->state.members, i);
-		if (!strcmp(m->daemon, name))
-			return true;
-	}
-	return false;
-}
-
 static void add_member(struct control_vm *vm, char *name)
 {
 	Wire__Member member = WIRE__MEMBER__INIT;
@@ -115,7 +102,7 @@
 		return;
 	}
 	g_snprintf(name, sizeof(name), "%d", l->from);
-	if (!is_member(vm, name)) {
+	if (!control_state_member(&vm->state, name)) {
 		add_member(vm, name);
 		return;
 	}
--- a/comfreywheel-bench/failover_traffic.c
+++ b/comfreywheel-bench/failover_traffic.c
@@ -94,18 +94,6 @@
 		hb->upstreams[i] = new_upstream(i, lsn, 1 + (sequence + i) % 3);
 }
 
-static void release_heartbeat(Wire__Heartbeat *hb)
-{
-	size_t i;
-
-	for (i = 0; i < hb->n_clusters; i++)
-		wire__cluster_report__free_unpacked(hb->clusters[i], NULL);
-	for (i = 0; i < hb->n_upstreams; i++)
-		wire__upstream_report__free_unpacked(hb->upstreams[i], NULL);
-	g_free(hb->clusters);
-	g_free(hb->upstreams);
-}
-
 /* Bytes a second of heartbeats as control_client.c trims and sends them. */
 static double heartbeat_rate(unsigned databases)
 {
@@ -122,7 +110,7 @@
 				   sequence * SECOND / HEARTBEATS_PER_S);
 		bytes += envelope_size(WIRE__ENVELOPE__BODY_HEARTBEAT, &hb);
 		control_delta_answered(&delta, sequence);
-		release_heartbeat(&hb);
+		control_delta_release(&hb);
 	}
 	control_delta_finish(&delta);
 	return (double)bytes * HEARTBEATS_PER_S / TRAFFIC_HEARTBEATS;
--- a/comfreywheel-bench/overload.c
+++ b/comfreywheel-bench/overload.c
@@ -123,15 +123,6 @@
 			0, arrival, w);
 }
 
-static void tick(int64_t now_us, void *data)
-{
-	struct world *w = data;
-	unsigned i;
-
-	for (i = 0; i < GATES; i++)
-		gate_tick(&w->gates[i], now_us);
-}
-
 void overload_run(struct overload_run *run)
 {
 	struct world w = { .run = run };
@@ -154,7 +145,7 @@
 		}
 	}
 	timer_subscribe(&w.timers, 0, 0, arrival, &w);
-	timer_subscribe(&w.timers, 0, TICK_US, tick, &w);
+	timer_subscribe(&w.timers, 0, TICK_US, gates_tick, w.gates);
 	while (now_us < run->duration_us) {
 		now_us = timer_service_next(&w.timers);
 		timer_service_advance(&w.timers, now_us);
--- a/comfreywheel-bench/retry_storm.c
+++ b/comfreywheel-bench/retry_storm.c
@@ -66,15 +66,6 @@
 			send_next, w);
 }
 
-static void tick(int64_t now_us, void *data)
-{
-	struct storm_world *w = data;
-	unsigned i;
-
-	for (i = 0; i < GATES; i++)
-		gate_tick(&w->gates[i], now_us);
-}
-
 static void fails(int64_t now_us, void *data)
 {
 	struct storm_world *w = data;
@@ -109,7 +100,7 @@
 		admission_tenant(&w->gates[i].admission, "a", 1);
 	}
 	timer_subscribe(&w->timers, 0, 0, send_next, w);
-	timer_subscribe(&w->timers, 0, TICK_US, tick, w);
+	timer_subscribe(&w->timers, 0, TICK_US, gates_tick, w->gates);
 	timer_subscribe(&w->timers, FAILS_US, 0, fails, w);
 	timer_subscribe(&w->timers, HEALS_US, 0, heals, w);
 	while (now_us < DURATION_US) {
--- a/comfreywheel-bench/station.c
+++ b/comfreywheel-bench/station.c
@@ -175,7 +175,7 @@
 	req->done(req, GATE_EXPIRED, expiry->now_us);
 }
 
-void gate_tick(struct gate *gate, int64_t now_us)
+static void gate_tick(struct gate *gate, int64_t now_us)
 {
 	struct expiry expiry = { now_us };
 
@@ -183,3 +183,11 @@
 		admission_expire(&gate->admission, now_us, expired, &expiry);
 	dispatch(gate, now_us);
 }
+
+void gates_tick(int64_t now_us, void *gates)
+{
+	unsigned i;
+
+	for (i = 0; i < GATES; i++)
+		gate_tick((struct gate *)gates + i, now_us);
+}
--- a/comfreywheel-bench/station.h
+++ b/comfreywheel-bench/station.h
@@ -75,6 +75,7 @@
 void gate_finish(struct gate *gate);
 /** gate_submit() - a request reaches the daemon; @req outlives the run */
 void gate_submit(struct gate_request *req, int64_t now_us);
-void gate_tick(struct gate *gate, int64_t now_us);
+/** gates_tick() - timer callback; @gates: struct gate[GATES] */
+void gates_tick(int64_t now_us, void *gates);
 
 #endif
--- a/comfreywheel-bench/tenants.c
+++ b/comfreywheel-bench/tenants.c
@@ -85,15 +85,6 @@
 			0, send_next, source);
 }
 
-static void tick(int64_t now_us, void *data)
-{
-	struct tenants_world *w = data;
-	unsigned i;
-
-	for (i = 0; i < GATES; i++)
-		gate_tick(&w->gates[i], now_us);
-}
-
 static void start_gates(struct tenants_world *w, bool naive)
 {
 	unsigned i;
@@ -125,7 +116,7 @@
 	timer_subscribe(&w.timers, 0, 0, send_next, &quiet);
 	if (flood)
 		timer_subscribe(&w.timers, 0, 0, send_next, &flooding);
-	timer_subscribe(&w.timers, 0, TICK_US, tick, &w);
+	timer_subscribe(&w.timers, 0, TICK_US, gates_tick, w.gates);
 	while (now_us < DURATION_US) {
 		now_us = timer_service_next(&w.timers);
 		timer_service_advance(&w.timers, now_us);
--- a/comfreywheeld/control_client.c
+++ b/comfreywheeld/control_client.c
@@ -30,18 +30,6 @@
 	control_confirm_fences(client, hb);
 }
 
-static void release(Wire__Heartbeat *hb)
-{
-	size_t i;
-
-	for (i = 0; i < hb->n_clusters; i++)
-		wire__cluster_report__free_unpacked(hb->clusters[i], NULL);
-	for (i = 0; i < hb->n_upstreams; i++)
-		wire__upstream_report__free_unpacked(hb->upstreams[i], NULL);
-	g_free(hb->clusters);
-	g_free(hb->upstreams);
-}
-
 static void send_heartbeat(struct control_client *client, bool urgent,
 			   int64_t now_us)
 {
@@ -68,7 +56,7 @@
 		bus_send(client->bus, client->vms[client->leader].handle,
 			 &envelope);
 	}
-	release(&hb);
+	control_delta_release(&hb);
 }
 
 static void on_heartbeat(int64_t now_us, void *data)
--- a/comfreywheeld/control_client_delta.c
+++ b/comfreywheeld/control_client_delta.c
@@ -39,6 +39,18 @@
 	g_hash_table_destroy(delta->sent);
 }
 
+void control_delta_release(Wire__Heartbeat *hb)
+{
+	size_t i;
+
+	for (i = 0; i < hb->n_clusters; i++)
+		wire__cluster_report__free_unpacked(hb->clusters[i], NULL);
+	for (i = 0; i < hb->n_upstreams; i++)
+		wire__upstream_report__free_unpacked(hb->upstreams[i], NULL);
+	g_free(hb->clusters);
+	g_free(hb->upstreams);
+}
+
 void control_delta_answered(struct control_delta *delta, uint64_t sequence)
 {
 	delta->answered_sequence = sequence;
--- a/comfreywheeld/control_client_internal.h
+++ b/comfreywheeld/control_client_internal.h
@@ -52,6 +52,9 @@
 void control_delta_trim(struct control_delta *delta, Wire__Heartbeat *hb,
 			bool all, bool urgent, int64_t now_us);
 
+/** control_delta_release() - free the reports of a heartbeat, not itself */
+void control_delta_release(Wire__Heartbeat *hb);
+
 /** control_delta_answered() - a grant answered heartbeat @sequence */
 void control_delta_answered(struct control_delta *delta, uint64_t sequence);
 
--- a/comfreywheeld/control_leader.c
+++ b/comfreywheeld/control_leader.c
@@ -24,7 +24,7 @@
 static bool is_registered(const struct control *c, const Wire__Heartbeat *hb)
 {
 	const struct control_member *m =
-		control_view_member(&c->state, hb->daemon);
+		control_state_member(&c->state, hb->daemon);
 
 	return m && !strcmp(m->availability_zone, hb->availability_zone) &&
 	       !strcmp(m->bus_address, hb->bus_address);
@@ -259,7 +259,7 @@
 	/* A lease would have ended already. */
 	if (control_now() - d->received_us >= c->leases.duration_us)
 		d->grant_due = false;
-	else if (control_view_member(&c->state, d->name))
+	else if (control_state_member(&c->state, d->name))
 		grant_lease(c, d);
 }
 
--- a/comfreywheeld/control_members.c
+++ b/comfreywheeld/control_members.c
@@ -323,7 +323,7 @@
 		return change_member(c, id, remove, error);
 	}
 	if (remove && query->n_arguments == 1 &&
-	    control_view_member(&c->state, query->arguments[0]))
+	    control_state_member(&c->state, query->arguments[0]))
 		return propose_removal(c, query->arguments[0], error);
 	g_set_error(error, CW_ERROR, CW_ERROR_USAGE,
 		    "no such member; give the id of a control VM or the name "
--- a/comfreywheeld/control_shares.c
+++ b/comfreywheeld/control_shares.c
@@ -61,7 +61,7 @@
 	g_hash_table_iter_init(&it, facts->daemons);
 	while (g_hash_table_iter_next(&it, &name, &p))
 		if (report_of(p, upstream) &&
-		    control_view_member(facts->state, name) &&
+		    control_state_member(facts->state, name) &&
 		    (lease_table_live(facts->leases, name, facts->now_us) ||
 		     (shares && g_hash_table_contains(shares, name))))
 			g_ptr_array_add(names, name);
--- a/comfreywheeld/control_view.c
+++ b/comfreywheeld/control_view.c
@@ -101,20 +101,6 @@
 	return CONTROL_HEARD_NEW;
 }
 
-const struct control_member *
-control_view_member(const struct control_state *state, const char *daemon)
-{
-	const struct control_member *m;
-	guint i;
-
-	for (i = 0; i < state->members->len; i++) {
-		m = g_ptr_array_index(state->members, i);
-		if (!strcmp(m->daemon, daemon))
-			return m;
-	}
-	return NULL;
-}
-
 bool control_view_in_force(const struct control_facts *facts, uint64_t version,
 			   int64_t stale_us)
 {
--- a/comfreywheeld/control_view.h
+++ b/comfreywheeld/control_view.h
@@ -62,9 +62,6 @@
 	int64_t now_us;
 };
 
-const struct control_member *
-control_view_member(const struct control_state *state, const char *daemon);
-
 /**
  * control_view_in_force() - whether every member holds @version
  * @stale_us: time without a grant after which a daemon serves nothing
--- a/include/control_state.h
+++ b/include/control_state.h
@@ -82,6 +82,9 @@
 struct control_cluster *control_state_cluster(const struct control_state *state,
 					      const char *service,
 					      const char *cluster);
+/** control_state_member() - NULL if the daemon is no member */
+const struct control_member *
+control_state_member(const struct control_state *state, const char *daemon);
 /** control_state_share() - recorded share, 0 connections if none */
 void control_state_share(const struct control_state *state, const char *daemon,
 			 const char *upstream, unsigned *connections,
--- a/state/control_state.c
+++ b/state/control_state.c
@@ -176,6 +176,14 @@
 	return -1;
 }
 
+const struct control_member *
+control_state_member(const struct control_state *state, const char *daemon)
+{
+	int at = member_index(state, daemon);
+
+	return at < 0 ? NULL : g_ptr_array_index(state->members, at);
+}
+
 static bool same_member(const struct control_member *member,
 			const Wire__Member *wire)
 {
