Read INI files, keys and lists with one function each

Change: ini_section_entry(), ini_read_file(), ini_distinct() and ctl_run_files() are called instead. Messages and what is refused stay.

--- a/comfreywheelctl/commands/diff.c
+++ b/comfreywheelctl/commands/diff.c
@@ -52,17 +52,5 @@
 
 int command_diff(struct ctl *ctl, int argc, char **argv)
 {
-	struct arg_file *routes = arg_file1(NULL, NULL, "ROUTES", NULL);
-	struct arg_file *pools = arg_file1(NULL, NULL, "POOLS", NULL);
-	struct ctl_table table;
-	int code;
-
-	ctl_table_init(&table, CTL_EITHER);
-	ctl_table_add(&table, routes);
-	ctl_table_add(&table, pools);
-	code = ctl_table_parse(&table, ctl, argc, argv);
-	if (code < 0)
-		code = diff(ctl, routes->filename[0], pools->filename[0]);
-	ctl_table_finish(&table);
-	return code;
+	return ctl_run_files(ctl, argc, argv, CTL_EITHER, diff);
 }
--- a/comfreywheelctl/ctl.h
+++ b/comfreywheelctl/ctl.h
@@ -176,6 +176,11 @@
 bool ctl_read_tables(struct tables *tables, const char *routes_file,
 		     const char *pools_file, GError **error);
 
+/** ctl_run_files() - a command whose arguments are the two table files */
+int ctl_run_files(struct ctl *ctl, int argc, char **argv, enum ctl_reach reach,
+		  int (*run)(struct ctl *ctl, const char *routes_file,
+			     const char *pools_file));
+
 /**
  * ctl_tables_from_json() - tables from what tables_print_json() wrote
  *
--- a/comfreywheelctl/table_files.c
+++ b/comfreywheelctl/table_files.c
@@ -1,38 +1,18 @@
 #include "ctl.h"
 #include "error.h"
+#include "ini_reader.h"
 
 #include <string.h>
 
-static char *read_text(const char *file, GError **error)
-{
-	GError *io = NULL;
-	gsize len;
-	char *text;
-
-	if (!g_file_get_contents(file, &text, &len, &io)) {
-		g_set_error(error, CW_ERROR, CW_ERROR_TABLES,
-			    "%s:0: the file cannot be read (%s); check its "
-			    "path and permissions",
-			    file, io->message);
-		g_error_free(io);
-		return NULL;
-	}
-	if (strlen(text) == len)
-		return text;
-	g_set_error(error, CW_ERROR, CW_ERROR_TABLES,
-		    "%s:0: the file holds zero bytes; save it as text", file);
-	g_free(text);
-	return NULL;
-}
-
 bool ctl_read_tables(struct tables *tables, const char *routes_file,
 		     const char *pools_file, GError **error)
 {
-	char *routes = read_text(routes_file, error), *pools = NULL;
+	char *routes = ini_read_file(CW_ERROR_TABLES, routes_file, error),
+	     *pools = NULL;
 	bool ok;
 
 	if (routes)
-		pools = read_text(pools_file, error);
+		pools = ini_read_file(CW_ERROR_TABLES, pools_file, error);
 	ok = pools && tables_parse(tables, routes_file, routes, pools_file,
 				   pools, error);
 	/* Empty tables are legal before the first change only. */
@@ -48,6 +28,25 @@
 	return ok;
 }
 
+int ctl_run_files(struct ctl *ctl, int argc, char **argv, enum ctl_reach reach,
+		  int (*run)(struct ctl *ctl, const char *routes_file,
+			     const char *pools_file))
+{
+	struct arg_file *routes = arg_file1(NULL, NULL, "ROUTES", NULL);
+	struct arg_file *pools = arg_file1(NULL, NULL, "POOLS", NULL);
+	struct ctl_table table;
+	int code;
+
+	ctl_table_init(&table, reach);
+	ctl_table_add(&table, routes);
+	ctl_table_add(&table, pools);
+	code = ctl_table_parse(&table, ctl, argc, argv);
+	if (code < 0)
+		code = run(ctl, routes->filename[0], pools->filename[0]);
+	ctl_table_finish(&table);
+	return code;
+}
+
 static void print_value(GString *out, const char *key, json_t *value)
 {
 	json_t *item;
--- a/common/ini_fields.c
+++ b/common/ini_fields.c
@@ -1,24 +1,8 @@
 #include "ini_reader.h"
 #include "settings.h"
 
-#include <string.h>
-
 #define MEMBER(base, field) ((char *)(base) + (field)->offset)
 
-static struct ini_entry *find_entry(struct ini_section *section,
-				    const char *key)
-{
-	struct ini_entry *entry;
-	guint i;
-
-	for (i = 0; section && i < section->entries->len; i++) {
-		entry = &g_array_index(section->entries, struct ini_entry, i);
-		if (!strcmp(entry->key, key))
-			return entry;
-	}
-	return NULL;
-}
-
 static bool refuse_value(const struct ini_document *doc,
 			 const struct ini_field *field,
 			 const struct ini_entry *entry, GError **error)
@@ -45,7 +29,7 @@
 		       const struct ini_field *field, void *base,
 		       GError **error)
 {
-	struct ini_entry *entry = find_entry(section, field->key);
+	struct ini_entry *entry = ini_section_entry(section, field->key);
 	void *target = MEMBER(base, field);
 
 	if (entry) {
--- a/common/ini_reader.c
+++ b/common/ini_reader.c
@@ -58,6 +58,20 @@
 	return NULL;
 }
 
+struct ini_entry *ini_section_entry(const struct ini_section *section,
+				    const char *key)
+{
+	struct ini_entry *entry;
+	guint i;
+
+	for (i = 0; section && i < section->entries->len; i++) {
+		entry = &g_array_index(section->entries, struct ini_entry, i);
+		if (!strcmp(entry->key, key))
+			return entry;
+	}
+	return NULL;
+}
+
 /* Takes over @name. */
 static bool begin_section(struct reader *r, char *name)
 {
@@ -134,8 +148,9 @@
 		      const char *value)
 {
 	struct reader *r = data;
-	struct ini_entry *entry, *other;
-	guint i, nr;
+	struct ini_entry *entry;
+	const struct ini_entry *other;
+	guint nr;
 
 	if (!r->section)
 		return ini_refuse(r->doc, r->line, &r->error,
@@ -147,15 +162,12 @@
 				  "key \"%s\" has no %s; write KEY = VALUE or "
 				  "remove the line",
 				  key, *key ? "value" : "name");
-	for (i = 0; i < r->section->entries->len; i++) {
-		other = &g_array_index(r->section->entries, struct ini_entry,
-				       i);
-		if (!strcmp(other->key, key))
-			return ini_refuse(r->doc, r->line, &r->error,
-					  "key \"%s\" repeats the one in line "
-					  "%d; remove one of them",
-					  key, other->line);
-	}
+	other = ini_section_entry(r->section, key);
+	if (other)
+		return ini_refuse(r->doc, r->line, &r->error,
+				  "key \"%s\" repeats the one in line "
+				  "%d; remove one of them",
+				  key, other->line);
 	nr = r->section->entries->len;
 	g_array_set_size(r->section->entries, nr + 1);
 	entry = &g_array_index(r->section->entries, struct ini_entry, nr);
@@ -179,6 +191,28 @@
 	g_once_init_leave(&done, 1);
 }
 
+char *ini_read_file(enum cw_error_kind kind, const char *file, GError **error)
+{
+	GError *io = NULL;
+	gsize len;
+	char *text;
+
+	if (!g_file_get_contents(file, &text, &len, &io)) {
+		g_set_error(error, CW_ERROR, kind,
+			    "%s:0: the file cannot be read (%s); check its "
+			    "path and permissions",
+			    file, io->message);
+		g_error_free(io);
+		return NULL;
+	}
+	if (strlen(text) == len)
+		return text;
+	g_set_error(error, CW_ERROR, kind,
+		    "%s:0: the file holds zero bytes; save it as text", file);
+	g_free(text);
+	return NULL;
+}
+
 bool ini_document_parse(struct ini_document *doc, enum cw_error_kind kind,
 			const char *file, const char *text, GError **error)
 {
--- a/common/ini_types.c
+++ b/common/ini_types.c
@@ -166,8 +166,7 @@
 	return items;
 }
 
-static bool parse_names(const char *text, const struct ini_field *field,
-			void *target)
+char **ini_distinct(const char *text, bool (*valid)(const char *item))
 {
 	char **items = ini_list(text);
 	size_t i, k;
@@ -175,11 +174,19 @@
 	for (i = 0; items && items[i]; i++) {
 		for (k = 0; k < i && strcmp(items[k], items[i]); k++)
 			;
-		if (k == i && ini_is_name(items[i]))
+		if (k == i && valid(items[i]))
 			continue;
 		g_strfreev(items);
-		return false;
+		return NULL;
 	}
+	return items;
+}
+
+static bool parse_names(const char *text, const struct ini_field *field,
+			void *target)
+{
+	char **items = ini_distinct(text, ini_is_name);
+
 	if (!items)
 		return false;
 	ini_release_list(target);
--- a/common/settings.c
+++ b/common/settings.c
@@ -148,27 +148,10 @@
 static bool load(struct ini_document *doc, struct settings *settings,
 		 const char *path, GError **error)
 {
-	GError *io = NULL;
-	bool ok = false;
-	gsize len;
-	char *text;
-
-	if (!g_file_get_contents(path, &text, &len, &io)) {
-		g_set_error(error, CW_ERROR, CW_ERROR_SETTINGS,
-			    "%s:0: the file cannot be read (%s); check its "
-			    "path and permissions",
-			    path, io->message);
-		g_error_free(io);
-		return false;
-	}
-	if (strlen(text) != len)
-		g_set_error(error, CW_ERROR, CW_ERROR_SETTINGS,
-			    "%s:0: the file holds zero bytes; save it as text",
-			    path);
-	else
-		ok = ini_document_parse(doc, CW_ERROR_SETTINGS, path, text,
-					error);
-	g_free(text);
+	g_autofree char *text = ini_read_file(CW_ERROR_SETTINGS, path, error);
+	bool ok = text &&
+		  ini_document_parse(doc, CW_ERROR_SETTINGS, path, text, error);
+
 	if (ok && !fill_all(doc, settings, error)) {
 		ini_document_finish(doc);
 		ok = false;
--- a/common/settings_check.c
+++ b/common/settings_check.c
@@ -1,7 +1,5 @@
 #include "settings_internal.h"
 
-#include <string.h>
-
 /* A daemon must be able to miss this many heartbeats and keep its lease. */
 #define HEARTBEATS_PER_LEASE 3
 
@@ -9,17 +7,11 @@
 		  const char *key)
 {
 	const struct ini_section *section = ini_document_section(doc, name);
-	const struct ini_entry *entry;
-	guint i;
+	const struct ini_entry *entry = ini_section_entry(section, key);
 
-	if (!section)
-		return 1;
-	for (i = 0; i < section->entries->len; i++) {
-		entry = &g_array_index(section->entries, struct ini_entry, i);
-		if (!strcmp(entry->key, key))
-			return entry->line;
-	}
-	return section->line;
+	if (entry)
+		return entry->line;
+	return section ? section->line : 1;
 }
 
 static bool check_pairs(const struct ini_document *doc,
--- a/include/ini_reader.h
+++ b/include/ini_reader.h
@@ -59,6 +59,13 @@
 struct ini_section *ini_document_section(const struct ini_document *doc,
 					 const char *name);
 
+/** ini_section_entry() - NULL if @section is NULL or lacks the key */
+struct ini_entry *ini_section_entry(const struct ini_section *section,
+				    const char *key);
+
+/** ini_read_file() - text of a file; refuses zero bytes; caller frees */
+char *ini_read_file(enum cw_error_kind kind, const char *file, GError **error);
+
 /** ini_refuse() - set "FILE:LINE: ..." as the error; returns false */
 bool ini_refuse(const struct ini_document *doc, int line, GError **error,
 		const char *fmt, ...) __attribute__((format(printf, 4, 5)));
@@ -126,6 +133,8 @@
 bool ini_is_address(const char *text);
 /** ini_list() - split at commas, strip; NULL if an item is empty */
 char **ini_list(const char *text);
+/** ini_distinct() - ini_list(), NULL too if one repeats or is not @valid */
+char **ini_distinct(const char *text, bool (*valid)(const char *item));
 void ini_print_list(const void *target, GString *out);
 void ini_release_list(void *target);
 void ini_print_text(const void *target, GString *out);
--- a/state/tables.c
+++ b/state/tables.c
@@ -31,17 +31,8 @@
 static bool parse_patterns(const char *text, const struct ini_field *field,
 			   void *target)
 {
-	char **items = ini_list(text);
-	size_t i, k;
+	char **items = ini_distinct(text, is_pattern);
 
-	for (i = 0; items && items[i]; i++) {
-		for (k = 0; k < i && strcmp(items[k], items[i]); k++)
-			;
-		if (k == i && is_pattern(items[i]))
-			continue;
-		g_strfreev(items);
-		return false;
-	}
 	if (!items)
 		return false;
 	*(char ***)target = items;
