--- a/entry/entry.h
+++ b/entry/entry.h
@@ -170,7 +170,7 @@
 	GArray *seeds;
 	int64_t grace_us;
 	const struct upstream_ops *upstream_ops;
-	struct entry_table *(*decode)(GBytes *document, uint64_t version);
+	struct entry_table *(*decode)(GBytes *document);
 	void *data;
 };
 
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -37,7 +37,7 @@
 		return;
 	}
 	document = g_bytes_new_take(plain, len);
-	table = entry->config.decode(document, view->config_version);
+	table = entry->config.decode(document);
 	g_bytes_unref(document);
 	if (!table) {
 		event_log("config_unreadable", "{s:I}", "version",
