Send to all peers, judge watchers and remove folders in one place

Cause: peers.c sent to all open peers in two loops; three places compared the age of a watcher's last report with CONTROL_WATCHER_US, one of them including the limit itself; the soak and test_control_node.c each had remove_tree(). counter_value(), world_daemon_stop(), clients_stop(), databases_stop() and PG_OID_INT8 had no user.

Change: send_to_all(), control_watcher_heard() and tests/remove_tree.h; the unused ones go. No assertion changes.

--- a/comfreywheel-bench/failover_proxy.c
+++ b/comfreywheel-bench/failover_proxy.c
@@ -190,11 +190,6 @@
 	start_timer(world, node, WRITE_US, on_write);
 }
 
-void world_daemon_stop(struct world *world, int node)
-{
-	world->daemons[node].up = false;
-}
-
 static void begin_fence(struct world *world, struct daemon_cluster *c)
 {
 	c->known.fenced = true;
--- a/comfreywheel-bench/failover_world.h
+++ b/comfreywheel-bench/failover_world.h
@@ -310,7 +310,6 @@
 
 /* Daemons. */
 void world_daemon_start(struct world *world, int node, uint64_t incarnation);
-void world_daemon_stop(struct world *world, int node);
 void world_daemon_receive(struct world *world, const struct letter *l);
 
 /* Control VMs. */
--- a/comfreywheel-standin/execute.c
+++ b/comfreywheel-standin/execute.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #define PG_OID_BOOL 16
-#define PG_OID_INT8 20
 #define PG_OID_TEXT 25
 /* How long a statement waits for another session's lock. */
 #define LOCK_TIMEOUT_US 5000000
--- a/common/counters.c
+++ b/common/counters.c
@@ -42,11 +42,6 @@
 	g_array_index(set->counters, struct counter, handle).value = value;
 }
 
-int64_t counter_value(const struct counter_set *set, int handle)
-{
-	return g_array_index(set->counters, struct counter, handle).value;
-}
-
 void counter_set_print(const struct counter_set *set, GString *out)
 {
 	const struct counter *c;
--- a/control/internal.h
+++ b/control/internal.h
@@ -227,6 +227,9 @@
 bool control_fresh(const struct control_node *node);
 
 /* watchers.c */
+/** control_watcher_heard() - whether it reported of late */
+bool control_watcher_heard(const struct control_watcher *watcher,
+			   int64_t now_us);
 void control_watchers_accept(struct control_node *node, int fd);
 void control_watchers_tick(struct control_node *node, int64_t now_us);
 void control_watchers_tell(struct control_node *node);
--- a/control/peers.c
+++ b/control/peers.c
@@ -94,23 +94,30 @@
 	raft_wire_finish(&wire);
 }
 
-void control_tell_peers(struct control_node *node, const struct sighting *one)
+static void send_to_all(struct control_node *node,
+			const Wire__Envelope *envelope)
 {
-	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-	Wire__Sighting sighting;
 	guint i;
 
-	sighting_pack(one, clock_now_us(), &sighting);
-	envelope.body_case = WIRE__ENVELOPE__BODY_SIGHTING;
-	envelope.sighting = &sighting;
 	for (i = 0; i < node->peers->len; i++) {
 		struct control_peer *peer = node->peers->pdata[i];
 
 		if (channel_is_open(&peer->channel))
-			channel_send(&peer->channel, &envelope);
+			channel_send(&peer->channel, envelope);
 	}
 }
 
+void control_tell_peers(struct control_node *node, const struct sighting *one)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Sighting sighting;
+
+	sighting_pack(one, clock_now_us(), &sighting);
+	envelope.body_case = WIRE__ENVELOPE__BODY_SIGHTING;
+	envelope.sighting = &sighting;
+	send_to_all(node, &envelope);
+}
+
 static void take_raft(struct control_node *node, const Wire__RaftMessage *wire)
 {
 	struct raft_message msg;
@@ -217,19 +224,13 @@
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__Join join = WIRE__JOIN__INIT;
-	guint i;
 
 	if (!node->raft || (is_voter(node) && raft_leader(node->raft)))
 		return;
 	join.id = node->id;
 	envelope.body_case = WIRE__ENVELOPE__BODY_JOIN;
 	envelope.join = &join;
-	for (i = 0; i < node->peers->len; i++) {
-		struct control_peer *peer = node->peers->pdata[i];
-
-		if (channel_is_open(&peer->channel))
-			channel_send(&peer->channel, &envelope);
-	}
+	send_to_all(node, &envelope);
 }
 
 void control_peers_tick(struct control_node *node, int64_t now_us)
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -40,7 +40,7 @@
 		const struct control_report *report =
 			g_hash_table_lookup(watcher->reports, id);
 
-		if (!report || now_us - watcher->heard_us > CONTROL_WATCHER_US)
+		if (!report || !control_watcher_heard(watcher, now_us))
 			continue;
 		if (report->failing_us > PROMOTION_FAILING_US)
 			out->failing++;
@@ -204,7 +204,7 @@
 			g_hash_table_lookup(w->reports, to);
 
 		if (w->name && !w->draining && a && b && !a->failing_us &&
-		    !b->failing_us && now_us - w->heard_us < CONTROL_WATCHER_US)
+		    !b->failing_us && control_watcher_heard(w, now_us))
 			return w;
 	}
 	return NULL;
--- a/control/roster.c
+++ b/control/roster.c
@@ -97,8 +97,7 @@
 	for (i = 0; i < node->watchers->len; i++) {
 		const struct control_watcher *w = node->watchers->pdata[i];
 
-		if (w->name && !w->draining &&
-		    now_us - w->heard_us < CONTROL_WATCHER_US)
+		if (w->name && !w->draining && control_watcher_heard(w, now_us))
 			g_hash_table_add(names, w->name);
 	}
 	return names;
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -17,6 +17,12 @@
 	g_free(watcher);
 }
 
+bool control_watcher_heard(const struct control_watcher *watcher,
+			   int64_t now_us)
+{
+	return now_us - watcher->heard_us < CONTROL_WATCHER_US;
+}
+
 static unsigned count_daemons(const struct control_node *node)
 {
 	unsigned nr = 0;
--- a/include/counters.h
+++ b/include/counters.h
@@ -43,7 +43,6 @@
 
 void counter_add(struct counter_set *set, int handle, int64_t delta);
 void counter_assign(struct counter_set *set, int handle, int64_t value);
-int64_t counter_value(const struct counter_set *set, int handle);
 
 /**
  * counter_set_print() - append the text exposition format
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -314,19 +314,3 @@
 		soak->clients[i] = c;
 	}
 }
-
-void clients_stop(struct soak *soak)
-{
-	int i;
-
-	for (i = 0; i < SOAK_CLIENTS; i++) {
-		struct soak_client *c = soak->clients[i];
-
-		drop(c);
-		g_string_free(c->rows, TRUE);
-		g_free(c->item);
-		g_free(c->value);
-		g_free(c->floor);
-		g_free(c);
-	}
-}
--- a/tests/soak/database.c
+++ b/tests/soak/database.c
@@ -497,20 +497,3 @@
 		ev_io_start(soak->loop, &db->listener);
 	}
 }
-
-void databases_stop(struct soak *soak)
-{
-	int i;
-
-	for (i = 0; i < SOAK_DATABASES; i++) {
-		struct soak_database *db = soak->databases[i];
-
-		database_reset(soak, i);
-		ev_io_stop(soak->loop, &db->listener);
-		close(db->listener.fd);
-		g_free(db->id);
-		g_free(db->address);
-		g_free(db);
-	}
-	g_ptr_array_free(soak->log, TRUE);
-}
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -1,7 +1,7 @@
+#include "../remove_tree.h"
 #include "soak.h"
 
 #include <errno.h>
-#include <glib/gstdio.h>
 #include <signal.h>
 #include <spawn.h>
 #include <stdio.h>
@@ -130,21 +130,6 @@
 		watch(soak, &soak->processes[i], now_us);
 }
 
-static void remove_tree(const char *path)
-{
-	GDir *dir = g_dir_open(path, 0, NULL);
-	const char *name;
-
-	while (dir && (name = g_dir_read_name(dir))) {
-		g_autofree char *child = g_build_filename(path, name, NULL);
-
-		remove_tree(child);
-	}
-	if (dir)
-		g_dir_close(dir);
-	g_remove(path);
-}
-
 /* Of three control VMs one may be lost at a time. */
 static bool may_lose(const struct soak *soak, const struct soak_process *p)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -114,12 +114,10 @@
 void database_silence(struct soak *soak, int which, int64_t until_us);
 void database_reset(struct soak *soak, int which);
 const char *database_id(const struct soak *soak, int which);
-void databases_stop(struct soak *soak);
 
 /* client.c */
 void clients_start(struct soak *soak);
 void clients_tick(struct soak *soak, int64_t now_us);
-void clients_stop(struct soak *soak);
 
 /* processes.c */
 void processes_start(struct soak *soak);
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -1,9 +1,9 @@
 #include "clock.h"
 #include "control/internal.h"
 #include "event_timers.h"
+#include "remove_tree.h"
 #include "test_main.h"
 
-#include <glib/gstdio.h>
 #include <string.h>
 
 /*
@@ -76,21 +76,6 @@
 	vms[i].node = NULL;
 }
 
-static void remove_tree(const char *path)
-{
-	GDir *dir = g_dir_open(path, 0, NULL);
-	const char *name;
-
-	while (dir && (name = g_dir_read_name(dir))) {
-		g_autofree char *child = g_build_filename(path, name, NULL);
-
-		remove_tree(child);
-	}
-	if (dir)
-		g_dir_close(dir);
-	g_remove(path);
-}
-
 static void wipe(unsigned i)
 {
 	remove_tree(vms[i].folder);
