Register the counters of a program with one function

Cause: entry.c and node.c each had a table of names, help texts and gauges and the same loop that registered it.

Change: struct counter_spec and counter_register_all() in common/counters.c; both programs pass their table.

No behaviour changes.

--- a/common/counters.c
+++ b/common/counters.c
@@ -32,6 +32,17 @@
 	return counter_append(set, name, help, TRUE);
 }
 
+void counter_register_all(struct counter_set *set,
+			  const struct counter_spec *specs, size_t nr,
+			  int *handles)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++)
+		handles[i] = counter_append(set, specs[i].name, specs[i].help,
+					    specs[i].gauge);
+}
+
 void counter_add(struct counter_set *set, int handle, int64_t delta)
 {
 	g_array_index(set->counters, struct counter, handle).value += delta;
--- a/control/node.c
+++ b/control/node.c
@@ -10,11 +10,7 @@
 /* Time between looks at members, watchers and primaries, microseconds. */
 #define SLOW_US (100 * 1000ll)
 
-static const struct {
-	const char *name;
-	const char *help;
-	bool gauge;
-} counter_names[CONTROL_NR_COUNTERS] = {
+static const struct counter_spec counter_specs[CONTROL_NR_COUNTERS] = {
 	{ "control_elections_total", "Elections won by this VM" },
 	{ "control_member_changes_total", "Changes of the group begun here" },
 	{ "control_configs_total", "Configurations that came into force" },
@@ -31,19 +27,6 @@
 	{ "control_watchers", "Entry daemons heard of late", true },
 };
 
-static void register_counters(struct control_node *node)
-{
-	unsigned i;
-
-	counter_set_init(&node->counters);
-	for (i = 0; i < CONTROL_NR_COUNTERS; i++)
-		node->counter[i] = (counter_names[i].gauge ?
-					    counter_register_gauge :
-					    counter_register)(
-			&node->counters, counter_names[i].name,
-			counter_names[i].help);
-}
-
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
 {
 	struct control_node *node = w->data;
@@ -153,7 +136,9 @@
 					     control_order_free);
 	sightings_init(&node->sightings);
 	config_register_init(&node->reg);
-	register_counters(node);
+	counter_set_init(&node->counters);
+	counter_register_all(&node->counters, counter_specs,
+			     CONTROL_NR_COUNTERS, node->counter);
 	if (!listen_for_peers(node, error)) {
 		control_node_free(node);
 		return NULL;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,11 +8,7 @@
 /* Part of the grace after which the process ends in any case, percent. */
 #define STOP_END_PERCENT 92
 
-static const struct {
-	const char *name;
-	const char *help;
-	bool gauge;
-} counter_names[ENTRY_NR_COUNTERS] = {
+static const struct counter_spec counter_specs[ENTRY_NR_COUNTERS] = {
 	{ "entry_sessions_total", "Callers that connected" },
 	{ "entry_statements_total", "Statements for an upstream" },
 	{ "entry_done_total", "Statements answered with success" },
@@ -66,7 +62,6 @@
 {
 	struct entry *entry = g_new0(struct entry, 1);
 	int64_t now_us = clock_now_us();
-	unsigned i;
 
 	entry->loop = loop;
 	entry->timers = timers;
@@ -82,12 +77,8 @@
 	g_queue_init(&entry->sessions);
 	sightings_init(&entry->sightings);
 	counter_set_init(&entry->counters);
-	for (i = 0; i < ENTRY_NR_COUNTERS; i++)
-		entry->counter[i] = (counter_names[i].gauge ?
-					     counter_register_gauge :
-					     counter_register)(
-			&entry->counters, counter_names[i].name,
-			counter_names[i].help);
+	counter_register_all(&entry->counters, counter_specs, ENTRY_NR_COUNTERS,
+			     entry->counter);
 	homes_init(entry);
 	g_queue_init(&entry->guest_links);
 	entry_seeds(entry, config->seeds);
--- a/include/counters.h
+++ b/include/counters.h
@@ -41,6 +41,18 @@
 int counter_register_gauge(struct counter_set *set, const char *name,
 			   const char *help);
 
+/** struct counter_spec - a counter to register, see struct counter */
+struct counter_spec {
+	const char *name;
+	const char *help;
+	gboolean gauge;
+};
+
+/** counter_register_all() - register @nr counters; @handles: room for @nr */
+void counter_register_all(struct counter_set *set,
+			  const struct counter_spec *specs, size_t nr,
+			  int *handles);
+
 void counter_add(struct counter_set *set, int handle, int64_t delta);
 void counter_assign(struct counter_set *set, int handle, int64_t value);
 
