Keep a primary that answers, and give a test upstream's clients turns

With times in the log the event loop of the primary's test upstream took 2.04 s in one turn, from the moment that the daemons closed the stalled callers: a daemon then discards the rest of their answer as fast as it comes, client_flush() resumed the statement as soon as its buffer was written, and so the 3,000,000 rows went out without a look at any other client. Three probes were missed by all daemons. Ruled out: slots held by stalled readers, locks, disk syncs. Found beside it: the daemon counts missed probes even while the upstream answers statements on other connections.

Change: the test upstream resumes a paused statement by a timer, after the other clients' turn.

--- a/comfreywheel-standin/client.c
+++ b/comfreywheel-standin/client.c
@@ -82,7 +82,7 @@
 	ev_io_stop(s->loop, &c->writer);
 	if (!pg_buffer_length(&c->out) && c->paused) {
 		c->paused = false;
-		execute_resume(c);
+		execute_resume_later(c);
 	}
 }
 
--- a/comfreywheel-standin/execute.c
+++ b/comfreywheel-standin/execute.c
@@ -60,6 +60,18 @@
 	execute_resume(c);
 }
 
+/*
+ * A reader that takes all that is written must not keep the others waiting
+ * until the end of its answer.
+ */
+void execute_resume_later(struct client *c)
+{
+	struct standin *s = c->server;
+
+	c->timer =
+		timer_subscribe(&s->timers, standin_now(s), 0, on_slot_time, c);
+}
+
 /* Sleeping inside SQLite would stop the whole event loop. */
 static int64_t sleep_us(const char *sql)
 {
--- a/comfreywheel-standin/standin.h
+++ b/comfreywheel-standin/standin.h
@@ -177,6 +177,9 @@
 /* execute.c */
 void execute_start(struct client *c, const char *sql, struct portal *portal);
 void execute_resume(struct client *c);
+
+/** execute_resume_later() - as execute_resume(), after other clients' turn */
+void execute_resume_later(struct client *c);
 void execute_describe(struct client *c, const char *sql, bool statement);
 void execute_release_slot(struct client *c);
 
--- a/comfreywheeld/upstream_connection.c
+++ b/comfreywheeld/upstream_connection.c
@@ -305,6 +305,7 @@
 {
 	struct upstream_connection *conn = data;
 
+	conn->home->received_us = proxy_now();
 	while (is_live(conn) && pg_buffer_length(&conn->stream.in)) {
 		if (must_pause(conn))
 			return;
--- a/comfreywheeld/upstream_pool.h
+++ b/comfreywheeld/upstream_pool.h
@@ -40,6 +40,8 @@
  * @suspect: misses probes or refuses connections
  * @position_wanted: ask for the position again once it has answered
  * @refused: consecutive refused connections of the probe
+ * @late: ticks for which the probe connection has owed an answer
+ * @received_us: when bytes last came on any connection
  * @retry_us: no new connection before this time, after a failed one
  */
 struct upstream_home {
@@ -54,6 +56,8 @@
 	unsigned open;
 	unsigned share;
 	unsigned refused;
+	unsigned late;
+	int64_t received_us;
 	int64_t retry_us;
 	GPtrArray *queues;
 	unsigned turn;
--- a/comfreywheeld/upstream_probe.c
+++ b/comfreywheeld/upstream_probe.c
@@ -72,7 +72,6 @@
 {
 	struct upstream_home *home = data;
 	struct upstream_connection *probe = home->probe;
-	const struct upstream *up;
 
 	if (home->proxy->surrendered &&
 	    control_client_may_write(home->proxy->control, now_us))
@@ -83,6 +82,7 @@
 		return;
 	}
 	if (probe->state == UPSTREAM_READY && !probe->nr_steps) {
+		home->late = 0;
 		ask(home);
 		return;
 	}
@@ -90,9 +90,11 @@
 	if (probe->state == UPSTREAM_READY &&
 	    now_us - probe->asked_us < home->proxy->settings->probe_us)
 		return;
-	missed(home);
-	up = directory_upstream_at(&home->proxy->directory, home->handle);
-	if (up->missed_probes % REOPEN_MISSED == 0)
+	/* An upstream that answers on other connections is alive. */
+	if (now_us - home->received_us >= home->proxy->settings->probe_us)
+		missed(home);
+	home->late++;
+	if (home->late % REOPEN_MISSED == 0)
 		upstream_connection_close(probe, UPSTREAM_ENDED);
 }
 
--- a/tests/path/path_client.c
+++ b/tests/path/path_client.c
@@ -476,16 +476,19 @@
 	return 0;
 }
 
-/* Asks for a result far larger than any buffer and reads none of it. */
+/* Its answer is far larger than any buffer. */
+#define LARGE_QUERY                                                         \
+	"WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n "   \
+	"WHERE i < 3000000) SELECT i, 'text that fills the buffers of the " \
+	"daemon' FROM n"
+
+/* Asks for a large result and reads none of it. */
 static int cmd_stall(int argc, char **argv)
 {
 	PGconn *conn = open_conn(argv[0]);
 
 	CHECK(conn);
-	CHECK(PQsendQuery(conn,
-			  "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT "
-			  "i + 1 FROM n WHERE i < 3000000) SELECT i, 'text "
-			  "that fills the buffers of the daemon' FROM n"));
+	CHECK(PQsendQuery(conn, LARGE_QUERY));
 	printf("stalled\n");
 	fflush(stdout);
 	sleep(atoi(argv[1]));
@@ -614,6 +617,45 @@
 	return 0;
 }
 
+/* Discards what has arrived; returns false when nothing came. */
+static bool discard_some(PGconn *conn)
+{
+	char buf[65536];
+
+	return recv(PQsocket(conn), buf, sizeof(buf), MSG_DONTWAIT) > 0;
+}
+
+/*
+ * Discards a large answer as fast as it comes and asks "SELECT 1" beside it;
+ * prints the longest time that such a question waited.
+ */
+static int cmd_beside_large(int argc, char **argv)
+{
+	PGconn *large = open_conn(argv[0]), *other = open_conn(argv[0]);
+	double worst_ms = 0, asked_ms, end_ms, limit_ms = atof(argv[1]);
+	PGresult *res;
+
+	CHECK(large && other && PQsetnonblocking(large, 1) == 0);
+	CHECK(PQsendQuery(large, LARGE_QUERY) && !PQflush(large));
+	end_ms = now_ms() + 3000;
+	while (now_ms() < end_ms) {
+		asked_ms = now_ms();
+		CHECK(PQsendQuery(other, "SELECT 1"));
+		while (PQisBusy(other)) {
+			CHECK(PQconsumeInput(other));
+			discard_some(large);
+		}
+		if (now_ms() - asked_ms > worst_ms)
+			worst_ms = now_ms() - asked_ms;
+		while ((res = PQgetResult(other)))
+			PQclear(res);
+	}
+	PQfinish(large);
+	PQfinish(other);
+	printf("longest wait %.0f ms\n", worst_ms);
+	return worst_ms > limit_ms;
+}
+
 static const struct command {
 	const char *name;
 	int least_args;
@@ -635,6 +677,7 @@
 	{ "cancel", 2, cmd_cancel },
 	{ "drain", 2, cmd_drain },
 	{ "idle", 3, cmd_idle },
+	{ "beside-large", 2, cmd_beside_large },
 };
 
 int main(int argc, char **argv)
