Open one connection at a time from a daemon to an upstream

Each home daemon opened a connection for every caller that waited, up to twice its share: ten homes with eight connections are 80 log-ins of 12 ms, 0.48 s of both slots of an upstream.

Change: a daemon opens the next connection to an upstream when the one before is open; the first ones work meanwhile. test_one_log_in fails before (5 log-ins for 5 callers).

--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -69,15 +69,15 @@
 	return nr;
 }
 
-static unsigned opening(const struct host *host)
+static bool is_opening(const struct host *host)
 {
-	unsigned nr = 0;
 	guint i;
 
 	for (i = 0; i < host->links->len; i++)
-		nr += ((struct link *)host->links->pdata[i])->state ==
-		      LINK_OPENING;
-	return nr;
+		if (((struct link *)host->links->pdata[i])->state ==
+		    LINK_OPENING)
+			return true;
+	return false;
 }
 
 /* Return: whether the request got a link. */
@@ -100,7 +100,12 @@
 		return false;
 	link = host_idle_link(hosts[chosen], s);
 	if (!link) {
-		if (opening(hosts[chosen]) < s->service->waiting.length)
+		/*
+		 * A log-in takes a slot of the upstream as a statement does.
+		 * After a stop of everything all daemons need connections at
+		 * once; the first ones then work while others are opened.
+		 */
+		if (!is_opening(hosts[chosen]))
 			link_open(hosts[chosen]);
 		return false;
 	}
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -454,6 +454,33 @@
 }
 END_TEST
 
+/* Guards against log-ins that keep the slots of an upstream from statements:
+ * many callers, no connection yet. */
+START_TEST(test_one_log_in)
+{
+	struct session *s[5];
+	struct host *host;
+	unsigned i;
+
+	start();
+	opens = 0;
+	for (i = 0; i < 5; i++) {
+		s[i] = caller("own");
+		say(s[i], STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	}
+	ck_assert_uint_eq(opens, 1);
+	host = g_hash_table_lookup(entry->hosts, "p");
+	link_opened(host->links->pdata[0], (struct position){ 1, log_end });
+	/* One statement runs while the next connection is opened. */
+	ck_assert_uint_eq(nr_sent, 1);
+	ck_assert_uint_eq(opens, 2);
+	for (i = 0; i < 5; i++)
+		done();
+	ck_assert_uint_eq(answers, 5);
+	finish();
+}
+END_TEST
+
 /* Guards against new work at an upstream that leaves. */
 START_TEST(test_leaving)
 {
@@ -614,5 +641,5 @@
 	  test_other_replica, test_known_lag, test_all_behind,
 	  test_refused_begin, test_bounded_needs_sample, test_lost_answers,
 	  test_lost_transaction, test_values_are_cleaned, test_prepared,
-	  test_caller_leaves, test_time_outs, test_leaving, test_route_removed,
-	  test_early_caller, test_handover, test_drain)
+	  test_caller_leaves, test_time_outs, test_one_log_in, test_leaving,
+	  test_route_removed, test_early_caller, test_handover, test_drain)
