Notice a dark primary by its writes, and count only its users

Two reasons in the logs. (1) Only 3 of its home daemons reported it by 3.2 s: a daemon called an upstream silent only when the waiting command was a read that may run elsewhere, while a primary mostly runs writes and transactions; these were found out by the 1.5 s of the next log-in. (2) The cut also took half of the daemons from the leader, and each of these counted as one that may still be served by the primary, although ten homes at most ask it.

Change: an upstream from which nothing came for 300 ms since the oldest command of a connection counts as failing, whatever the command; what may not run elsewhere goes on waiting. A daemon that is not heard counts for a primary only if its last report named it as answering, or if nothing is known of it. test_silent_to_write and test_unheard fail before.

--- a/control/internal.h
+++ b/control/internal.h
@@ -82,6 +82,8 @@
 /**
  * struct control_daemon_entry - an entry daemon that is or was heard
  * @drained: whether it said that it leaves
+ * @used: upstreams of its last report that answered it, NULL if it never
+ *        reported
  * @remembered: read back after a restart and not heard since
  * @revision: value of the node's roster_revision at its last change
  */
@@ -92,6 +94,7 @@
 	bool gone;
 	bool remembered;
 	bool drained;
+	GHashTable *used;
 	int64_t changed_us;
 	uint64_t revision;
 };
@@ -248,6 +251,19 @@
 /** control_roster_note() - a daemon reported */
 void control_roster_note(struct control_node *node,
 			 const struct control_watcher *watcher, int64_t now_us);
+/** control_roster_used() - what @daemon reported last, by upstream */
+void control_roster_used(struct control_node *node, const char *daemon,
+			 GHashTable *reports);
+/**
+ * control_roster_unheard() - daemons that may still be served by an upstream
+ * @id: the upstream
+ *
+ * They took work of late, do not report now and did not say that they leave.
+ * One whose last report did not name the upstream as answering is not counted:
+ * with home daemons, most daemons ask only the upstreams of few services.
+ */
+unsigned control_roster_unheard(const struct control_node *node, const char *id,
+				int64_t now_us);
 /** control_roster_update() - find the daemons that are gone */
 void control_roster_update(struct control_node *node, int64_t now_us);
 /** control_roster_remember() - a daemon that took work before a restart */
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -14,8 +14,6 @@
 #define HANDOVER_US (1000 * 1000ll)
 /* Pause after an order that was refused, microseconds. */
 #define RETRY_US (300 * 1000ll)
-/* A daemon that is not heard may be served elsewhere for so long. */
-#define UNKNOWN_US (10 * 1000000ll)
 
 void control_order_free(void *data)
 {
@@ -88,21 +86,6 @@
 	return out;
 }
 
-/* Daemons that took work of late and do not report now. */
-static unsigned count_unknown(const struct control_node *node, int64_t now_us)
-{
-	struct control_daemon_entry *one;
-	GHashTableIter it;
-	unsigned nr = 0;
-
-	g_hash_table_iter_init(&it, node->roster);
-	while (g_hash_table_iter_next(&it, NULL, (void **)&one))
-		nr += one->remembered ||
-		      (one->gone && !one->drained &&
-		       now_us - one->changed_us < UNKNOWN_US);
-	return nr;
-}
-
 static void mark_diverged(GArray *upstreams, const struct control_order *o)
 {
 	struct position newest = { 0 };
@@ -355,7 +338,9 @@
 						 node->data) :
 			0;
 	mark_diverged(upstreams, o);
-	view.unknown = count_unknown(node, now_us);
+	if (view.primary >= 0)
+		view.unknown = control_roster_unheard(
+			node, view.upstreams[view.primary].id, now_us);
 	view.since_order_us = now_us - o->at_us;
 	view.up_us = now_us - node->started_us;
 	reason = promotion_needed(&view);
--- a/control/roster.c
+++ b/control/roster.c
@@ -9,6 +9,8 @@
 /* A daemon that is only remembered counts as there for so long: after a stop
  * of everything the others come back one after the other. */
 #define REMEMBER_US (2500 * 1000ll)
+/* A daemon that is not heard may be served elsewhere for so long. */
+#define UNHEARD_US (10 * 1000000ll)
 
 static void entry_free(void *data)
 {
@@ -16,6 +18,7 @@
 
 	g_free(one->name);
 	g_free(one->availability_zone);
+	g_clear_pointer(&one->used, g_hash_table_unref);
 	g_free(one);
 }
 
@@ -88,6 +91,46 @@
 		one->drained = true;
 }
 
+void control_roster_used(struct control_node *node, const char *daemon,
+			 GHashTable *reports)
+{
+	struct control_daemon_entry *one =
+		g_hash_table_lookup(node->roster, daemon);
+	const struct control_report *report;
+	GHashTableIter it;
+	char *id;
+
+	if (!one)
+		return;
+	g_clear_pointer(&one->used, g_hash_table_unref);
+	one->used =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_iter_init(&it, reports);
+	while (g_hash_table_iter_next(&it, (void **)&id, (void **)&report))
+		if (!report->failing_us)
+			g_hash_table_add(one->used, g_strdup(id));
+}
+
+unsigned control_roster_unheard(const struct control_node *node, const char *id,
+				int64_t now_us)
+{
+	struct control_daemon_entry *one;
+	GHashTableIter it;
+	unsigned nr = 0;
+
+	g_hash_table_iter_init(&it, node->roster);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&one)) {
+		bool gone = one->gone && !one->drained &&
+			    now_us - one->changed_us < UNHEARD_US;
+
+		if (one->remembered ||
+		    (gone &&
+		     (!one->used || g_hash_table_contains(one->used, id))))
+			nr++;
+	}
+	return nr;
+}
+
 /* Names of the daemons that are heard and take work. */
 static GHashTable *present(const struct control_node *node, int64_t now_us)
 {
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -262,6 +262,9 @@
 			i++;
 			continue;
 		}
+		if (is_daemon)
+			control_roster_used(node, watcher->name,
+					    watcher->reports);
 		g_ptr_array_remove_index_fast(node->watchers, i);
 		watcher_free(watcher);
 	}
--- a/entry/host.c
+++ b/entry/host.c
@@ -265,6 +265,21 @@
 		link_open(host);
 }
 
+/*
+ * Nothing came from the upstream since the link's oldest command. A primary
+ * mostly runs writes and transactions, which have to wait for its answer; that
+ * it is silent is news for control all the same.
+ */
+static void note_silence(struct link *link, int64_t now_us)
+{
+	bool movable = link->session && request_is_movable(link->session);
+
+	if (movable || !link->host->failing_us)
+		host_failed(link->host, now_us);
+	if (movable)
+		request_silent(link->session);
+}
+
 static void check_link(struct link *link, int64_t now_us)
 {
 	struct host *host = link->host;
@@ -282,9 +297,9 @@
 		link_close(link);
 		return;
 	}
-	if (link->steps->len && link->session && waited_us > ENTRY_SILENT_US &&
+	if (link->steps->len && waited_us > ENTRY_SILENT_US &&
 	    host->answered_us < link->sent_us)
-		request_silent(link->session);
+		note_silence(link, now_us);
 }
 
 static void check_host(struct host *host, int64_t now_us)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -434,6 +434,9 @@
 		  const struct statement_answer *answer);
 void request_link_lost(struct session *s);
 void request_resume(struct session *s);
+/** request_is_movable() - whether it may run elsewhere as well */
+bool request_is_movable(const struct session *s);
+/** request_silent() - move a request whose upstream says nothing */
 void request_silent(struct session *s);
 
 /* home.c */
--- a/entry/request.c
+++ b/entry/request.c
@@ -626,16 +626,16 @@
 		request_again(s, REFUSAL_FAILED);
 }
 
+bool request_is_movable(const struct session *s)
+{
+	return s->tx != TX_OPEN &&
+	       (s->phase != REQUEST_RUNNING || !request_is_write(s));
+}
+
 /* An upstream that says nothing at all: a read is safe to run elsewhere. */
 void request_silent(struct session *s)
 {
-	struct host *host = s->link->host;
-
-	if (s->tx == TX_OPEN ||
-	    (s->phase == REQUEST_RUNNING && request_is_write(s)))
-		return;
-	host_failed(host, clock_now_us());
-	s->avoid = host;
+	s->avoid = s->link->host;
 	leave_link(s);
 	request_again(s, REFUSAL_FAILED);
 }
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -437,5 +437,48 @@
 }
 END_TEST
 
-TEST_MAIN("control_node", test_all_stop, test_two_disks_lost, test_replaced,
-	  test_minority, test_remembered, test_leaving_primary)
+static struct control_watcher daemon_named(const char *name, bool failing)
+{
+	struct control_watcher w = { .name = (char *)name,
+				     .availability_zone = "z",
+				     .ip = IP(7) };
+	struct control_report *report = g_new0(struct control_report, 1);
+
+	w.reports =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	report->failing_us = failing;
+	g_hash_table_insert(w.reports, "a", report);
+	return w;
+}
+
+/* Guards against daemons that are not heard and that keep a dark primary in
+ * charge although they never asked it, or miss it too. */
+START_TEST(test_unheard)
+{
+	struct control_watcher uses = daemon_named("uses", false);
+	struct control_watcher misses = daemon_named("misses", true);
+	struct control_node node = { .roster = control_roster_new(),
+				     .watchers = g_ptr_array_new() };
+	int64_t now_us = clock_now_us();
+
+	control_roster_note(&node, &uses, now_us);
+	control_roster_note(&node, &misses, now_us);
+	ck_assert_uint_eq(control_roster_unheard(&node, "a", now_us), 0);
+	control_roster_update(&node, now_us);
+	/* Nothing is known of what they use. */
+	ck_assert_uint_eq(control_roster_unheard(&node, "a", now_us), 2);
+	control_roster_used(&node, "uses", uses.reports);
+	control_roster_used(&node, "misses", misses.reports);
+	ck_assert_uint_eq(control_roster_unheard(&node, "a", now_us), 1);
+	ck_assert_uint_eq(control_roster_unheard(&node, "b", now_us), 0);
+	ck_assert_uint_eq(
+		control_roster_unheard(&node, "a", now_us + 11 * 1000000ll), 0);
+	g_hash_table_destroy(uses.reports);
+	g_hash_table_destroy(misses.reports);
+	g_hash_table_destroy(node.roster);
+	g_ptr_array_free(node.watchers, TRUE);
+}
+END_TEST
+
+TEST_MAIN("control_node", test_unheard, test_all_stop, test_two_disks_lost,
+	  test_replaced, test_minority, test_remembered, test_leaving_primary)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -583,6 +583,38 @@
 }
 END_TEST
 
+/* Guards against a dark primary that nobody reports, since the writes and
+ * transactions that it runs wait for its answer. */
+START_TEST(test_silent_to_write)
+{
+	struct host *p;
+	struct session *s;
+	int64_t now_us;
+
+	start();
+	p = g_hash_table_lookup(entry->hosts, "p");
+	s = caller("own");
+	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	ck_assert_uint_eq(nr_sent, 1);
+	now_us = clock_now_us();
+	hosts_tick(entry, now_us + ENTRY_SILENT_US / 2);
+	ck_assert_int_eq(p->failing_us, 0);
+	hosts_tick(entry, now_us + ENTRY_SILENT_US + 10000);
+	ck_assert_int_ne(p->failing_us, 0);
+	/* Nobody may run it elsewhere. */
+	ck_assert_uint_eq(answers, 0);
+	ck_assert_uint_eq(nr_sent, 1);
+	ck_assert_uint_eq(p->failures, 1);
+	hosts_tick(entry, now_us + ENTRY_SILENT_US + 20000);
+	ck_assert_uint_eq(p->failures, 1);
+	done();
+	ck_assert_int_eq(p->failing_us, 0);
+	ck_assert_uint_eq(answers, 1);
+	finish();
+}
+END_TEST
+
 /* Guards against callers that are turned away by a daemon that would have
  * served them as soon as it had heard of its routes. */
 START_TEST(test_early_caller)
@@ -642,4 +674,5 @@
 	  test_refused_begin, test_bounded_needs_sample, test_lost_answers,
 	  test_lost_transaction, test_values_are_cleaned, test_prepared,
 	  test_caller_leaves, test_time_outs, test_one_log_in, test_leaving,
-	  test_route_removed, test_early_caller, test_handover, test_drain)
+	  test_route_removed, test_early_caller, test_handover,
+	  test_silent_to_write, test_drain)
