Give the next free connection of a crowded primary to its handover

The daemon that was to stop the primary found no free connection in the 0.7 s that it had: the primary is handed over because it is crowded, and each connection that became free went to a caller.

Change: service_dispatch() lets the handover speak before it places callers; a pause between two questions is kept. test_crowded_handover fails before (the caller's statement is sent instead of the order to stop).

--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -166,6 +166,9 @@
 		return;
 	svc->dispatching = true;
 	svc->dispatches++;
+	/* A primary is handed over since it is crowded: its next free
+	 * connection must not go to a caller. */
+	handover_proceed(svc->entry);
 	while ((s = next_waiting(svc, primary, misses < MISSES_MAX, now_us))) {
 		bool needs_primary = s->needs_primary;
 
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -48,13 +48,14 @@
 	link_flush(link);
 }
 
-static void proceed(struct entry *entry)
+void handover_proceed(struct entry *entry)
 {
 	struct handover *h = &entry->handover;
 	struct link_command command = { .verb = LINK_STATUS };
 	const struct host *from;
 
-	if (h->asked || h->phase == HANDOVER_DONE)
+	if (!h->number || h->asked || h->phase == HANDOVER_DONE ||
+	    h->timer != TIMER_NONE)
 		return;
 	if (h->phase == HANDOVER_FOLLOWING) {
 		ask(entry, h->to, &command);
@@ -94,7 +95,7 @@
 		finish(entry, false);
 		return;
 	}
-	proceed(entry);
+	handover_proceed(entry);
 }
 
 void handover_answered(struct entry *entry,
@@ -114,7 +115,7 @@
 	if (h->phase == HANDOVER_STOPPING) {
 		h->end = status.received;
 		h->phase = HANDOVER_FOLLOWING;
-		proceed(entry);
+		handover_proceed(entry);
 		return;
 	}
 	if (position_compare(status.received, h->end) >= 0)
@@ -148,7 +149,7 @@
 				.timer = TIMER_NONE };
 	event_log_always("handover_started", "{s:s, s:s, s:I}", "from", h->from,
 			 "to", h->to, "number", (json_int_t)h->number);
-	proceed(entry);
+	handover_proceed(entry);
 }
 
 void handover_finish(struct entry *entry)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -470,6 +470,8 @@
 /* handover.c */
 void handover_start(struct entry *entry, const Wire__Handover *in);
 void handover_tick(struct entry *entry, int64_t now_us);
+/** handover_proceed() - give the next command if a connection is free */
+void handover_proceed(struct entry *entry);
 void handover_answered(struct entry *entry,
 		       const struct statement_answer *answer);
 /** handover_lost() - the connection that was asked broke */
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -583,6 +583,29 @@
 }
 END_TEST
 
+/* Guards against a handover that finds no free connection until its time is
+ * over, since callers that wait take each one: the primary is crowded. */
+START_TEST(test_crowded_handover)
+{
+	struct session *s[3];
+	unsigned i;
+
+	start();
+	link_open(g_hash_table_lookup(entry->hosts, "p"));
+	open_all();
+	for (i = 0; i < 3; i++) {
+		s[i] = caller("own");
+		say(s[i], STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	}
+	order_handover(7, "e");
+	ck_assert_uint_eq(nr_sent, 1);
+	expect(LINK_FORWARD, "WRITE 1 x");
+	done();
+	expect(LINK_DEMOTE, NULL);
+	finish();
+}
+END_TEST
+
 /* Guards against a dark primary that nobody reports, since the writes and
  * transactions that it runs wait for its answer. */
 START_TEST(test_silent_to_write)
@@ -675,4 +698,4 @@
 	  test_lost_transaction, test_values_are_cleaned, test_prepared,
 	  test_caller_leaves, test_time_outs, test_one_log_in, test_leaving,
 	  test_route_removed, test_early_caller, test_handover,
-	  test_silent_to_write, test_drain)
+	  test_crowded_handover, test_silent_to_write, test_drain)
