Give a handover to the daemon heard last, and soon again if nobody does it

Change: control_executor() takes the daemon that reported last; a handover that nobody carried out does not count for the pause between two changes for lag, so another daemon tries after the order has settled (2.5 s). Event handover_silent. test_executor fails with the first in the list.

--- a/control/internal.h
+++ b/control/internal.h
@@ -278,6 +278,16 @@
 /* promotions.c */
 void control_promotions_tick(struct control_node *node, int64_t now_us);
 void control_order_free(void *data);
+/**
+ * control_executor() - the daemon to hand a primary over
+ * Return: the one heard last of those that both upstreams answer, NULL if none
+ *
+ * One that was lost with its VM counts as heard for CONTROL_WATCHER_US, and a
+ * handover that nobody carries out costs its whole time.
+ */
+const struct control_watcher *control_executor(const struct control_node *node,
+					       const char *from, const char *to,
+					       int64_t now_us);
 /** control_handovers_fill() - what @daemon is to carry out */
 void control_handovers_fill(const struct control_node *node, const char *daemon,
 			    Wire__View *view);
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -172,11 +172,11 @@
 	return false;
 }
 
-/* A daemon that both upstreams answer. */
-static const struct control_watcher *executor(const struct control_node *node,
-					      const char *from, const char *to,
-					      int64_t now_us)
+const struct control_watcher *control_executor(const struct control_node *node,
+					       const char *from, const char *to,
+					       int64_t now_us)
 {
+	const struct control_watcher *best = NULL;
 	guint i;
 
 	for (i = 0; i < node->watchers->len; i++) {
@@ -186,11 +186,13 @@
 		const struct control_report *b =
 			g_hash_table_lookup(w->reports, to);
 
-		if (w->name && !w->draining && a && b && !a->failing_us &&
-		    !b->failing_us && control_watcher_heard(w, now_us))
-			return w;
+		if (!w->name || w->draining || !a || !b || a->failing_us ||
+		    b->failing_us || !control_watcher_heard(w, now_us))
+			continue;
+		if (!best || w->heard_us > best->heard_us)
+			best = w;
 	}
-	return NULL;
+	return best;
 }
 
 /*
@@ -203,7 +205,8 @@
 {
 	const char *from = view->upstreams[view->primary].id;
 	const char *to = view->upstreams[chosen].id;
-	const struct control_watcher *w = executor(node, from, to, now_us);
+	const struct control_watcher *w =
+		control_executor(node, from, to, now_us);
 	struct control_order *o = order_of(node, service);
 
 	if (!w)
@@ -260,6 +263,16 @@
 	      complete ? PROMOTION_LEAVING : PROMOTION_NO_PRIMARY, &view);
 }
 
+/* Its daemon says nothing, so the primary may not have been stopped at all:
+ * another daemon is to try soon. */
+static void give_up_handover(struct control_node *node, struct control_order *o)
+{
+	event_log_always("handover_silent", "{s:s, s:s}", "service", o->service,
+			 "daemon", o->executor);
+	o->relieved_us = INT64_MIN / 2;
+	end_handover(node, o, false);
+}
+
 void control_handover_result(struct control_node *node,
 			     const Wire__HandoverResult *result)
 {
@@ -326,7 +339,7 @@
 		return;
 	if (o->handover) {
 		if (now_us > o->until_us)
-			end_handover(node, o, false);
+			give_up_handover(node, o);
 		return;
 	}
 	upstreams = upstreams_of(node, service, &view, now_us);
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -480,5 +480,33 @@
 }
 END_TEST
 
-TEST_MAIN("control_node", test_unheard, test_all_stop, test_two_disks_lost,
-	  test_replaced, test_minority, test_remembered, test_leaving_primary)
+/* Guards against a handover that is given to a daemon whose VM was lost a
+ * moment ago, while others have reported since. */
+START_TEST(test_executor)
+{
+	struct control_watcher lost = daemon_named("lost", false);
+	struct control_watcher there = daemon_named("there", false);
+	struct control_watcher misses = daemon_named("misses", true);
+	struct control_node node = { .watchers = g_ptr_array_new() };
+	int64_t now_us = clock_now_us();
+
+	g_ptr_array_add(node.watchers, &lost);
+	g_ptr_array_add(node.watchers, &there);
+	g_ptr_array_add(node.watchers, &misses);
+	lost.heard_us = now_us - 700000;
+	there.heard_us = now_us - 20000;
+	misses.heard_us = now_us;
+	ck_assert_ptr_eq(control_executor(&node, "a", "a", now_us), &there);
+	ck_assert_ptr_null(control_executor(&node, "a", "b", now_us));
+	there.draining = true;
+	ck_assert_ptr_eq(control_executor(&node, "a", "a", now_us), &lost);
+	g_hash_table_destroy(lost.reports);
+	g_hash_table_destroy(there.reports);
+	g_hash_table_destroy(misses.reports);
+	g_ptr_array_free(node.watchers, TRUE);
+}
+END_TEST
+
+TEST_MAIN("control_node", test_unheard, test_executor, test_all_stop,
+	  test_two_disks_lost, test_replaced, test_minority, test_remembered,
+	  test_leaving_primary)
