Ask the upstreams for the primary when none is known

Change: while no primary is known, or the known one is silent, a daemon that is asked for the service asks its other upstreams every 100 ms to begin a plain transaction; only the present primary grants that and it takes no slot. What is found counts as an appointment of the time at which it was asked. Event primary_found. test_found_primary fails before (no question is sent).

--- a/entry/host.c
+++ b/entry/host.c
@@ -22,6 +22,8 @@
 #define SHARE_STRETCH 2
 /* After a refusal for want of room nobody goes beyond its share for so long. */
 #define FULL_US (2000 * 1000ll)
+/* Time between two rounds of questions for the primary, microseconds. */
+#define SEEK_PRIMARY_US (100 * 1000ll)
 /* A service that no session asked for in this time is not sampled. */
 #define SERVICE_IDLE_US (5000 * 1000ll)
 
@@ -36,6 +38,7 @@
 	svc->name = g_strdup(name);
 	svc->hosts = g_ptr_array_new();
 	svc->used_us = INT64_MIN / 2;
+	svc->sought_us = INT64_MIN / 2;
 	read_samples_init(&svc->samples);
 	g_queue_init(&svc->waiting);
 	g_hash_table_insert(entry->services, svc->name, svc);
@@ -246,25 +249,65 @@
 	return nr;
 }
 
-/* Asks the primary where its log stands when no caller has of late. */
-static void keep_sampled(struct service *svc, int64_t now_us)
+static void sample(struct host *host, int64_t now_us)
 {
-	struct host *host;
-	struct link *link;
+	struct link *link = host_idle_link(host, NULL);
 
-	if (now_us - svc->used_us > SERVICE_IDLE_US ||
-	    now_us - read_samples_newest_us(&svc->samples) < ENTRY_SAMPLE_US)
-		return;
-	host = host_primary(svc, now_us);
-	if (!host)
-		return;
-	link = host_idle_link(host, NULL);
 	if (link)
 		link_sample(link);
 	else if (!host->links->len && host_room(host, now_us))
 		link_open(host);
 }
 
+/*
+ * A daemon that control cannot reach is not told of a new primary. Only the
+ * present one begins a plain transaction, so the others are asked for one.
+ */
+static void find_primary(struct service *svc, const struct host *known,
+			 int64_t now_us)
+{
+	guint i;
+
+	if (now_us - svc->sought_us < SEEK_PRIMARY_US)
+		return;
+	svc->sought_us = now_us;
+	for (i = 0; i < svc->hosts->len; i++) {
+		struct host *host = svc->hosts->pdata[i];
+
+		if (host != known && !host->gone)
+			sample(host, now_us);
+	}
+}
+
+/* Asks the primary where its log stands when no caller has of late. */
+static void keep_sampled(struct service *svc, int64_t now_us)
+{
+	struct host *host = host_primary(svc, now_us);
+
+	if (now_us - svc->used_us > SERVICE_IDLE_US)
+		return;
+	if (!host || host->failing_us)
+		find_primary(svc, host, now_us);
+	else if (now_us - read_samples_newest_us(&svc->samples) >=
+		 ENTRY_SAMPLE_US)
+		sample(host, now_us);
+}
+
+void host_leads(struct host *host, int64_t asked_us)
+{
+	struct sightings *sightings = &host->entry->sightings;
+	struct service *svc = host->service;
+	const struct sighting *known = sightings_primary(sightings, svc->name);
+
+	host->not_primary_until_us = 0;
+	if (known && !strcmp(known->id, host->id))
+		return;
+	if (sightings_appoint(sightings, svc->name, host->id, asked_us))
+		event_log("primary_found", "{s:s, s:s, s:s}", "service",
+			  svc->name, "upstream", host->id, "was",
+			  known ? known->id : "");
+}
+
 /*
  * Nothing came from the upstream since the link's oldest command. A primary
  * mostly runs writes and transactions, which have to wait for its answer; that
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -120,6 +120,7 @@
  * @cost_us: time that a statement takes, by read rule, smoothed
  * @full_us: when work was last kept back for a full window
  * @used_us: when a session last asked for it
+ * @sought_us: when its upstreams were last asked which of them is the primary
  */
 struct service {
 	struct entry *entry;
@@ -130,6 +131,7 @@
 	int64_t cost_us[3];
 	int64_t full_us;
 	int64_t used_us;
+	int64_t sought_us;
 	bool dispatching;
 	uint64_t dispatches;
 	struct service_summary summary;
@@ -391,6 +393,8 @@
 void services_summarize(struct entry *entry, int64_t now_us);
 void hosts_update(struct entry *entry);
 struct host *host_primary(struct service *svc, int64_t now_us);
+/** host_leads() - it granted what was asked of a primary at @asked_us */
+void host_leads(struct host *host, int64_t asked_us);
 /** host_room() - connections that may still be opened there */
 unsigned host_room(const struct host *host, int64_t now_us);
 struct link *host_idle_link(const struct host *host, const struct session *s);
--- a/entry/link.c
+++ b/entry/link.c
@@ -229,6 +229,7 @@
 	if (answer->refusal)
 		return;
 	link->in_transaction = true;
+	host_leads(host, link->sent_us);
 	read_samples_add(&host->service->samples, link->sent_us,
 			 answer->position);
 	entry_count(host->entry, ENTRY_COUNT_SAMPLES, 1);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -583,6 +583,43 @@
 }
 END_TEST
 
+/* Guards against a daemon that control cannot reach and that refuses all
+ * writes until it hears of the new primary. */
+START_TEST(test_found_primary)
+{
+	struct session *s;
+	int64_t now_us;
+
+	start();
+	link_open(g_hash_table_lookup(entry->hosts, "p"));
+	link_open(g_hash_table_lookup(entry->hosts, "r"));
+	open_all();
+	s = caller("primary");
+	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	expect(LINK_FORWARD, "WRITE 1 x");
+	ck_assert_str_eq(sent[0].link->host->id, "p");
+	reply(REFUSAL_NOT_PRIMARY, SESSION_IDLE, 9, NULL);
+	now_us = clock_now_us();
+	/* No primary is known: each upstream is asked. */
+	hosts_tick(entry, now_us);
+	ck_assert_uint_eq(nr_sent, 3);
+	reply(REFUSAL_NOT_PRIMARY, SESSION_IDLE, 9, NULL);
+	in_tx();
+	expect(LINK_ROLLBACK, NULL);
+	ck_assert_str_eq(sent[3].link->host->id, "r");
+	done();
+	expect(LINK_FORWARD, "WRITE 1 x");
+	ck_assert_str_eq(sent[nr_done].link->host->id, "r");
+	done();
+	ck_assert_uint_eq(answers, 1);
+	ck_assert_int_eq(got.refusal, REFUSAL_NONE);
+	/* What was found is not asked for again. */
+	hosts_tick(entry, now_us + 150000);
+	ck_assert_uint_eq(nr_sent, nr_done);
+	finish();
+}
+END_TEST
+
 /* Guards against a handover that finds no free connection until its time is
  * over, since callers that wait take each one: the primary is crowded. */
 START_TEST(test_crowded_handover)
@@ -698,4 +735,5 @@
 	  test_lost_transaction, test_values_are_cleaned, test_prepared,
 	  test_caller_leaves, test_time_outs, test_one_log_in, test_leaving,
 	  test_route_removed, test_early_caller, test_handover,
-	  test_crowded_handover, test_silent_to_write, test_drain)
+	  test_crowded_handover, test_found_primary, test_silent_to_write,
+	  test_drain)
