Leave the slots of the primary to what only it can run

A read went to the primary as soon as it was expected to take less than 1/1.4 of its time at a replica, 9% of the reads in a model of the sheets' load, although the replicas had room for all.

--- a/include/placement.h
+++ b/include/placement.h
@@ -13,7 +13,7 @@
  */
 
 /** Extra weight of the primary for reads, percent: writes can go nowhere else. */
-#define PLACEMENT_PRIMARY_PERCENT 140
+#define PLACEMENT_PRIMARY_PERCENT 300
 /** Weight of crossing between zones, microseconds: bytes there cost money. */
 #define PLACEMENT_ZONE_US (4 * 1000ll)
 /** Weight of opening a connection first, microseconds. */
