Call an upstream silent also when it answered as the command was sent

A command that is sent within the microsecond of the answer before it has the time of that answer, and an upstream counted as silent only if its last answer was older than the command; the connection was then never found silent. test_drain failed after it since the port was still taken.

Change: an answer at the time of the command is the one before it. The test sets both times equal, so that it fails each time without the change.

--- a/entry/host.c
+++ b/entry/host.c
@@ -341,7 +341,7 @@
 		return;
 	}
 	if (link->steps->len && waited_us > ENTRY_SILENT_US &&
-	    host->answered_us < link->sent_us)
+	    host->answered_us <= link->sent_us)
 		note_silence(link, now_us);
 }
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -657,6 +657,8 @@
 	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
 	open_all();
 	ck_assert_uint_eq(nr_sent, 1);
+	/* The clock may not have moved since the answer before it. */
+	p->answered_us = sent[0].link->sent_us;
 	now_us = clock_now_us();
 	hosts_tick(entry, now_us + ENTRY_SILENT_US / 2);
 	ck_assert_int_eq(p->failing_us, 0);
