Elect a former leader at once when it is back

Cause: a control VM that has just started refuses its vote for an election timeout, since a leader's lease may rest on it. After a stop of everything that is 300 ms on top of the return of the third VM, and no daemon gets routes before.

Change: a leader that asks for votes in a later term leads no more and never again in its term, so the promise made to it ends there, also one from before a restart. The hard state names the leader that was heard where that is not the one voted for; without it (the layout before, or a term nobody was heard in) the promise lasts as it did. A former leader asks at its start, and a pre-vote is repeated when a connection to a member opens.

A store written by this version is refused by an older one.

--- a/control/peers.c
+++ b/control/peers.c
@@ -21,7 +21,23 @@
 	peer->retry_us = clock_now_us() + CHANNEL_RETRY_US;
 }
 
+/* What a VM was asked while it was away is lost. */
+static void on_opened(struct channel *ch)
+{
+	struct control_peer *peer = ch->data;
+	struct raft *raft = peer->node->raft;
+	unsigned i;
+
+	for (i = 0; raft && i < raft_current_members(raft)->nr; i++) {
+		uint64_t id = raft_current_members(raft)->member[i].id;
+
+		if ((uint32_t)(id >> 32) == peer->ip)
+			raft_connected(raft, id, clock_now_us());
+	}
+}
+
 static const struct channel_events peer_events = {
+	.opened = on_opened,
 	.message = on_message,
 	.closed = on_closed,
 };
--- a/coordination/raft.c
+++ b/coordination/raft.c
@@ -38,14 +38,8 @@
 	raft->now_us = now_us;
 	raft->led_since_us = -1;
 	raft->incoming.bytes = g_byte_array_new();
-	/*
-	 * The leader's lease relies on followers that refuse votes for one
-	 * election timeout after they heard it. A restart forgets whether it
-	 * was heard, so it counts as heard at the start.
-	 */
-	raft->heard_us = now_us;
 	recover(raft, recovered);
-	raft_reset_deadline(raft);
+	raft_restore_promise(raft);
 	return raft;
 }
 
@@ -72,6 +66,7 @@
 	if (term > raft->hs.term) {
 		raft->hs.term = term;
 		raft->hs.voted_for = 0;
+		raft->hs.leader = leader;
 		raft->ops.save_hard_state(&raft->hs, raft->data);
 		raft->matched = 0;
 		raft->leader_commit = 0;
@@ -142,6 +137,8 @@
 /* Takes up a newer term where the message justifies it. */
 static bool enter_term(struct raft *raft, const struct raft_message *msg)
 {
+	uint64_t leader = 0;
+
 	switch (msg->type) {
 	case RAFT_PRE_VOTE:
 		return true;
@@ -149,6 +146,10 @@
 		if (msg->accepted)
 			return true;
 		break;
+	case RAFT_APPEND:
+	case RAFT_SNAPSHOT:
+		leader = msg->from;
+		break;
 	case RAFT_VOTE:
 		if (!raft->members.nr || raft_hears_leader(raft))
 			return false;
@@ -156,7 +157,7 @@
 	default:
 		break;
 	}
-	raft_follow(raft, msg->term, 0);
+	raft_follow(raft, msg->term, leader);
 	return true;
 }
 
@@ -202,6 +203,8 @@
 	 */
 	if (leads && msg->accepted && !raft->members.nr)
 		return;
+	if (msg->type == RAFT_PRE_VOTE || msg->type == RAFT_VOTE)
+		raft_note_candidate(raft, msg);
 	if (msg->term < raft->hs.term) {
 		refuse_old_term(raft, msg);
 		return;
@@ -212,8 +215,7 @@
 		if (raft->role == RAFT_LEADER)
 			return;
 		raft_follow(raft, raft->hs.term, msg->from);
-		raft->heard_us = raft->now_us;
-		raft_reset_deadline(raft);
+		raft_note_leader(raft, msg->from);
 	}
 	dispatch(raft, msg);
 }
--- a/coordination/raft_election.c
+++ b/coordination/raft_election.c
@@ -28,6 +28,59 @@
 	return raft->now_us - raft->heard_us < raft->config.election_us;
 }
 
+/* The lease of a leader rests on those that heard it. */
+void raft_note_leader(struct raft *raft, uint64_t leader)
+{
+	raft->heard_us = raft->now_us;
+	raft->bound_to = leader;
+	raft->bound_term = raft->hs.term;
+	raft_reset_deadline(raft);
+	if (raft->hs.voted_for == leader || raft->hs.leader == leader)
+		return;
+	raft->hs.leader = leader;
+	raft->ops.save_hard_state(&raft->hs, raft->data);
+}
+
+static void release_promise(struct raft *raft)
+{
+	raft->bound_to = 0;
+	raft->heard_us = raft->now_us - raft->config.election_us;
+}
+
+/*
+ * A leader that asks for votes in a later term leads no more, and never again
+ * in its term: the promise that its lease rested on has ended.
+ */
+void raft_note_candidate(struct raft *raft, const struct raft_message *msg)
+{
+	if (msg->from != raft->bound_to || msg->term <= raft->bound_term)
+		return;
+	release_promise(raft);
+	if (raft->leader == msg->from)
+		raft->leader = 0;
+	/* Its log may be too short to win with. */
+	if (raft->role == RAFT_FOLLOWER)
+		set_deadline(raft, raft->config.election_us / PRE_VOTE_DIVISOR);
+}
+
+/*
+ * A restart forgets when a leader was heard, so it counts as heard at the
+ * start. Who it was is on disk; a node that led itself is bound to nobody.
+ */
+void raft_restore_promise(struct raft *raft)
+{
+	const struct raft_hard_state *hs = &raft->hs;
+
+	raft->heard_us = raft->now_us;
+	raft_reset_deadline(raft);
+	raft->bound_to = hs->leader ? hs->leader : hs->voted_for;
+	raft->bound_term = hs->term;
+	if (raft->bound_to != raft->config.id)
+		return;
+	release_promise(raft);
+	raft->deadline_us = raft->now_us;
+}
+
 static void add_vote(struct raft *raft, uint64_t id)
 {
 	unsigned i;
@@ -46,24 +99,35 @@
 	return raft->nr_votes >= raft_majority(&raft->members);
 }
 
+static void ask_vote(struct raft *raft, enum raft_message_type type,
+		     uint64_t term, uint64_t id)
+{
+	struct raft_message msg = {
+		.type = type,
+		.to = id,
+		.term = term,
+		.log_index = raft_log_last(&raft->log),
+		.log_term = raft_log_last_term(&raft->log),
+	};
+
+	if (id != raft->config.id && raft_is_voter(&raft->members, id))
+		raft_send(raft, &msg);
+}
+
 static void ask_votes(struct raft *raft, enum raft_message_type type,
 		      uint64_t term)
 {
 	unsigned i;
 
-	for (i = 0; i < raft->members.nr; i++) {
-		const struct raft_member *m = &raft->members.member[i];
-		struct raft_message msg = {
-			.type = type,
-			.to = m->id,
-			.term = term,
-			.log_index = raft_log_last(&raft->log),
-			.log_term = raft_log_last_term(&raft->log),
-		};
-
-		if (m->voter && m->id != raft->config.id)
-			raft_send(raft, &msg);
-	}
+	for (i = 0; i < raft->members.nr; i++)
+		ask_vote(raft, type, term, raft->members.member[i].id);
+}
+
+void raft_connected(struct raft *raft, uint64_t id, int64_t now_us)
+{
+	raft->now_us = MAX(raft->now_us, now_us);
+	if (raft->role == RAFT_PRE_CANDIDATE)
+		ask_vote(raft, RAFT_PRE_VOTE, raft->hs.term + 1, id);
 }
 
 static void lead(struct raft *raft)
@@ -85,6 +149,7 @@
 	raft_reset_deadline(raft);
 	raft->hs.term++;
 	raft->hs.voted_for = raft->config.id;
+	raft->hs.leader = 0;
 	raft->ops.save_hard_state(&raft->hs, raft->data);
 	raft->matched = 0;
 	raft->leader_commit = 0;
--- a/include/raft.h
+++ b/include/raft.h
@@ -99,12 +99,17 @@
 	bool snapshot_done;
 };
 
+/** A leader that a hard state of an older layout does not name. */
+#define RAFT_LEADER_UNKNOWN UINT64_MAX
+
 /**
  * struct raft_hard_state - what must be on disk before a message leaves
+ * @leader: the leader heard in @term where that is not @voted_for, else 0
  */
 struct raft_hard_state {
 	uint64_t term;
 	uint64_t voted_for;
+	uint64_t leader;
 };
 
 /**
@@ -176,6 +181,12 @@
 void raft_free(struct raft *raft);
 
 void raft_tick(struct raft *raft, int64_t now_us);
+/**
+ * raft_connected() - a connection to member @id has opened
+ *
+ * Repeats a pre-vote that may have been lost before.
+ */
+void raft_connected(struct raft *raft, uint64_t id, int64_t now_us);
 void raft_receive(struct raft *raft, const struct raft_message *msg,
 		  int64_t now_us);
 /**
@@ -217,8 +228,9 @@
  *
  * A majority of voters answered a round sent election_us, less
  * RAFT_CLOCK_MARGIN, before this time, and each of them refuses its vote for
- * election_us after it heard the leader, also after a restart. Holds while
- * clock rates differ by less than that margin.
+ * election_us after it heard the leader, also after a restart, unless that
+ * leader itself asks for a vote in a later term and so has stopped leading.
+ * Holds while clock rates differ by less than that margin.
  */
 int64_t raft_lease_until_us(const struct raft *raft);
 /** raft_heard_us() - when member @id last answered the leader, or -1 */
--- a/include/raft_internal.h
+++ b/include/raft_internal.h
@@ -92,6 +92,8 @@
  * @members_index: entry of @members
  * @applied_members: membership as of @applied
  * @heard_us: when the current leader was last heard
+ * @bound_to: leader whose lease may rest on this node's vote, 0 for none
+ * @bound_term: the term in which it led
  * @round_us: send time of a round, by its number modulo RAFT_ROUNDS
  */
 struct raft {
@@ -104,6 +106,8 @@
 	struct raft_hard_state hs;
 	uint64_t leader;
 	int64_t heard_us;
+	uint64_t bound_to;
+	uint64_t bound_term;
 	int64_t deadline_us;
 	uint64_t jitter_count;
 	uint64_t votes[RAFT_NODES_MAX];
@@ -157,6 +161,9 @@
 /* raft_election.c */
 void raft_reset_deadline(struct raft *raft);
 bool raft_hears_leader(const struct raft *raft);
+void raft_note_leader(struct raft *raft, uint64_t leader);
+void raft_note_candidate(struct raft *raft, const struct raft_message *msg);
+void raft_restore_promise(struct raft *raft);
 void raft_start_pre_vote(struct raft *raft);
 void raft_handle_vote(struct raft *raft, const struct raft_message *msg);
 void raft_handle_vote_reply(struct raft *raft, const struct raft_message *msg);
--- a/state/store.c
+++ b/state/store.c
@@ -7,6 +7,10 @@
 #define TYPE_HARD_STATE "cwhard\0\1"
 #define TYPE_SNAPSHOT "cwsnap\0\1"
 
+/* Term, vote and leader; the layout before had no leader. */
+#define HARD_STATE_LEN 24u
+#define HARD_STATE_LEN_1 16u
+
 static void clear_entry(void *entry)
 {
 	g_free(((struct raft_entry *)entry)->data);
@@ -58,6 +62,7 @@
 
 	store_put_u64(payload, hs->term);
 	store_put_u64(payload, hs->voted_for);
+	store_put_u64(payload, hs->leader);
 	return write_sealed(store, "hard-state", TYPE_HARD_STATE, payload,
 			    error);
 }
@@ -67,6 +72,7 @@
 {
 	const uint8_t *payload;
 	GByteArray *file;
+	bool known;
 	size_t len;
 
 	if (!read_sealed(store, "hard-state", TYPE_HARD_STATE, &file, &payload,
@@ -75,12 +81,16 @@
 	*found = payload;
 	if (!payload)
 		return true;
-	if (len == 16) {
+	known = len == HARD_STATE_LEN || len == HARD_STATE_LEN_1;
+	if (known) {
 		rec->hard_state.term = store_get_u64(payload);
 		rec->hard_state.voted_for = store_get_u64(payload + 8);
+		rec->hard_state.leader = len == HARD_STATE_LEN ?
+						 store_get_u64(payload + 16) :
+						 RAFT_LEADER_UNKNOWN;
 	}
 	g_byte_array_free(file, TRUE);
-	return len == 16 ||
+	return known ||
 	       store_corrupt(error, "hard-state", "its length is wrong");
 }
 
