Tell daemons when a new leader's lease begins to run

Cause: a leader hands out no routes before its lease runs. Followers hand out routes only to who asks.

Change: the leader tells all watchers once when its lease begins.

--- a/control/internal.h
+++ b/control/internal.h
@@ -155,6 +155,7 @@
  * @roster: name to struct control_daemon_entry
  * @orders: service to struct control_order
  * @views_due: whether watchers are to be told
+ * @lease_seen: whether this VM led with a lease at the last turn of the loop
  */
 struct control_node {
 	struct ev_loop *loop;
@@ -186,6 +187,7 @@
 	int64_t started_us;
 	uint64_t last_handover;
 	bool views_due;
+	bool lease_seen;
 	bool stopping;
 	ev_io listener;
 	ev_prepare prepare;
--- a/control/node.c
+++ b/control/node.c
@@ -36,6 +36,19 @@
 		control_watchers_accept(node, fd);
 }
 
+/*
+ * A leader hands out nothing before its lease runs; watchers that came
+ * earlier wait for what it holds.
+ */
+static void note_lease(struct control_node *node)
+{
+	bool fresh = node->lead_term && control_fresh(node);
+
+	if (fresh && !node->lease_seen)
+		node->views_due = true;
+	node->lease_seen = fresh;
+}
+
 /* Syncs and answers once for all that a turn of the loop has brought. */
 static void on_prepare(struct ev_loop *loop, ev_prepare *w, int revents)
 {
@@ -44,6 +57,7 @@
 	control_storage_flush(node);
 	if (node->puts->len)
 		control_puts_settle(node, clock_now_us());
+	note_lease(node);
 	if (node->views_due)
 		control_watchers_tell(node);
 }
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -256,6 +256,84 @@
 }
 END_TEST
 
+/* An entry daemon that asks each control VM once. */
+static struct channel asking[VMS];
+static int64_t told_us;
+
+static void on_asking_opened(struct channel *ch)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Watch watch = WIRE__WATCH__INIT;
+
+	watch.daemon = (char *)"asking";
+	watch.availability_zone = (char *)"z";
+	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
+	envelope.watch = &watch;
+	channel_send(ch, &envelope);
+}
+
+static void on_asking_message(struct channel *ch,
+			      const Wire__Envelope *envelope)
+{
+	if (envelope->body_case == WIRE__ENVELOPE__BODY_VIEW &&
+	    envelope->view->fresh && envelope->view->config.len && !told_us)
+		told_us = clock_now_us();
+}
+
+static void on_asking_closed(struct channel *ch)
+{
+}
+
+static const struct channel_events asking_events = {
+	.opened = on_asking_opened,
+	.message = on_asking_message,
+	.closed = on_asking_closed,
+};
+
+static bool was_told(void)
+{
+	return told_us;
+}
+
+/*
+ * Guards against daemons that wait for their next report: they asked before a
+ * leader was there, and a leader hands out nothing before its lease runs. They
+ * have the routes within 150 ms of the third of five VMs.
+ */
+START_TEST(test_told_by_new_leader)
+{
+	unsigned first, i;
+	int64_t back_us;
+
+	start(5);
+	/* The last one is in a snapshot: no entry that is applied tells of it. */
+	for (i = 1; i <= CONTROL_SNAPSHOT_ENTRIES + 8; i++)
+		put(i, "document");
+	for (first = 0; vms[first].node != leader(); first++)
+		;
+	for (i = 0; i < 5; i++)
+		halt(i);
+	boot(first, false);
+	boot((first + 1) % 5, false);
+	for (i = 0; i < 5; i++) {
+		int64_t next_us = 0;
+
+		asking[i].stream.fd = -1;
+		if (vms[i].node)
+			channel_dial(&asking[i], loop, IP(i), PORT,
+				     &asking_events, NULL, &next_us);
+	}
+	ck_assert(!run_until(was_told, 0.2));
+	back_us = clock_now_us();
+	boot((first + 2) % 5, false);
+	ck_assert(run_until(was_told, 5));
+	ck_assert_int_le(told_us - back_us, 150000);
+	for (i = 0; i < 5; i++)
+		channel_close(&asking[i]);
+	finish();
+}
+END_TEST
+
 /* Guards against a change that two lost disks take along, and against a VM
  * that votes on after it lost its disk. */
 START_TEST(test_two_disks_lost)
@@ -508,5 +586,5 @@
 END_TEST
 
 TEST_MAIN("control_node", test_unheard, test_executor, test_all_stop,
-	  test_two_disks_lost, test_replaced, test_minority, test_remembered,
-	  test_leaving_primary)
+	  test_told_by_new_leader, test_two_disks_lost, test_replaced,
+	  test_minority, test_remembered, test_leaving_primary)
