Tell one candidate at a time that it would be voted for

The former leader and the VM that waited for it both asked the third as it came back; both heard that they would win, both stood in term 3, and neither had three votes.

Change: a node that granted a pre-vote refuses others one for an eighth of the election timeout.

--- a/coordination/raft_election.c
+++ b/coordination/raft_election.c
@@ -4,6 +4,9 @@
 
 /* Part of the election timeout after which a pre-vote is repeated. */
 #define PRE_VOTE_DIVISOR 4
+/* Part of it in which only one candidate is told that it would be voted for:
+ * time for a sync and some round trips. */
+#define PRE_GRANT_DIVISOR 8
 
 /* Uniform in one to two times @us, a function of the seed only. */
 static void set_deadline(struct raft *raft, int64_t us)
@@ -191,6 +194,14 @@
 	return msg->log_index >= raft_log_last(&raft->log);
 }
 
+/* Two that both hear that they would win split the votes. */
+static bool is_promised_to_other(const struct raft *raft, uint64_t candidate)
+{
+	return raft->pre_granted_to && raft->pre_granted_to != candidate &&
+	       raft->now_us - raft->pre_granted_us <
+		       raft->config.election_us / PRE_GRANT_DIVISOR;
+}
+
 void raft_handle_vote(struct raft *raft, const struct raft_message *msg)
 {
 	bool pre = msg->type == RAFT_PRE_VOTE;
@@ -202,12 +213,17 @@
 		     raft->members.nr;
 
 	if (pre)
-		grant = grant && msg->term > raft->hs.term;
+		grant = grant && msg->term > raft->hs.term &&
+			!is_promised_to_other(raft, msg->from);
 	else
 		grant = grant && (!raft->hs.voted_for ||
 				  raft->hs.voted_for == msg->from);
 	reply.accepted = grant;
 	reply.term = pre && grant ? msg->term : raft->hs.term;
+	if (grant && pre) {
+		raft->pre_granted_to = msg->from;
+		raft->pre_granted_us = raft->now_us;
+	}
 	if (grant && !pre) {
 		raft->hs.voted_for = msg->from;
 		raft->ops.save_hard_state(&raft->hs, raft->data);
--- a/include/raft_internal.h
+++ b/include/raft_internal.h
@@ -94,6 +94,7 @@
  * @heard_us: when the current leader was last heard
  * @bound_to: leader whose lease may rest on this node's vote, 0 for none
  * @bound_term: the term in which it led
+ * @pre_granted_to: candidate whose pre-vote was granted last, 0 for none
  * @round_us: send time of a round, by its number modulo RAFT_ROUNDS
  */
 struct raft {
@@ -108,6 +109,8 @@
 	int64_t heard_us;
 	uint64_t bound_to;
 	uint64_t bound_term;
+	uint64_t pre_granted_to;
+	int64_t pre_granted_us;
 	int64_t deadline_us;
 	uint64_t jitter_count;
 	uint64_t votes[RAFT_NODES_MAX];
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -382,6 +382,43 @@
 }
 END_TEST
 
+/*
+ * Guards against a split vote where three of five nodes are there: the former
+ * leader and one that waits for it both ask the third for its vote as it comes
+ * back, both are told that they would win, and neither does.
+ */
+START_TEST(test_third_node_decides)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 200; seed++) {
+		struct sim *sim = sim_new(seed, 5);
+		uint64_t leader = sim_elect(sim)->id;
+		int64_t back_us;
+		unsigned i;
+
+		sim_run(sim, SIM_ELECTION_US);
+		leader = sim_leader(sim)->id;
+		for (i = 1; i <= 5; i++)
+			sim_crash(sim, i);
+		sim_run(sim, 500000);
+		sim_start(sim, leader);
+		sim_start(sim, leader % 5 + 1);
+		sim_run(sim, 200000);
+		sim_start(sim, (leader + 1) % 5 + 1);
+		back_us = sim->now_us;
+		for (i = 1; i <= 5; i++)
+			if (sim->node[i].raft)
+				raft_connected(sim->node[i].raft,
+					       (leader + 1) % 5 + 1,
+					       sim->now_us);
+		sim_elect(sim);
+		ck_assert_int_le(sim->now_us - back_us, 50000);
+		sim_free(sim);
+	}
+}
+END_TEST
+
 /*
  * Guards against an early vote that rests on the wrong leader: a node that
  * voted for one candidate and then followed another one of the same term is
@@ -619,7 +656,8 @@
 	  test_propose_while_applying, test_seeded_jitter,
 	  test_malformed_messages, test_vote_survives_restart,
 	  test_restart_keeps_lease_promise, test_empty_node_does_not_vote,
-	  test_replaced_entries_are_unsynced, test_stop_of_all_needs_no_timeout,
+	  test_replaced_entries_are_unsynced, test_third_node_decides,
+	  test_stop_of_all_needs_no_timeout,
 	  test_promise_is_to_the_leader_heard,
 	  test_unknown_leader_keeps_promise, test_late_pre_vote_of_leader,
 	  test_lease_is_exclusive_over_stops,
