Read what has arrived before judging others by timers

Cause: after a process did not run for a while (a frozen VM, no processor), its timers are due and the answers of others lie in its sockets. libev runs timers first, and takes 64 events a poll, so others were found silent that had answered: upstreams after 300 ms in an entry daemon, probes in comfreywheeld, 295 daemons at a control VM. Operators told of this: a machine that was only silent for a while was given up.

Change: where timers are more than 20 ms late, up to four polls of input go first.

test_input_before_timers: 300 peers that answered; without the change the timer runs after 64 of them, with it after all.

--- a/include/event_timers.h
+++ b/include/event_timers.h
@@ -7,17 +7,21 @@
 
 /**
  * DOC: Runs a timer service from an event loop, by the clock of clock.h.
+ *
+ * Input that is there is handled before timers that are due.
  */
 
 /**
  * struct event_timers - one libev timer for all subscriptions
  * @service: the subscriptions, owned by the caller
+ * @late_polls: polls since the process was found to be late
  */
 struct event_timers {
 	struct ev_loop *loop;
 	struct timer_service *service;
 	ev_timer timer;
 	ev_prepare prepare;
+	unsigned late_polls;
 };
 
 void event_timers_init(struct event_timers *timers, struct ev_loop *loop,
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -1,6 +1,7 @@
 #include "channel.h"
 #include "clock.h"
 #include "event_log.h"
+#include "event_timers.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "net.h"
@@ -189,6 +190,74 @@
 }
 END_TEST
 
+/* More connections than one poll of libev returns at first. */
+#define BUSY_PEERS 300
+
+static unsigned inputs;
+static unsigned inputs_at_tick;
+
+static void on_peer_input(struct ev_loop *l, ev_io *w, int revents)
+{
+	char byte;
+
+	ck_assert_int_eq(read(w->fd, &byte, 1), 1);
+	inputs++;
+}
+
+static void on_judge(int64_t now_us, void *data)
+{
+	if (!inputs_at_tick)
+		inputs_at_tick = inputs;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void on_held_up(struct ev_loop *l, ev_timer *w, int revents)
+{
+	usleep(200000);
+}
+
+/*
+ * Guards against peers that are taken for silent since this process itself
+ * did not run: their answers have arrived, but timers run before they are read.
+ */
+START_TEST(test_input_before_timers)
+{
+	struct timer_service service;
+	struct event_timers timers;
+	ev_io peer[BUSY_PEERS];
+	int fds[BUSY_PEERS][2];
+	ev_timer held_up;
+	unsigned i;
+
+	loop = ev_loop_new(EVBACKEND_EPOLL);
+	timer_service_init(&service);
+	event_timers_init(&timers, loop, &service);
+	timer_subscribe(&service, clock_now_us() + 50000, 0, on_judge, NULL);
+	for (i = 0; i < BUSY_PEERS; i++) {
+		ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, fds[i]),
+				 0);
+		ev_io_init(&peer[i], on_peer_input, fds[i][0], EV_READ);
+		ev_io_start(loop, &peer[i]);
+	}
+	run_for(0.01);
+	for (i = 0; i < BUSY_PEERS; i++)
+		ck_assert_int_eq(write(fds[i][1], "x", 1), 1);
+	ev_timer_init(&held_up, on_held_up, 0., 0.);
+	ev_set_priority(&held_up, EV_MAXPRI);
+	ev_timer_start(loop, &held_up);
+	ev_run(loop, 0);
+	ck_assert_uint_eq(inputs_at_tick, BUSY_PEERS);
+	for (i = 0; i < BUSY_PEERS; i++) {
+		ev_io_stop(loop, &peer[i]);
+		close(fds[i][0]);
+		close(fds[i][1]);
+	}
+	event_timers_finish(&timers);
+	timer_service_finish(&service);
+	ev_loop_destroy(loop);
+}
+END_TEST
+
 static struct http_exchange *kept;
 static bool dropped;
 
@@ -300,4 +369,5 @@
 END_TEST
 
 TEST_MAIN("transport", test_freed_while_reading, test_channel,
-	  test_channel_redials, test_http, test_log_reader_stops)
+	  test_channel_redials, test_input_before_timers, test_http,
+	  test_log_reader_stops)
--- a/transport/event_timers.c
+++ b/transport/event_timers.c
@@ -2,11 +2,30 @@
 
 #include "clock.h"
 
+/* A process that is so late was held up itself, microseconds. */
+#define LATE_US (20 * 1000ll)
+/*
+ * Polls of a process that is late before its timers run. libev takes 64
+ * events at first and twice as many each time that they did not suffice.
+ */
+#define LATE_POLLS 4
+
+/*
+ * Timers judge others by their silence. What arrived while this process did
+ * not run is read first, or its own stop would be taken for theirs.
+ */
 static void on_timer(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct event_timers *timers = w->data;
+	int64_t now_us = clock_now_us();
 
-	timer_service_advance(timers->service, clock_now_us());
+	if (now_us - timer_service_next(timers->service) > LATE_US &&
+	    timers->late_polls < LATE_POLLS) {
+		timers->late_polls++;
+		return;
+	}
+	timers->late_polls = 0;
+	timer_service_advance(timers->service, now_us);
 }
 
 /* Arms the timer for the next subscription before the loop waits. */
@@ -30,6 +49,7 @@
 {
 	timers->loop = loop;
 	timers->service = service;
+	timers->late_polls = 0;
 	ev_timer_init(&timers->timer, on_timer, 0., 0.);
 	ev_prepare_init(&timers->prepare, on_prepare);
 	timers->timer.data = timers;
