Keep upstreams of which there is no news

Cause: entry daemons forgot an upstream 60 s after it was last heard of. Control tells them of changes only, and not of each announcement, so a daemon that stayed connected forgot every upstream, and with it the primary, after a minute without change: test_no_news_for_long finds no command sent for a write. Likewise control forgot an upstream that it did not hear for 60 s though daemons were served by it, and would have ordered another primary.

Change: whoever holds sightings says which stay: a daemon all that have not left, control those that a daemon reports as answering.

Tests: test_no_news_for_long fails without the change; test_answered.

--- a/control/internal.h
+++ b/control/internal.h
@@ -280,6 +280,8 @@
 /* promotions.c */
 void control_promotions_tick(struct control_node *node, int64_t now_us);
 void control_order_free(void *data);
+/** control_is_answered() - whether an upstream answers a daemon that is heard */
+bool control_is_answered(const struct control_node *node, const char *id);
 /**
  * control_executor() - the daemon to hand a primary over
  * Return: the one heard last of those that both upstreams answer, NULL if none
--- a/control/node.c
+++ b/control/node.c
@@ -85,6 +85,12 @@
 	control_lead_update(node);
 }
 
+/* An upstream that is cut off from control may serve callers. */
+static bool keeps_sighting(const struct sighting *one, void *data)
+{
+	return !one->gone && control_is_answered(data, one->id);
+}
+
 static void on_slow(int64_t now_us, void *data)
 {
 	struct control_node *node = data;
@@ -93,7 +99,7 @@
 	control_watchers_tick(node, now_us);
 	control_group_tick(node, now_us);
 	control_promotions_tick(node, now_us);
-	sightings_expire(&node->sightings, now_us);
+	sightings_expire(&node->sightings, now_us, keeps_sighting, node);
 	control_memory_save(node, now_us);
 	counter_assign(&node->counters, node->counter[CONTROL_COUNT_VERSION],
 		       (int64_t)node->reg.version);
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -52,6 +52,14 @@
 	}
 }
 
+bool control_is_answered(const struct control_node *node, const char *id)
+{
+	struct promotion_upstream up = { 0 };
+
+	count_reports(node, id, &up, clock_now_us());
+	return up.answered;
+}
+
 /* Return: struct promotion_upstream of one service. */
 static GArray *upstreams_of(const struct control_node *node,
 			    const char *service, struct promotion_view *view,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -39,6 +39,12 @@
 	return entry->random >> 8;
 }
 
+/* Control tells of changes: no news of an upstream is no silence of it. */
+static bool keeps_sighting(const struct sighting *one, void *data)
+{
+	return !one->gone;
+}
+
 static void on_tick(int64_t now_us, void *data)
 {
 	struct entry *entry = data;
@@ -50,7 +56,7 @@
 	hosts_tick(entry, now_us);
 	sessions_tick(entry, now_us);
 	services_summarize(entry, now_us);
-	sightings_expire(&entry->sightings, now_us);
+	sightings_expire(&entry->sightings, now_us, keeps_sighting, NULL);
 	if (!entry->was_ready && entry_ready(entry)) {
 		entry->was_ready = true;
 		event_log_always("ready", "");
--- a/include/sightings.h
+++ b/include/sightings.h
@@ -12,7 +12,8 @@
  * gives the same result. Nothing here decides which upstream is used.
  */
 
-/** An upstream that left is remembered this long, microseconds. */
+/** An upstream that left or fell silent is remembered this long, microseconds:
+ * longer than its late announcements may take. */
 #define SIGHTINGS_KEEP_US (60 * 1000000ll)
 
 /**
@@ -95,7 +96,14 @@
 const struct sighting *sightings_primary(const struct sightings *s,
 					 const char *service);
 
-/** sightings_expire() - forget upstreams that are gone or silent for long */
-void sightings_expire(struct sightings *s, int64_t now_us);
+/** sighting_keep - whether one that was not heard for long is kept all the same */
+typedef bool (*sighting_keep)(const struct sighting *one, void *data);
+
+/**
+ * sightings_expire() - forget upstreams that were not heard for long
+ * @keep: asked for each of them
+ */
+void sightings_expire(struct sightings *s, int64_t now_us, sighting_keep keep,
+		      void *data);
 
 #endif
--- a/state/sightings.c
+++ b/state/sightings.c
@@ -183,13 +183,15 @@
 	return best;
 }
 
-void sightings_expire(struct sightings *s, int64_t now_us)
+void sightings_expire(struct sightings *s, int64_t now_us, sighting_keep keep,
+		      void *data)
 {
 	struct sighting *one;
 	GHashTableIter it;
 
 	g_hash_table_iter_init(&it, s->by_id);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&one))
-		if (now_us - one->heard_us > SIGHTINGS_KEEP_US)
+		if (now_us - one->heard_us > SIGHTINGS_KEEP_US &&
+		    !keep(one, data))
 			g_hash_table_iter_remove(&it);
 }
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -558,6 +558,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a primary that is given up since control does not hear it,
+ * while daemons are served by it.
+ */
+START_TEST(test_answered)
+{
+	struct control_watcher uses = daemon_named("uses", false);
+	struct control_watcher misses = daemon_named("misses", true);
+	struct control_node node = { .watchers = g_ptr_array_new() };
+
+	g_ptr_array_add(node.watchers, &misses);
+	misses.heard_us = uses.heard_us = clock_now_us();
+	ck_assert(!control_is_answered(&node, "a"));
+	g_ptr_array_add(node.watchers, &uses);
+	ck_assert(control_is_answered(&node, "a"));
+	ck_assert(!control_is_answered(&node, "b"));
+	uses.heard_us -= 2 * CONTROL_WATCHER_US;
+	ck_assert(!control_is_answered(&node, "a"));
+	g_hash_table_destroy(uses.reports);
+	g_hash_table_destroy(misses.reports);
+	g_ptr_array_free(node.watchers, TRUE);
+}
+END_TEST
+
 /* Guards against a handover that is given to a daemon whose VM was lost a
  * moment ago, while others have reported since. */
 START_TEST(test_executor)
@@ -585,6 +609,6 @@
 }
 END_TEST
 
-TEST_MAIN("control_node", test_unheard, test_executor, test_all_stop,
-	  test_told_by_new_leader, test_two_disks_lost, test_replaced,
-	  test_minority, test_remembered, test_leaving_primary)
+TEST_MAIN("control_node", test_unheard, test_answered, test_executor,
+	  test_all_stop, test_told_by_new_leader, test_two_disks_lost,
+	  test_replaced, test_minority, test_remembered, test_leaving_primary)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -276,6 +276,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a daemon that forgets upstreams of which there is no news:
+ * control tells it of changes only, and hears them every heartbeat itself.
+ */
+START_TEST(test_no_news_for_long)
+{
+	struct session *s;
+
+	start();
+	advance(2 * SIGHTINGS_KEEP_US);
+	s = caller("primary");
+	say(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	open_all();
+	expect(LINK_FORWARD, "WRITE 1 x");
+	ck_assert_str_eq(sent[0].link->host->id, "p");
+	finish();
+}
+END_TEST
+
 /* Guards against a commit or single write that is repeated, or called not
  * run, when its answer was lost. */
 START_TEST(test_lost_answers)
@@ -733,9 +752,9 @@
 
 TEST_MAIN("entry", test_primary_read, test_replaced_primary, test_own_commit,
 	  test_other_replica, test_known_lag, test_all_behind,
-	  test_refused_begin, test_bounded_needs_sample, test_lost_answers,
-	  test_lost_transaction, test_values_are_cleaned, test_prepared,
-	  test_caller_leaves, test_time_outs, test_one_log_in, test_leaving,
-	  test_route_removed, test_early_caller, test_handover,
+	  test_refused_begin, test_bounded_needs_sample, test_no_news_for_long,
+	  test_lost_answers, test_lost_transaction, test_values_are_cleaned,
+	  test_prepared, test_caller_leaves, test_time_outs, test_one_log_in,
+	  test_leaving, test_route_removed, test_early_caller, test_handover,
 	  test_crowded_handover, test_found_primary, test_silent_to_write,
 	  test_drain)
