--- a/control/internal.h
+++ b/control/internal.h
@@ -184,6 +184,7 @@
 	uint64_t saved_revision;
 	uint64_t saved_roster;
 	int64_t save_after_us;
+	int64_t save_again_us;
 	int64_t started_us;
 	uint64_t last_handover;
 	bool views_due;
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -5,6 +5,7 @@
 #include "test_main.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * Whole control VMs in one event loop, on loopback addresses of their own.
@@ -451,6 +452,51 @@
 	return orders > 0;
 }
 
+/* Makes the saved announcements of a VM that is stopped older. */
+static void age_memory(unsigned i, int64_t ms)
+{
+	g_autofree char *path =
+		g_build_filename(vms[i].folder, "sightings", NULL);
+	g_autofree char *bytes = NULL;
+	uint64_t saved_ms, sum;
+	gsize len;
+
+	ck_assert(g_file_get_contents(path, &bytes, &len, NULL));
+	memcpy(&saved_ms, bytes + 8, 8);
+	saved_ms = GUINT64_TO_LE(GUINT64_FROM_LE(saved_ms) - (uint64_t)ms);
+	memcpy(bytes + 8, &saved_ms, 8);
+	sum = GUINT64_TO_LE(XXH64(bytes + 8, len - 8, 0));
+	memcpy(bytes, &sum, 8);
+	ck_assert(g_file_set_contents(path, bytes, (gssize)len, NULL));
+}
+
+/*
+ * Guards against an upstream that left while a VM was away for longer than
+ * the others remember it, and that is in use again after the VM's return.
+ */
+START_TEST(test_outdated_memory)
+{
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+
+	start(3);
+	control_sighting(vms[0].node, &a);
+	control_sighting(vms[1].node, &b);
+	ck_assert(run_until(heard_everywhere, 3));
+	run_until(NULL, 0.6);
+	halt(0);
+	halt(1);
+	age_memory(0, SIGHTINGS_KEEP_US / 1000);
+	age_memory(1, SIGHTINGS_KEEP_US / 1000 - 5000);
+	boot(0, false);
+	boot(1, false);
+	ck_assert_ptr_null(sightings_find(control_sightings(vms[0].node), "a"));
+	ck_assert_ptr_nonnull(
+		sightings_find(control_sightings(vms[1].node), "a"));
+	finish();
+}
+END_TEST
+
 /* Guards against upstreams that are unknown for a heartbeat after all control
  * VMs were restarted, and against one that counts as heard although it was
  * only remembered. */
@@ -611,4 +657,5 @@
 
 TEST_MAIN("control_node", test_unheard, test_answered, test_executor,
 	  test_all_stop, test_told_by_new_leader, test_two_disks_lost,
-	  test_replaced, test_minority, test_remembered, test_leaving_primary)
+	  test_replaced, test_minority, test_remembered, test_outdated_memory,
+	  test_leaving_primary)
