Test two guards whose loss went unseen

Change: test_order_needs_lease holds a leader up for an election timeout; test_minority_tells_no_routes asks one of two VMs that lost three.

Seen: each fails with its guard out, and no other test of control_node does; both pass with the guards.

--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -5,6 +5,7 @@
 #include "test_main.h"
 
 #include <string.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 /*
@@ -260,6 +261,7 @@
 /* An entry daemon that asks each control VM once. */
 static struct channel asking[VMS];
 static int64_t told_us;
+static unsigned routes_told;
 
 static void on_asking_opened(struct channel *ch)
 {
@@ -276,8 +278,11 @@
 static void on_asking_message(struct channel *ch,
 			      const Wire__Envelope *envelope)
 {
-	if (envelope->body_case == WIRE__ENVELOPE__BODY_VIEW &&
-	    envelope->view->fresh && envelope->view->config.len && !told_us)
+	if (envelope->body_case != WIRE__ENVELOPE__BODY_VIEW ||
+	    !envelope->view->config.len)
+		return;
+	routes_told++;
+	if (envelope->view->fresh && !told_us)
 		told_us = clock_now_us();
 }
 
@@ -575,6 +580,64 @@
 	return w;
 }
 
+/* Guards against an order of a leader that was held up for so long that
+ * another one may lead. */
+START_TEST(test_order_needs_lease)
+{
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	struct control_node *node;
+
+	start(3);
+	run_until(NULL, 0.6);
+	node = leader();
+	ck_assert_ptr_nonnull(node);
+	orders = 0;
+	a.leaving = true;
+	control_sighting(node, &a);
+	control_sighting(node, &b);
+	usleep(CONTROL_ELECTION_US);
+	ck_assert(raft_is_leader(node->raft));
+	control_promotions_tick(node, clock_now_us());
+	ck_assert_uint_eq(orders, 0);
+	/* With a lease again, the same leader or another one orders it. */
+	ck_assert(run_until(was_ordered, 5));
+	ck_assert_str_eq(ordered, "b");
+	finish();
+}
+END_TEST
+
+static bool last_holds(void)
+{
+	return vms[4].node->reg.version == 7;
+}
+
+/* Guards against routes handed out by a VM that may have missed changes. */
+START_TEST(test_minority_tells_no_routes)
+{
+	int64_t next_us = 0;
+	unsigned i;
+
+	start(5);
+	put(7, "seven");
+	ck_assert(run_until(last_holds, 5));
+	for (i = 0; i < 3; i++)
+		halt(i);
+	run_until(NULL, 1.5);
+	told_us = 0;
+	routes_told = 0;
+	asking[4].stream.fd = -1;
+	channel_dial(&asking[4], loop, IP(4), PORT, &asking_events, NULL,
+		     &next_us);
+	run_until(NULL, 0.3);
+	ck_assert(channel_is_open(&asking[4]));
+	ck_assert(last_holds());
+	ck_assert_uint_eq(routes_told, 0);
+	channel_close(&asking[4]);
+	finish();
+}
+END_TEST
+
 /* Guards against daemons that are not heard and that keep a dark primary in
  * charge although they never asked it, or miss it too. */
 START_TEST(test_unheard)
@@ -658,4 +721,5 @@
 TEST_MAIN("control_node", test_unheard, test_answered, test_executor,
 	  test_all_stop, test_told_by_new_leader, test_two_disks_lost,
 	  test_replaced, test_minority, test_remembered, test_outdated_memory,
+	  test_order_needs_lease, test_minority_tells_no_routes,
 	  test_leaving_primary)
