--- a/tests/path/path_replicas.sh
+++ b/tests/path/path_replicas.sh
@@ -14,15 +14,15 @@
 
 # A replica that serves reads and then leaves gets no more of them, while the
 # other one does.
-direct 2 "SELECT standin_fault('lag_ms', 0)" >/dev/null
-direct 3 "SELECT standin_fault('lag_ms', 0)" >/dev/null
+direct 2 "SELECT standin_fault('lag_ms', 0)" >/dev/null || die "fault"
+direct 3 "SELECT standin_fault('lag_ms', 0)" >/dev/null || die "fault"
 statements () { direct "$1" "SELECT standin_statements()"; }
 serves_reads () {
 	"$CLIENT" roam 20 "$a" "$b" >/dev/null &&
 		test "$(statements 2)" -gt 0 && test "$(statements 3)" -gt 0
 }
 wait_for 100 serves_reads || die "the replicas serve no reads"
-direct 2 "SELECT standin_fault('leaving', 1)" >/dev/null
+direct 2 "SELECT standin_fault('leaving', 1)" >/dev/null || die "fault"
 sleep 2
 leaving=$(statements 2)
 staying=$(statements 3)
@@ -36,7 +36,7 @@
 test "$leaving" = "$(statements 2)" || die "a leaving replica got work"
 
 # A replica that dies takes no request and no acknowledgement with it.
-direct 2 "SELECT standin_fault('leaving', 0)" >/dev/null
+direct 2 "SELECT standin_fault('leaving', 0)" >/dev/null || die "fault"
 kill -9 "$STANDIN_PID_3"
 "$CLIENT" roam 100 "$a" "$b" || die "requests fail after a replica's death"
 echo "path_replicas done"
