Send the roster of daemons from the leader alone

Cause: each control VM sent every daemon the whole roster when it connected, and each change of it: at 295 daemons some 13 KB from each of five VMs after a return of all, on links of 2 Mbit/s (0.25 MB/s), before the routes. Daemons use the leader's only.

Change: a VM that does not lead sends it to a daemon that asks, and a daemon asks when it has not heard the leader for two reports.

test_one_roster fails without the change (each VM sends it); test_misses_leader.

--- a/control/internal.h
+++ b/control/internal.h
@@ -63,6 +63,7 @@
  * @name: entry daemon at the other end, NULL until it says so
  * @ip: address at which it takes relayed statements
  * @draining: whether it takes no new work
+ * @roster_wanted: whether it asks for the roster of a VM that does not lead
  * @reports: upstream id to struct control_report
  */
 struct control_watcher {
@@ -72,6 +73,7 @@
 	char *availability_zone;
 	uint32_t ip;
 	bool draining;
+	bool roster_wanted;
 	int64_t heard_us;
 	uint64_t config_version;
 	uint64_t sent_revision;
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -151,9 +151,12 @@
 	}
 	add_config(watcher, &view, asked);
 	control_view_fill(node, watcher->sent_revision, &view);
-	control_roster_fill(node, watcher->sent_roster, &view);
+	/* Each VM has a roster; one of them is enough on a daemon's link. */
+	if (node->lead_term || watcher->roster_wanted) {
+		control_roster_fill(node, watcher->sent_roster, &view);
+		watcher->sent_roster = node->roster_revision;
+	}
 	control_handovers_fill(node, watcher->name, &view);
-	watcher->sent_roster = node->roster_revision;
 	watcher->sent_revision = node->sightings.revision;
 	envelope.body_case = WIRE__ENVELOPE__BODY_VIEW;
 	envelope.view = &view;
@@ -200,6 +203,7 @@
 	watcher->heard_us = clock_now_us();
 	watcher->ip = watch->ip;
 	watcher->draining = watch->draining;
+	watcher->roster_wanted = watch->roster_wanted;
 	control_roster_note(node, watcher, watcher->heard_us);
 	/* A newer one may be held already, from another control VM. */
 	watcher->config_version =
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -354,6 +354,7 @@
 	struct sightings sightings;
 	GPtrArray *control;
 	uint32_t leader_ip;
+	int64_t leader_heard_us;
 	GHashTable *plan;
 	GPtrArray *plan_daemons;
 	bool plan_due;
@@ -500,6 +501,8 @@
 /** watch_connect() - connect to control VMs that are not connected */
 void watch_connect(struct entry *entry);
 void watch_stop(struct entry *entry);
+/** watch_misses_leader() - whether the control leader was not heard for long */
+bool watch_misses_leader(struct entry *entry, int64_t now_us);
 /** watch_soon() - report again at @at_us, for news that cannot wait */
 void watch_soon(struct entry *entry, int64_t at_us);
 
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -15,6 +15,8 @@
 #define SATURATED_US (400 * 1000ll)
 /* A lag that is reported as no less, microseconds. */
 #define LAG_MAX_US (3600 * 1000000ll)
+/* A leader that is not heard for two reports is not waited for. */
+#define LEADER_WAIT_US (2 * ENTRY_WATCH_US)
 /* Largest configuration document, bytes. */
 #define DOCUMENT_MAX (4u * 1024 * 1024)
 
@@ -226,6 +228,19 @@
 	}
 }
 
+bool watch_misses_leader(struct entry *entry, int64_t now_us)
+{
+	guint i;
+
+	for (i = 0; i < entry->control->len; i++) {
+		const struct control_link *link = entry->control->pdata[i];
+
+		if (link->fresh && link->ip == entry->leader_ip)
+			entry->leader_heard_us = now_us;
+	}
+	return now_us - entry->leader_heard_us > LEADER_WAIT_US;
+}
+
 static void send_watch(struct control_link *link)
 {
 	struct entry *entry = link->entry;
@@ -239,6 +254,7 @@
 	watch.availability_zone = (char *)entry->config.availability_zone;
 	watch.ip = entry->config.ip;
 	watch.draining = entry->drain_us != 0;
+	watch.roster_wanted = watch_misses_leader(entry, clock_now_us());
 	watch.config_version = entry->table ? entry->table->version : 0;
 	fill_health(entry, &watch, clock_now_us());
 	if (entry->handover.phase == HANDOVER_DONE &&
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -5317,7 +5317,7 @@
   (ProtobufCMessageInit) wire__handover_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__watch__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wire__watch__field_descriptors[8] =
 {
   {
     "daemon",
@@ -5403,6 +5403,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "roster_wanted",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, roster_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__watch__field_indices_by_name[] = {
   1,   /* field[1] = availability_zone */
@@ -5411,12 +5423,13 @@
   5,   /* field[5] = draining */
   6,   /* field[6] = handovers */
   4,   /* field[4] = ip */
+  7,   /* field[7] = roster_wanted */
   3,   /* field[3] = upstreams */
 };
 static const ProtobufCIntRange wire__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wire__watch__descriptor =
 {
@@ -5426,7 +5439,7 @@
   "Wire__Watch",
   "wire",
   sizeof(Wire__Watch),
-  7,
+  8,
   wire__watch__field_descriptors,
   wire__watch__field_indices_by_name,
   1,  wire__watch__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -684,10 +684,15 @@
   protobuf_c_boolean draining;
   size_t n_handovers;
   Wire__HandoverResult **handovers;
+  /*
+   * Whether it wants the other daemons from this VM, since it does not hear
+   * the leader, which tells of them unasked.
+   */
+  protobuf_c_boolean roster_wanted;
 };
 #define WIRE__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__watch__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -262,6 +262,7 @@
 static struct channel asking[VMS];
 static int64_t told_us;
 static unsigned routes_told;
+static size_t roster_told[VMS];
 
 static void on_asking_opened(struct channel *ch)
 {
@@ -278,8 +279,10 @@
 static void on_asking_message(struct channel *ch,
 			      const Wire__Envelope *envelope)
 {
-	if (envelope->body_case != WIRE__ENVELOPE__BODY_VIEW ||
-	    !envelope->view->config.len)
+	if (envelope->body_case != WIRE__ENVELOPE__BODY_VIEW)
+		return;
+	roster_told[ch - asking] += envelope->view->n_roster;
+	if (!envelope->view->config.len)
 		return;
 	routes_told++;
 	if (envelope->view->fresh && !told_us)
@@ -607,6 +610,45 @@
 }
 END_TEST
 
+/*
+ * Guards against a roster from each control VM on a daemon's link, as after a
+ * return of all VMs, and against none for a daemon that misses the leader.
+ */
+START_TEST(test_one_roster)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Watch watch = WIRE__WATCH__INIT;
+	unsigned first, i;
+
+	start(3);
+	put(7, "seven");
+	for (first = 0; vms[first].node != leader(); first++)
+		;
+	memset(roster_told, 0, sizeof(roster_told));
+	for (i = 0; i < 3; i++) {
+		int64_t next_us = 0;
+
+		asking[i].stream.fd = -1;
+		channel_dial(&asking[i], loop, IP(i), PORT, &asking_events,
+			     NULL, &next_us);
+	}
+	run_until(NULL, 0.4);
+	for (i = 0; i < 3; i++)
+		ck_assert_uint_eq(roster_told[i], i == first);
+	watch.daemon = (char *)"asking";
+	watch.availability_zone = (char *)"z";
+	watch.roster_wanted = true;
+	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
+	envelope.watch = &watch;
+	channel_send(&asking[(first + 1) % 3], &envelope);
+	run_until(NULL, 0.2);
+	ck_assert_uint_eq(roster_told[(first + 1) % 3], 1);
+	for (i = 0; i < 3; i++)
+		channel_close(&asking[i]);
+	finish();
+}
+END_TEST
+
 static bool last_holds(void)
 {
 	return vms[4].node->reg.version == 7;
@@ -722,4 +764,4 @@
 	  test_all_stop, test_told_by_new_leader, test_two_disks_lost,
 	  test_replaced, test_minority, test_remembered, test_outdated_memory,
 	  test_order_needs_lease, test_minority_tells_no_routes,
-	  test_leaving_primary)
+	  test_one_roster, test_leaving_primary)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -295,6 +295,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a daemon that never asks another VM for the roster when it
+ * does not hear the leader, or asks all of them all the time.
+ */
+START_TEST(test_misses_leader)
+{
+	struct control_link link = { .ip = 7, .fresh = true };
+	int64_t now_us = clock_now_us();
+
+	start();
+	g_ptr_array_add(entry->control, &link);
+	entry->leader_ip = 7;
+	ck_assert(!watch_misses_leader(entry, now_us + 10000000));
+	link.fresh = false;
+	ck_assert(!watch_misses_leader(entry, now_us + 10000000));
+	ck_assert(!watch_misses_leader(entry,
+				       now_us + 10000000 + 2 * ENTRY_WATCH_US));
+	ck_assert(watch_misses_leader(entry,
+				      now_us + 10000001 + 2 * ENTRY_WATCH_US));
+	link.fresh = true;
+	entry->leader_ip = 8;
+	ck_assert(watch_misses_leader(entry,
+				      now_us + 10000001 + 2 * ENTRY_WATCH_US));
+	g_ptr_array_remove(entry->control, &link);
+	finish();
+}
+END_TEST
+
 /* Guards against a commit or single write that is repeated, or called not
  * run, when its answer was lost. */
 START_TEST(test_lost_answers)
@@ -753,8 +781,8 @@
 TEST_MAIN("entry", test_primary_read, test_replaced_primary, test_own_commit,
 	  test_other_replica, test_known_lag, test_all_behind,
 	  test_refused_begin, test_bounded_needs_sample, test_no_news_for_long,
-	  test_lost_answers, test_lost_transaction, test_values_are_cleaned,
-	  test_prepared, test_caller_leaves, test_time_outs, test_one_log_in,
-	  test_leaving, test_route_removed, test_early_caller, test_handover,
-	  test_crowded_handover, test_found_primary, test_silent_to_write,
-	  test_drain)
+	  test_misses_leader, test_lost_answers, test_lost_transaction,
+	  test_values_are_cleaned, test_prepared, test_caller_leaves,
+	  test_time_outs, test_one_log_in, test_leaving, test_route_removed,
+	  test_early_caller, test_handover, test_crowded_handover,
+	  test_found_primary, test_silent_to_write, test_drain)
