Share what the new tests stop and look up, say when timers wait

Two new cases of test_raft and an older one stopped all nodes with the same lines; two cases of control_node looked the leader up by a loop that runs past the VMs when none leads; the page of event_timers said that input always goes before timers, which holds for late ones only; watch_misses_leader() did not say that it notes when the leader is heard.

Change: stop_all() and stop_all_under_leader(), leader_index() that checks for a leader first, and the three comments. Assertions, bounds and seeds are as they were; no product code changes.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -341,6 +341,7 @@
 
 /**
  * struct entry - an entry daemon
+ * @leader_heard_us: when the control leader was last found to be heard
  * @plan: service to struct home_set, by @plan_daemons
  * @plan_daemons: struct roster_entry, copies: control VMs come and go
  * @plan_due: whether the roster or the pools changed since
@@ -501,7 +502,11 @@
 /** watch_connect() - connect to control VMs that are not connected */
 void watch_connect(struct entry *entry);
 void watch_stop(struct entry *entry);
-/** watch_misses_leader() - whether the control leader was not heard for long */
+/**
+ * watch_misses_leader() - whether the control leader was not heard for long
+ *
+ * Notes when it is heard, so it is to be asked with each report.
+ */
 bool watch_misses_leader(struct entry *entry, int64_t now_us);
 /** watch_soon() - report again at @at_us, for news that cannot wait */
 void watch_soon(struct entry *entry, int64_t at_us);
--- a/include/event_timers.h
+++ b/include/event_timers.h
@@ -8,7 +8,7 @@
 /**
  * DOC: Runs a timer service from an event loop, by the clock of clock.h.
  *
- * Input that is there is handled before timers that are due.
+ * A process that was held up handles input before timers that are late.
  */
 
 /**
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -116,6 +116,16 @@
 	return NULL;
 }
 
+static unsigned leader_index(void)
+{
+	unsigned i;
+
+	ck_assert_ptr_nonnull(leader());
+	for (i = 0; vms[i].node != leader(); i++)
+		;
+	return i;
+}
+
 static unsigned voters(void)
 {
 	struct control_node *node = leader();
@@ -318,8 +328,7 @@
 	/* The last one is in a snapshot: no entry that is applied tells of it. */
 	for (i = 1; i <= CONTROL_SNAPSHOT_ENTRIES + 8; i++)
 		put(i, "document");
-	for (first = 0; vms[first].node != leader(); first++)
-		;
+	first = leader_index();
 	for (i = 0; i < 5; i++)
 		halt(i);
 	boot(first, false);
@@ -622,8 +631,7 @@
 
 	start(3);
 	put(7, "seven");
-	for (first = 0; vms[first].node != leader(); first++)
-		;
+	first = leader_index();
 	memset(roster_told, 0, sizeof(roster_told));
 	for (i = 0; i < 3; i++) {
 		int64_t next_us = 0;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -345,6 +345,27 @@
 }
 END_TEST
 
+static void stop_all(struct sim *sim)
+{
+	unsigned i;
+
+	for (i = 1; i <= 5; i++)
+		sim_crash(sim, i);
+	sim_run(sim, 500000);
+}
+
+/* Return: the leader that was stopped with all others. */
+static uint64_t stop_all_under_leader(struct sim *sim)
+{
+	uint64_t leader;
+
+	sim_elect(sim);
+	sim_run(sim, SIM_ELECTION_US);
+	leader = sim_leader(sim)->id;
+	stop_all(sim);
+	return leader;
+}
+
 /*
  * Guards against callers that wait for an election timeout after a stop of
  * everything. The former leader asks for votes as soon as it is back, which
@@ -357,15 +378,10 @@
 
 	for (seed = 1; seed <= 200; seed++) {
 		struct sim *sim = sim_new(seed, 5);
-		uint64_t leader = sim_elect(sim)->id;
+		uint64_t leader = stop_all_under_leader(sim);
 		int64_t back_us;
 		unsigned i;
 
-		sim_run(sim, SIM_ELECTION_US);
-		leader = sim_leader(sim)->id;
-		for (i = 1; i <= 5; i++)
-			sim_crash(sim, i);
-		sim_run(sim, 500000);
 		for (i = 1; i <= 5; i++) {
 			if (i == leader)
 				continue;
@@ -393,15 +409,10 @@
 
 	for (seed = 1; seed <= 200; seed++) {
 		struct sim *sim = sim_new(seed, 5);
-		uint64_t leader = sim_elect(sim)->id;
+		uint64_t leader = stop_all_under_leader(sim);
 		int64_t back_us;
 		unsigned i;
 
-		sim_run(sim, SIM_ELECTION_US);
-		leader = sim_leader(sim)->id;
-		for (i = 1; i <= 5; i++)
-			sim_crash(sim, i);
-		sim_run(sim, 500000);
 		sim_start(sim, leader);
 		sim_start(sim, leader % 5 + 1);
 		sim_run(sim, 200000);
@@ -632,9 +643,7 @@
 		unsigned i;
 
 		sim_elect(sim);
-		for (i = 1; i <= 5; i++)
-			sim_crash(sim, i);
-		sim_run(sim, 500000);
+		stop_all(sim);
 		for (i = 1; i <= 3; i++) {
 			sim_run(sim, g_rand_int_range(sim->rand, 0,
 						      SIM_ELECTION_US));
