Plan as many homes as give each daemon about one service

Under overload the long queue is at the database, first come, first served, and bookings wait there behind reads.

Change: a service has homes only up to the number of daemons of a zone over services; daemons connect directly only if each may have eight connections (two before).

--- a/coordination/home_policy.c
+++ b/coordination/home_policy.c
@@ -80,13 +80,15 @@
 	return (a + b - 1) / b;
 }
 
-static unsigned homes_per_zone(const struct home_service *service,
-			       unsigned zones)
+static unsigned homes_in_zone(const struct home_service *service,
+			      unsigned zones, unsigned nr_services,
+			      unsigned nr_daemons)
 {
 	unsigned homes = MIN(service->connections, HOME_CONNECTIONS_MAX) /
 			 HOME_CONNECTIONS;
 
-	return divide_round_up(MAX(homes, 1), zones);
+	return MIN(divide_round_up(MAX(homes, 1), zones),
+		   divide_round_up(nr_daemons, nr_services));
 }
 
 /* Picks the highest ranked daemons below the limit of services per daemon. */
@@ -116,7 +118,6 @@
 				     unsigned nr_daemons)
 {
 	struct home_set *set = g_new0(struct home_set, 1);
-	unsigned homes = homes_per_zone(service, g_hash_table_size(zones));
 	GHashTableIter iter;
 	GArray *zone;
 
@@ -126,12 +127,15 @@
 		return set;
 	}
 	g_hash_table_iter_init(&iter, zones);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&zone))
-		choose_homes(
-			zone, service->name, homes,
-			divide_round_up(nr_services * MIN(homes, zone->len),
-					zone->len),
-			daemons, set->daemons);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&zone)) {
+		unsigned homes = homes_in_zone(service,
+					       g_hash_table_size(zones),
+					       nr_services, zone->len);
+
+		choose_homes(zone, service->name, homes,
+			     divide_round_up(nr_services * homes, zone->len),
+			     daemons, set->daemons);
+	}
 	return set;
 }
 
--- a/include/home_policy.h
+++ b/include/home_policy.h
@@ -9,12 +9,15 @@
  * DOC: Assignment of services to the entry daemons that connect to them.
  *
  * Pure functions; every daemon computes the same plan from the same roster.
- * For databases that accept fewer connections than there are daemons, or whose
- * queue would grow with that many: a few home daemons in each availability
- * zone hold the connections of a service, and the others relay to a home of
- * their zone. Homes are chosen by rendezvous hashing, so that few services
- * move when a daemon joins or leaves. No daemon is a home for more services
- * than its equal share.
+ * A few home daemons in each availability zone hold the connections of a
+ * service, and the others relay to a home of their zone. Under overload the
+ * statements then wait in few queues that order them by urgency, instead of one
+ * of each daemon and a long one at the database, which is first come, first
+ * served; and databases that accept fewer connections than there are daemons
+ * can be used at all. There are as many homes as give each daemon about one
+ * service. Homes are chosen by rendezvous hashing, so that few services move
+ * when a daemon joins or leaves. No daemon is a home for more services than
+ * its equal share.
  */
 
 /** Connections that each home should have to an upstream. */
@@ -22,7 +25,7 @@
 /** More connections than this, over all homes, only lengthen the queue. */
 #define HOME_CONNECTIONS_MAX 24
 /** No relays are used if each daemon can have this many connections. */
-#define HOME_DIRECT_CONNECTIONS 2
+#define HOME_DIRECT_CONNECTIONS 8
 
 struct home_daemon {
 	const char *name;
