--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -26,9 +26,9 @@
 /** Longest time since the last announcement of a candidate for promotion. */
 #define PROMOTION_CANDIDATE_MAX_SILENCE_US (3000 * 1000ll)
 /** Lag above which a replica can answer only few reads, microseconds. */
-#define PROMOTION_MAX_LAG_US (2000 * 1000ll)
+#define PROMOTION_MAX_LAG_US (1000 * 1000ll)
 /** Time for which all replicas must lag before the primary is replaced. */
-#define PROMOTION_LAG_TOLERATED_US (1200 * 1000ll)
+#define PROMOTION_LAG_TOLERATED_US (500 * 1000ll)
 /** Least time between two promotions because of lag, microseconds. */
 #define PROMOTION_LAG_MIN_INTERVAL_US (12 * 1000000ll)
 /** A control VM waits this long after its start for announcements. */
