End connections between processes after 0.6 s without acknowledgement

Cause: statements relayed to a home behind a partition wait 1.5 s until the connection ends; their callers' time-out is 1 s.

--- a/include/channel.h
+++ b/include/channel.h
@@ -18,7 +18,7 @@
 /** Most output queued for a slow peer, bytes; further messages are dropped. */
 #define CHANNEL_QUEUE_MAX_BYTES (8u * 1024 * 1024)
 /** Time after which unacknowledged data closes a connection, milliseconds. */
-#define CHANNEL_USER_TIMEOUT_MS 1500
+#define CHANNEL_USER_TIMEOUT_MS 600
 
 /**
  * Least time between the starts of two connection attempts, microseconds. It is
