Refuse early under overload, relay to peers, find lost answers

Four changes that share the path of a waiting statement.

Waits (wait_limit): under overload a statement was refused at the end of its target, when its caller could not be in time any more. Now it is refused after a fifth of it. Peers (relay_policy): after a full outage upstreams still count the connections of dead processes, and some daemons get none; a partition may separate a daemon from an upstream only. Lost answers (answer_time): a read whose answer is overdue while later statements are answered is repeated, a transaction aborted, within 5% of the statements; never a write or commit.

--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -185,5 +185,16 @@
 		else
 			failed_placements++;
 	}
+	service_relay_unreachable(svc, now_us);
 	svc->dispatching = false;
 }
+
+void services_dispatch(struct entry *entry)
+{
+	struct service *svc;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, entry->services);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&svc))
+		service_dispatch(svc);
+}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -23,6 +23,7 @@
 	{ "entry_links_opened_total", "Connections opened to upstreams" },
 	{ "entry_links_refused_total", "Log-ins that upstreams refused" },
 	{ "entry_links_broken_total", "Connections that broke" },
+	{ "entry_answers_lost_total", "Answers given up as lost" },
 	{ "entry_samples_total", "Positions asked of primaries" },
 	{ "entry_views_total", "Views received from control VMs" },
 	{ "entry_relayed_total", "Statements sent to a home daemon" },
@@ -73,6 +74,7 @@
 	entry->timers = timers;
 	entry->config = *config;
 	entry->report_timer = TIMER_NONE;
+	entry->close_timer = TIMER_NONE;
 	entry->handover.timer = TIMER_NONE;
 	entry->leader_last_reachable_us = now_us;
 	entry->random = g_random_int();
@@ -107,6 +109,7 @@
 	timer_cancel(entry->timers, &entry->tick_timer);
 	timer_cancel(entry->timers, &entry->watch_timer);
 	timer_cancel(entry->timers, &entry->report_timer);
+	timer_cancel(entry->timers, &entry->close_timer);
 	relay_clients_close(entry);
 	watch_stop(entry);
 	homes_finish(entry);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -89,6 +89,8 @@
  * @refused: the session cannot start; report the error and close
  * @answer: answers the outstanding statement
  * @close: asks the protocol to close the caller's connection
+ * @decline: the statement did not run; another daemon may run it. Called only
+ *           for callers of other daemons
  *
  * @handle is the protocol's own object for the caller's connection.
  */
@@ -97,6 +99,7 @@
 	void (*refused)(void *handle, enum refusal refusal, const char *detail);
 	void (*answer)(void *handle, const struct statement_answer *answer);
 	void (*close)(void *handle);
+	void (*decline)(void *handle);
 };
 
 enum link_verb {
--- a/entry/guest.c
+++ b/entry/guest.c
@@ -81,11 +81,30 @@
 {
 }
 
+static void decline_request(struct relay_client *link, uint64_t number)
+{
+	Wire__RelayAnswer out = WIRE__RELAY_ANSWER__INIT;
+
+	out.session = number;
+	out.refusal = REFUSAL_BUSY;
+	out.elsewhere = true;
+	send_answer(link, &out);
+}
+
+static void on_decline(void *handle)
+{
+	struct remote_session *remote = handle;
+
+	decline_request(remote->link, remote->number);
+	g_hash_table_remove(remote->link->relayed_sessions, &remote->number);
+}
+
 static const struct caller_ops remote_ops = {
 	.started = on_started,
 	.refused = on_refused,
 	.answer = on_answer,
 	.close = on_close,
+	.decline = on_decline,
 };
 
 static struct remote_session *remote_new(struct relay_client *link,
@@ -172,16 +191,6 @@
 				     in->writes);
 }
 
-static void decline_request(struct relay_client *link, uint64_t number)
-{
-	Wire__RelayAnswer out = WIRE__RELAY_ANSWER__INIT;
-
-	out.session = number;
-	out.refusal = REFUSAL_BUSY;
-	out.elsewhere = true;
-	send_answer(link, &out);
-}
-
 static void answer_aborted(struct relay_client *link,
 			   const Wire__RelayRequest *in)
 {
--- a/entry/home.c
+++ b/entry/home.c
@@ -4,10 +4,14 @@
 
 #include <string.h>
 
-/* Time for which a home that declined a statement is not used. */
-#define DECLINED_PAUSE_US (1000 * 1000ll)
+/* Time for which a daemon that declined a statement of a service gets no
+ * statements of that service. */
+#define DECLINED_PAUSE_US (200 * 1000ll)
+/* Largest number of other daemons in each part of the fleet, own availability
+ * zone and the others, to which this one relays what it cannot run itself. */
+#define MAX_PEERS 4
 /* Upper limit of a daemon's share of the connections to one upstream. */
-#define MAX_SHARE 4
+#define MAX_SHARE 6
 
 /* The link whose roster is used: the control leader's, else any fresh one. */
 static const struct control_link *roster_source(const struct entry *entry)
@@ -47,6 +51,14 @@
 	g_free(daemon);
 }
 
+static int compare_by_ip(const void *a, const void *b)
+{
+	const struct roster_entry *x = *(struct roster_entry *const *)a;
+	const struct roster_entry *y = *(struct roster_entry *const *)b;
+
+	return (x->ip > y->ip) - (x->ip < y->ip);
+}
+
 /* Copies the roster, as its link may go away while the home sets are in use. */
 static void copy_roster(struct entry *entry, const struct control_link *from)
 {
@@ -60,6 +72,7 @@
 				roster_entry_new(daemon->name,
 						 daemon->availability_zone,
 						 daemon->ip));
+	g_ptr_array_sort(entry->home_set_daemons, compare_by_ip);
 }
 
 static void update_plan(struct entry *entry)
@@ -148,7 +161,15 @@
 	relay_home_lost(home);
 }
 
+static void on_opened(struct channel *ch)
+{
+	const struct home_link *home = ch->data;
+
+	services_dispatch(home->entry);
+}
+
 static const struct channel_events home_events = {
+	.opened = on_opened,
 	.message = on_message,
 	.closed = on_closed,
 };
@@ -171,7 +192,8 @@
 	home->entry = entry;
 	home->ip = ip;
 	home->channel.stream.fd = -1;
-	home->declined_at_us = INT64_MIN / 2;
+	home->declined_at_us =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	home->sessions = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_hash_table_insert(entry->homes, GUINT_TO_POINTER(ip), home);
 	connect_home(home);
@@ -183,16 +205,60 @@
 	struct home_link *home = data;
 
 	channel_close(&home->channel);
+	g_hash_table_destroy(home->declined_at_us);
 	g_hash_table_destroy(home->sessions);
 	g_free(home);
 }
 
+void home_note_declined(struct home_link *home, const char *service)
+{
+	int64_t now_us = clock_now_us();
+
+	g_hash_table_replace(home->declined_at_us, g_strdup(service),
+			     g_memdup2(&now_us, sizeof(now_us)));
+}
+
+static bool has_declined(const struct home_link *home, const char *service,
+			 int64_t now_us)
+{
+	const int64_t *at_us =
+		g_hash_table_lookup(home->declined_at_us, service);
+
+	return at_us && now_us - *at_us < DECLINED_PAUSE_US;
+}
+
+static bool is_in_own_zone(const struct entry *entry,
+			   const struct roster_entry *daemon)
+{
+	return !strcmp(daemon->availability_zone,
+		       entry->config.availability_zone);
+}
+
+/* Replaces *@best by the link to @daemon if that is usable and has fewer
+ * sessions of this daemon. */
+static void choose_less_used(struct entry *entry, const char *service,
+			     const struct roster_entry *daemon, int64_t now_us,
+			     struct home_link **best)
+{
+	struct home_link *home = get_home_link(entry, daemon->ip);
+
+	if (!channel_is_open(&home->channel)) {
+		connect_home(home);
+		return;
+	}
+	if (has_declined(home, service, now_us))
+		return;
+	if (!*best || g_hash_table_size(home->sessions) <
+			      g_hash_table_size((*best)->sessions))
+		*best = home;
+}
+
 /* The usable home with the fewest sessions of this daemon, either among those
  * in its own availability zone or among those in other zones. */
-static struct home_link *least_used(struct entry *entry,
-				    const struct home_set *set, bool own_zone,
-				    const struct home_link *avoid,
-				    int64_t now_us)
+static struct home_link *least_used_home(struct entry *entry,
+					 const char *service,
+					 const struct home_set *set,
+					 bool own_zone, int64_t now_us)
 {
 	struct home_link *best = NULL;
 	guint offset = entry_random(entry);
@@ -201,25 +267,15 @@
 	for (i = 0; i < set->daemons->len; i++) {
 		const struct roster_entry *daemon = home_daemon_at(
 			entry, set, (i + offset) % set->daemons->len);
-		bool in_own_zone = !strcmp(daemon->availability_zone,
-					   entry->config.availability_zone);
-		struct home_link *home;
 
-		if (in_own_zone != own_zone)
-			continue;
-		home = get_home_link(entry, daemon->ip);
-		if (home == avoid || !channel_is_open(&home->channel) ||
-		    now_us - home->declined_at_us < DECLINED_PAUSE_US)
-			continue;
-		if (!best || g_hash_table_size(home->sessions) <
-				     g_hash_table_size(best->sessions))
-			best = home;
+		if (daemon->ip != entry->config.ip &&
+		    is_in_own_zone(entry, daemon) == own_zone)
+			choose_less_used(entry, service, daemon, now_us, &best);
 	}
 	return best;
 }
 
-struct home_link *home_choose(struct entry *entry, const char *service,
-			      const struct home_link *avoid)
+struct home_link *home_choose(struct entry *entry, const char *service)
 {
 	const struct home_set *set =
 		g_hash_table_lookup(entry->home_sets, service);
@@ -228,8 +284,50 @@
 
 	if (!set || !set->daemons->len)
 		return NULL;
-	home = least_used(entry, set, true, avoid, now_us);
-	return home ? home : least_used(entry, set, false, avoid, now_us);
+	home = least_used_home(entry, service, set, true, now_us);
+	return home ? home :
+		      least_used_home(entry, service, set, false, now_us);
+}
+
+/* Like least_used_home(), among the daemons that follow this one in the order
+ * of the roster, so that each daemon has other peers. */
+static struct home_link *least_used_peer(struct entry *entry,
+					 const char *service, bool own_zone,
+					 int64_t now_us)
+{
+	const GPtrArray *roster = entry->home_set_daemons;
+	struct home_link *best = NULL;
+	unsigned nr_peers = 0;
+	guint i, first = 0;
+
+	for (i = 0; i < roster->len; i++)
+		if (((struct roster_entry *)roster->pdata[i])->ip <=
+		    entry->config.ip)
+			first = i + 1;
+	for (i = 0; i < roster->len && nr_peers < MAX_PEERS; i++) {
+		const struct roster_entry *daemon =
+			roster->pdata[(first + i) % roster->len];
+
+		if (daemon->ip == entry->config.ip ||
+		    is_in_own_zone(entry, daemon) != own_zone)
+			continue;
+		nr_peers++;
+		choose_less_used(entry, service, daemon, now_us, &best);
+	}
+	return best;
+}
+
+struct home_link *home_choose_peer(struct entry *entry, const char *service)
+{
+	const struct home_set *set =
+		g_hash_table_lookup(entry->home_sets, service);
+	int64_t now_us = clock_now_us();
+	struct home_link *peer;
+
+	if (!set || !set->all_daemons)
+		return home_choose(entry, service);
+	peer = least_used_peer(entry, service, true, now_us);
+	return peer ? peer : least_used_peer(entry, service, false, now_us);
 }
 
 /* Keeps connections open to the homes in this daemon's availability zone. */
--- a/entry/host.c
+++ b/entry/host.c
@@ -25,6 +25,9 @@
 /* Time for which this daemon stays within its share after an upstream refused a
  * connection because its connection limit was reached. */
 #define CONNECTIONS_FULL_VALID_US (2000 * 1000ll)
+/* Silence of an upstream after which another connection is probed: one that
+ * lost an answer must not make the upstream count as failing. */
+#define SILENCE_PROBE_AFTER_US (100 * 1000ll)
 /* Interval at which upstreams are probed for the primary. */
 #define PROBE_INTERVAL_US (100 * 1000ll)
 /* A service that was not used for this long is not sampled. */
@@ -161,13 +164,18 @@
 	return pool ? home_share(upstream->entry, pool) : 1;
 }
 
+bool upstream_is_full(const struct upstream *upstream, int64_t now_us)
+{
+	return now_us - upstream->connections_full_at_us <
+	       CONNECTIONS_FULL_VALID_US;
+}
+
 unsigned upstream_nr_openable_links(const struct upstream *upstream,
 				    int64_t now_us)
 {
-	bool full = now_us - upstream->connections_full_at_us <
-		    CONNECTIONS_FULL_VALID_US;
-	unsigned max_links =
-		connection_share(upstream) * (full ? 1 : SHARE_BURST_FACTOR);
+	unsigned factor =
+		upstream_is_full(upstream, now_us) ? 1 : SHARE_BURST_FACTOR;
+	unsigned max_links = connection_share(upstream) * factor;
 
 	if (upstream->gone || upstream->leaving ||
 	    now_us < upstream->connect_after_us)
@@ -350,6 +358,41 @@
 		request_leave_silent_upstream(link->session);
 }
 
+/* Beginning a transaction takes no slot, so even a saturated upstream answers
+ * it at once. */
+static void probe_silent(struct upstream *upstream, int64_t now_us)
+{
+	if (now_us - upstream->probed_us < SILENCE_PROBE_AFTER_US)
+		return;
+	upstream->probed_us = now_us;
+	sample_position(upstream, now_us);
+}
+
+/* Return: whether the link was closed, as the answer on it was lost. */
+static bool close_if_answer_lost(struct link *link, int64_t now_us)
+{
+	struct upstream *upstream = link->upstream;
+	struct service *svc = upstream->service;
+	struct session *s = link->session;
+	/* Of an abandoned statement the kind is no longer known. */
+	enum read_rule rule = s ? s->route->rule : READ_BOUNDED;
+
+	if (!answer_time_is_overdue(&svc->answer_times[rule], link->sent_us,
+				    upstream->newest_answered_us, now_us))
+		return false;
+	if (s && (!request_can_lose_link(s) ||
+		  !repeat_budget_take(&svc->repeat_budget)))
+		return false;
+	event_log("answer_lost", "{s:s, s:s, s:I, s:I, s:b}", "upstream",
+		  upstream->id, "service", svc->name, "waited_us",
+		  (json_int_t)(now_us - link->sent_us), "overdue_us",
+		  (json_int_t)answer_time_overdue_us(&svc->answer_times[rule]),
+		  "abandoned", (int)!s);
+	entry_count(upstream->entry, ENTRY_COUNT_ANSWERS_LOST, 1);
+	link_close(link);
+	return true;
+}
+
 static void check_link(struct link *link, int64_t now_us)
 {
 	struct upstream *upstream = link->upstream;
@@ -368,6 +411,11 @@
 		link_close(link);
 		return;
 	}
+	if (link->outstanding->len && close_if_answer_lost(link, now_us))
+		return;
+	if (link->outstanding->len && waited_us > SILENCE_PROBE_AFTER_US &&
+	    upstream->last_answer_us <= link->sent_us)
+		probe_silent(upstream, now_us);
 	if (link->outstanding->len && waited_us > ENTRY_SILENCE_TIMEOUT_US &&
 	    upstream->last_answer_us <= link->sent_us)
 		note_silence(link, now_us);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_INTERNAL_H
 #define ENTRY_INTERNAL_H
 
+#include "answer_time.h"
 #include "channel.h"
 #include "counters.h"
 #include "entry.h"
@@ -9,6 +10,7 @@
 #include "read_bound.h"
 #include "send_window.h"
 #include "urgency.h"
+#include "wait_limit.h"
 
 /** Interval at which links, upstreams and sessions are checked. */
 #define ENTRY_TICK_INTERVAL_US (50 * 1000ll)
@@ -42,6 +44,7 @@
 	ENTRY_COUNT_LINKS_OPENED,
 	ENTRY_COUNT_LINKS_REFUSED,
 	ENTRY_COUNT_LINKS_BROKEN,
+	ENTRY_COUNT_ANSWERS_LOST,
 	ENTRY_COUNT_SAMPLES,
 	ENTRY_COUNT_VIEWS,
 	ENTRY_COUNT_RELAYED,
@@ -65,8 +68,11 @@
  * @log_position: log position that it last reported
  * @log_position_at_us: when it reported @log_position
  * @last_answer_us: when it last answered any command
+ * @newest_answered_us: when the newest of the statements that it has answered
+ *                      was sent
  * @failing_us: first failure since that answer, 0 if none
  * @failures: failures since that answer
+ * @probed_us: when another connection was last probed because it was silent
  * @connect_after_us: earliest next attempt to connect
  * @busy_until_us: no statements are sent to it until then, as it refused one
  *                 for lack of capacity
@@ -93,8 +99,10 @@
 	struct position log_position;
 	int64_t log_position_at_us;
 	int64_t last_answer_us;
+	int64_t newest_answered_us;
 	int64_t failing_us;
 	unsigned failures;
+	int64_t probed_us;
 	int64_t connect_after_us;
 	int64_t busy_until_us;
 	int64_t lag_us;
@@ -132,6 +140,8 @@
  * @samples: log positions of the primary
  * @waiting: sessions that wait for a connection, in any order
  * @cost_us: smoothed time of a statement at the upstream, by read rule
+ * @answer_times: the same with its deviation, to find lost answers
+ * @repeat_budget: limits the statements repeated because of lost answers
  * @window_full_at_us: when a statement was last delayed because the send window
  *                  of an upstream was full
  * @last_used_us: when a session last needed a connection
@@ -147,6 +157,8 @@
 	struct read_samples samples;
 	GQueue waiting;
 	int64_t cost_us[3];
+	struct answer_time answer_times[3];
+	struct repeat_budget repeat_budget;
 	int64_t window_full_at_us;
 	int64_t last_used_us;
 	int64_t last_probe_us;
@@ -230,6 +242,7 @@
  * @own: position of its newest commit, term 0 for none
  * @last_active_us: when a statement last arrived or was answered
  * @awaiting_routes: whether it waits until the routes are known
+ * @close_when_idle: whether to close it after its transaction
  * @closing: whether the caller was rejected or asked to disconnect
  * @table: keeps @route alive during a transaction or request
  * @tx_begun_us: when the transaction began
@@ -265,6 +278,7 @@
 	struct read_requirement own;
 	int64_t last_active_us;
 	bool awaiting_routes;
+	bool close_when_idle;
 	bool closing;
 
 	struct entry_table *table;
@@ -313,7 +327,7 @@
  * other daemons relay their callers' statements to one of them.
  *
  * @next_connect_us: earliest next attempt to connect
- * @declined_at_us: when it last declined a statement
+ * @declined_at_us: service name to int64_t, when it last declined a statement
  * @sessions: number to struct session, for each one that has a statement or
  *            transaction there
  */
@@ -322,7 +336,7 @@
 	uint32_t ip;
 	struct channel channel;
 	int64_t next_connect_us;
-	int64_t declined_at_us;
+	GHashTable *declined_at_us;
 	GHashTable *sessions;
 };
 
@@ -450,6 +464,7 @@
 	int tick_timer;
 	int watch_timer;
 	int report_timer;
+	int close_timer;
 	uint32_t random;
 	struct counter_set counters;
 	int counter[ENTRY_NR_COUNTERS];
@@ -479,6 +494,9 @@
 /** upstream_confirm_primary() - record that the upstream proved to be the
  * primary in its answer to a command sent at @asked_us */
 void upstream_confirm_primary(struct upstream *upstream, int64_t asked_us);
+/** upstream_is_full() - whether it recently refused a connection because its
+ * connection limit was reached */
+bool upstream_is_full(const struct upstream *upstream, int64_t now_us);
 /** upstream_nr_openable_links() - how many more links may be opened */
 unsigned upstream_nr_openable_links(const struct upstream *upstream,
 				    int64_t now_us);
@@ -534,10 +552,24 @@
 			      const struct statement_answer *answer);
 /** request_link_lost() - the session's upstream or home was lost */
 void request_link_lost(struct session *s);
+/**
+ * request_relay_to_peer() - let another daemon run a waiting statement
+ *
+ * A statement of another daemon's caller is returned to that daemon.
+ *
+ * Return: false if no other daemon can take it
+ */
+bool request_relay_to_peer(struct session *s);
+/** request_refuse_unreachable() - refuse a waiting statement and close its
+ * session, so that the caller connects to another daemon */
+void request_refuse_unreachable(struct session *s);
 /** request_run_on_link() - run the statement on the session's link */
 void request_run_on_link(struct session *s);
 /** request_can_run_elsewhere() - whether another upstream may run it */
 bool request_can_run_elsewhere(const struct session *s);
+/** request_can_lose_link() - whether closing its link leaves no doubt whether
+ * the statement has had an effect */
+bool request_can_lose_link(const struct session *s);
 /** request_leave_silent_upstream() - try another upstream than the silent
  * one */
 void request_leave_silent_upstream(struct session *s);
@@ -554,8 +586,16 @@
 void homes_init(struct entry *entry);
 void homes_finish(struct entry *entry);
 /** home_choose() - a connected home of the service, or NULL */
-struct home_link *home_choose(struct entry *entry, const char *service,
-			      const struct home_link *avoid);
+struct home_link *home_choose(struct entry *entry, const char *service);
+/** home_choose_peer() - another connected daemon that may hold connections to
+ * the service's upstreams, or NULL */
+struct home_link *home_choose_peer(struct entry *entry, const char *service);
+void home_note_declined(struct home_link *home, const char *service);
+
+/* peer_relay.c */
+/** service_relay_unreachable() - pass on waiting statements whose upstreams
+ * this daemon cannot reach */
+void service_relay_unreachable(struct service *svc, int64_t now_us);
 
 /* relay.c */
 /** relay_start() - relay the session's statement to @home */
@@ -584,6 +624,8 @@
 /* dispatch.c */
 /** service_dispatch() - assign idle connections to waiting sessions */
 void service_dispatch(struct service *svc);
+/** services_dispatch() - the same for all services */
+void services_dispatch(struct entry *entry);
 
 /* session.c */
 void session_answer(struct session *s, const struct statement_answer *answer);
@@ -595,6 +637,9 @@
 void session_add_prepared(struct session *s, const char *name,
 			  const char *alias, const char *shape, bool writes);
 void sessions_tick(struct entry *entry, int64_t now_us);
+/** sessions_close_soon() - close the session once it is idle, unless another
+ * statement of it succeeds first */
+void sessions_close_soon(struct session *s);
 
 /* watch.c */
 void watch_tick(int64_t now_us, void *data);
--- a/entry/link.c
+++ b/entry/link.c
@@ -266,6 +266,10 @@
 	purpose = g_array_index(link->outstanding, enum link_purpose, 0);
 	g_array_remove_index(link->outstanding, 0);
 	upstream_note_answer(upstream, answer, now_us);
+	if (purpose == LINK_PURPOSE_STATEMENT ||
+	    purpose == LINK_PURPOSE_ABANDONED)
+		upstream->newest_answered_us =
+			MAX(upstream->newest_answered_us, link->sent_us);
 	if (purpose == LINK_PURPOSE_SAMPLE) {
 		handle_sample(link, answer, now_us);
 		service_dispatch(svc);
@@ -300,6 +304,20 @@
 		service_dispatch(svc);
 }
 
+static bool has_other_ready_link(const struct link *link)
+{
+	const GPtrArray *links = link->upstream->links;
+	guint i;
+
+	for (i = 0; i < links->len; i++) {
+		const struct link *other = links->pdata[i];
+
+		if (other != link && other->state == LINK_READY)
+			return true;
+	}
+	return false;
+}
+
 void link_closed(struct link *link, enum refusal refusal)
 {
 	struct upstream *upstream = link->upstream;
@@ -323,7 +341,9 @@
 		upstream->connect_after_us = now_us + REPLACED_PAUSE_US;
 		break;
 	default:
-		upstream_note_failure(upstream, now_us);
+		/* Other connections tell whether the upstream has failed. */
+		if (opening || !has_other_ready_link(link))
+			upstream_note_failure(upstream, now_us);
 		break;
 	}
 	link_close(link);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -113,7 +113,7 @@
 
 static void retry_elsewhere(struct session *s, struct home_link *home)
 {
-	home->declined_at_us = clock_now_us();
+	home_note_declined(home, s->service->name);
 	detach_from_home(s);
 	request_retry(s, REFUSAL_BUSY);
 }
--- a/entry/request.c
+++ b/entry/request.c
@@ -13,16 +13,8 @@
 #define RELAY_MARGIN_US (60 * 1000ll)
 /* Pause after an upstream refused a statement for lack of capacity. */
 #define BUSY_PAUSE_US (15 * 1000ll)
-/* Minimum time for which a statement may wait for capacity at an upstream. */
-#define MIN_CAPACITY_WAIT_US (100 * 1000ll)
-/* If the send window of an upstream was full within this time, waiting
- * statements wait for capacity, otherwise for an upstream to become available.
- * Also the interval at which a waiting statement checks which one applies. */
-#define SATURATED_US (60 * 1000ll)
 /* Pause before an upstream that is not the primary is asked again. */
 #define NOT_PRIMARY_PAUSE_US (120 * 1000ll)
-/* Percentage of a statement's time-out that it may wait for a connection. */
-#define CONNECTION_WAIT_PERCENT 60
 
 bool request_is_write(const struct session *s)
 {
@@ -65,6 +57,7 @@
 	dequeue(s);
 	s->phase = REQUEST_NONE;
 	if (!answer->refusal) {
+		s->close_when_idle = false;
 		entry_count(entry, ENTRY_COUNT_DONE, 1);
 		histogram_add(&entry->answer_times[s->route->rule],
 			      now_us - s->arrived_us);
@@ -152,16 +145,11 @@
 	g_queue_push_tail_link(&s->service->waiting, &s->waiting);
 }
 
-static int64_t connection_deadline_us(const struct session *s)
+static struct wait_limit wait_limit_of(const struct session *s)
 {
-	return s->arrived_us +
-	       s->route->statement_us * CONNECTION_WAIT_PERCENT / 100;
-}
-
-/* Deadline for a statement that waits for capacity at saturated upstreams. */
-static int64_t capacity_deadline_us(const struct session *s)
-{
-	return s->arrived_us + MAX(s->route->target_us, MIN_CAPACITY_WAIT_US);
+	return (struct wait_limit){ .arrived_us = s->arrived_us,
+				    .target_us = s->route->target_us,
+				    .timeout_us = s->route->statement_us };
 }
 
 /* Determines which upstreams may run the statement or its transaction. */
@@ -201,16 +189,18 @@
 	bool home_elsewhere = !s->remote_caller &&
 			      !home_is_local(s->entry, s->service->name);
 	struct home_link *home = NULL;
+	struct wait_limit limit;
 
 	if (home_elsewhere)
-		home = home_choose(s->entry, s->service->name, NULL);
+		home = home_choose(s->entry, s->service->name);
 	if (home) {
 		s->attempts++;
 		relay_to_home(s, home);
 		return;
 	}
 	/* After a restart homes reconnect within some hundred milliseconds. */
-	if (home_elsewhere && clock_now_us() - s->arrived_us < HOME_WAIT_US) {
+	if (home_elsewhere && clock_now_us() - s->arrived_us < HOME_WAIT_US &&
+	    !watch_leader_is_unreachable(s->entry, clock_now_us())) {
 		s->phase = REQUEST_AWAITING_HOME;
 		start_timer(s, clock_now_us() + HOME_POLL_INTERVAL_US);
 		return;
@@ -218,18 +208,45 @@
 	s->service->last_used_us = clock_now_us();
 	if (!s->classified)
 		classify(s);
-	start_timer(s, MIN(connection_deadline_us(s), capacity_deadline_us(s)));
+	limit = wait_limit_of(s);
+	start_timer(s, wait_limit_first_check_us(&limit));
 	enqueue(s);
 	service_dispatch(s->service);
 }
 
+bool request_relay_to_peer(struct session *s)
+{
+	struct home_link *peer;
+
+	if (s->remote_caller) {
+		request_cancel(s);
+		s->ops->decline(s->handle);
+		return true;
+	}
+	peer = home_choose_peer(s->entry, s->service->name);
+	if (!peer)
+		return false;
+	dequeue(s);
+	relay_to_home(s, peer);
+	return true;
+}
+
+void request_refuse_unreachable(struct session *s)
+{
+	if (s->tx == TX_OPEN)
+		session_end_transaction(s, TX_FAILED);
+	sessions_close_soon(s);
+	refuse(s, REFUSAL_BUSY,
+	       "this daemon reaches neither the upstream nor control");
+}
+
 void request_retry(struct session *s, enum refusal refusal)
 {
-	int64_t now_us = clock_now_us();
+	struct wait_limit limit = wait_limit_of(s);
 
 	s->last_refusal = refusal;
 	if (s->attempts >= ENTRY_MAX_ATTEMPTS ||
-	    now_us >= connection_deadline_us(s)) {
+	    clock_now_us() >= wait_limit_unavailable_us(&limit)) {
 		refuse(s,
 		       refusal_had_no_effect(refusal) ? REFUSAL_BUSY : refusal,
 		       "no upstream could run the statement in time");
@@ -303,12 +320,19 @@
 	link_flush(s->link);
 }
 
-/* Under overload a statement is refused before its time-out, so that the caller
- * can decide what to do next. */
-static bool is_saturated(const struct session *s, int64_t now_us)
+static void check_waiting(struct session *s, int64_t now_us)
 {
-	return now_us - s->service->window_full_at_us < SATURATED_US &&
-	       now_us >= capacity_deadline_us(s);
+	struct wait_limit limit = wait_limit_of(s);
+	int64_t next_us = wait_limit_next_check_us(
+		&limit, s->service->window_full_at_us, now_us);
+
+	if (next_us) {
+		start_timer(s, next_us);
+		return;
+	}
+	if (s->tx == TX_OPEN)
+		session_end_transaction(s, TX_FAILED);
+	refuse(s, REFUSAL_BUSY, "no upstream was free in time");
 }
 
 static void on_timeout(int64_t now_us, void *data)
@@ -323,15 +347,7 @@
 		route_request(s);
 		return;
 	case REQUEST_WAITING:
-		if (now_us < connection_deadline_us(s) &&
-		    !is_saturated(s, now_us)) {
-			start_timer(s, MIN(connection_deadline_us(s),
-					   now_us + SATURATED_US));
-			return;
-		}
-		if (s->tx == TX_OPEN)
-			session_end_transaction(s, TX_FAILED);
-		refuse(s, REFUSAL_BUSY, "no upstream was free in time");
+		check_waiting(s, now_us);
 		return;
 	case REQUEST_SETUP:
 		abandon_link(s);
@@ -550,6 +566,8 @@
 	int64_t *cost_us = &s->service->cost_us[s->route->rule];
 	int64_t duration_us = now_us - s->statement_sent_us;
 
+	answer_time_add(&s->service->answer_times[s->route->rule], duration_us);
+	repeat_budget_answered(&s->service->repeat_budget);
 	send_window_answered(&s->link->upstream->window, duration_us, now_us);
 	*cost_us += (duration_us - *cost_us) / (duration_us < *cost_us ?
 							COST_FALL_DIVISOR :
@@ -648,6 +666,15 @@
 		request_retry(s, REFUSAL_FAILED);
 }
 
+bool request_can_lose_link(const struct session *s)
+{
+	if (s->phase != REQUEST_RUNNING)
+		return s->phase == REQUEST_SETUP;
+	if (s->tx == TX_OPEN)
+		return s->statement.verb != STATEMENT_COMMIT;
+	return !request_is_write(s);
+}
+
 bool request_can_run_elsewhere(const struct session *s)
 {
 	return s->tx != TX_OPEN &&
--- a/entry/session.c
+++ b/entry/session.c
@@ -359,6 +359,38 @@
 	}
 }
 
+static bool can_close(const struct session *s)
+{
+	return s->close_when_idle && !s->closing && s->tx == TX_NONE &&
+	       s->phase == REQUEST_NONE;
+}
+
+static void on_close_timer(int64_t now_us, void *data)
+{
+	struct entry *entry = data;
+	GList *node, *next;
+
+	entry->close_timer = TIMER_NONE;
+	for (node = entry->sessions.head; node; node = next) {
+		next = node->next;
+		if (can_close(node->data))
+			close_session(node->data);
+	}
+}
+
+void sessions_close_soon(struct session *s)
+{
+	struct entry *entry = s->entry;
+
+	if (s->remote_caller)
+		return;
+	s->close_when_idle = true;
+	if (entry->close_timer == TIMER_NONE)
+		entry->close_timer = timer_subscribe(entry->timers,
+						     clock_now_us(), 0,
+						     on_close_timer, entry);
+}
+
 void sessions_tick(struct entry *entry, int64_t now_us)
 {
 	GList *node, *next;
@@ -370,6 +402,8 @@
 		if (s->awaiting_routes)
 			check_start(s, now_us);
 		end_idle_transaction(s, now_us);
+		if (can_close(s))
+			close_session(s);
 		if (entry->drain_started_us)
 			stop_session(s, now_us);
 	}
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -732,6 +732,187 @@
 }
 END_TEST
 
+/* Returns an upstream with @nr open connections that has answered often enough
+ * to know how long an answer takes. */
+static struct upstream *connect_and_learn(const char *id, unsigned nr)
+{
+	struct upstream *upstream =
+		g_hash_table_lookup(entry->known_upstreams, id);
+	unsigned i;
+
+	for (i = 0; i < nr; i++)
+		link_open(upstream);
+	complete_logins();
+	for (i = 0; i < 50; i++) {
+		answer_time_add(
+			&upstream->service->answer_times[READ_OWN_WRITES],
+			10000);
+		repeat_budget_answered(&upstream->service->repeat_budget);
+	}
+	return upstream;
+}
+
+/* Lets the upstream lose the answer on @link while it answers later ones. */
+static void lose_answer(struct link *link)
+{
+	int64_t now_us = clock_now_us();
+
+	link->upstream->newest_answered_us =
+		link->sent_us + ANSWER_OVERDUE_MIN_US;
+	upstreams_tick(entry, now_us + ANSWER_OVERDUE_MIN_US / 2);
+	ck_assert_uint_eq(nr_answers, 0);
+	upstreams_tick(entry, now_us + ANSWER_OVERDUE_MIN_US + 10000);
+}
+
+/* Guards against a read that waits for its time-out, and a connection that is
+ * of no use until then, after a single answer was lost. */
+START_TEST(test_lost_read)
+{
+	struct session *s;
+	struct upstream *p;
+
+	setup();
+	p = connect_and_learn("p", 2);
+	s = new_caller("own");
+	send_statement(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	expect_command(LINK_BEGIN, NULL);
+	reply_in_transaction();
+	expect_command(LINK_FORWARD, "READ 1");
+	lose_answer(sent[nr_replied].link);
+	ck_assert_uint_eq(nr_closed, 1);
+	ck_assert_uint_eq(nr_answers, 0);
+	ck_assert_int_eq(p->failing_us, 0);
+	nr_replied++;
+	expect_command(LINK_BEGIN, NULL);
+	reply_in_transaction();
+	expect_command(LINK_FORWARD, "READ 1");
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, "ROW x");
+	ck_assert_str_eq(last_result, "ROW x");
+	teardown();
+}
+END_TEST
+
+/* Guards against a transaction that is held until its time-out by a lost
+ * answer, and against one whose commit was sent being called aborted. */
+START_TEST(test_lost_answer_in_transaction)
+{
+	struct session *s;
+
+	setup();
+	connect_and_learn("p", 1);
+	s = new_caller("own");
+	send_statement(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	nr_answers = 0;
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	reply_in_transaction();
+	lose_answer(sent[nr_replied].link);
+	ck_assert_int_eq(last_answer.refusal, REFUSAL_ABORTED);
+	ck_assert_int_eq(last_answer.state, SESSION_FAILED_TRANSACTION);
+	ck_assert_uint_eq(nr_closed, 1);
+	teardown();
+
+	setup();
+	connect_and_learn("p", 1);
+	s = new_caller("own");
+	send_statement(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	reply_in_transaction();
+	reply(REFUSAL_NONE, SESSION_IN_TRANSACTION, 9, "DONE");
+	nr_answers = 0;
+	send_statement(s, STATEMENT_COMMIT, "COMMIT", NULL, NULL);
+	lose_answer(sent[nr_replied].link);
+	ck_assert_uint_eq(nr_answers, 0);
+	ck_assert_uint_eq(nr_closed, 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against a single write that is repeated because its answer is late. */
+START_TEST(test_lost_write)
+{
+	struct session *s;
+	unsigned i;
+
+	setup();
+	connect_and_learn("p", 2);
+	s = new_caller("own");
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	expect_command(LINK_FORWARD, "WRITE 1 x");
+	lose_answer(sent[nr_replied].link);
+	ck_assert_uint_eq(nr_answers, 0);
+	ck_assert_uint_eq(nr_closed, 0);
+	for (i = 1; i < nr_sent; i++)
+		ck_assert_int_ne(sent[i].verb, LINK_FORWARD);
+	teardown();
+}
+END_TEST
+
+/* Guards against reporting an upstream as failing because one connection broke
+ * while others work, and against not reporting it when all broke. */
+START_TEST(test_broken_connection)
+{
+	struct upstream *p;
+
+	setup();
+	p = connect_and_learn("p", 2);
+	link_closed(p->links->pdata[0], REFUSAL_NONE);
+	ck_assert_int_eq(p->failing_us, 0);
+	link_closed(p->links->pdata[0], REFUSAL_NONE);
+	ck_assert_int_ne(p->failing_us, 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against an upstream that counts as silent because one connection lost
+ * an answer: another connection is asked first. */
+START_TEST(test_silence_is_probed)
+{
+	struct upstream *p;
+	int64_t now_us;
+
+	setup();
+	p = connect_and_learn("p", 2);
+	send_statement(new_caller("own"), STATEMENT_WRITE, "WRITE 1 x", NULL,
+		       NULL);
+	p->last_answer_us = sent[0].link->sent_us;
+	now_us = clock_now_us();
+	upstreams_tick(entry, now_us + ENTRY_SILENCE_TIMEOUT_US / 2);
+	ck_assert_uint_eq(nr_sent, 2);
+	ck_assert_int_eq(sent[1].verb, LINK_BEGIN);
+	ck_assert_ptr_ne(sent[1].link, sent[0].link);
+	teardown();
+}
+END_TEST
+
+/*
+ * Guards against callers that wait at a daemon which a partition separates from
+ * the upstreams and from control: they are refused at once, and their sessions
+ * are closed so that they reach another daemon.
+ */
+START_TEST(test_cut_off)
+{
+	struct session *s;
+	struct upstream *p, *r;
+
+	setup();
+	p = g_hash_table_lookup(entry->known_upstreams, "p");
+	r = g_hash_table_lookup(entry->known_upstreams, "r");
+	upstream_note_failure(p, clock_now_us());
+	upstream_note_failure(r, clock_now_us());
+	s = new_caller("own");
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	ck_assert_uint_eq(nr_answers, 0);
+	entry->leader_last_reachable_us -= 4 * ENTRY_REPORT_INTERVAL_US;
+	service_dispatch(s->service);
+	ck_assert_uint_eq(nr_answers, 1);
+	ck_assert_int_eq(last_answer.refusal, REFUSAL_BUSY);
+	ck_assert_uint_eq(nr_ended, 0);
+	advance(1);
+	ck_assert_uint_eq(nr_ended, 1);
+	teardown();
+}
+END_TEST
+
 /* Guards against rejecting callers that connect shortly before the daemon
  * receives its routes. */
 START_TEST(test_early_caller)
@@ -793,4 +974,6 @@
 	  test_values_are_reset, test_prepared, test_caller_leaves,
 	  test_time_outs, test_one_log_in, test_leaving, test_route_removed,
 	  test_early_caller, test_handover, test_overloaded_handover,
-	  test_found_primary, test_silent_primary, test_drain)
+	  test_found_primary, test_silent_primary, test_drain, test_lost_read,
+	  test_lost_answer_in_transaction, test_lost_write,
+	  test_broken_connection, test_silence_is_probed, test_cut_off)
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -339,6 +339,65 @@
 }
 END_TEST
 
+/* Guards against a statement that waits at a home which cannot reach the
+ * upstreams, although this daemon or another home can. */
+START_TEST(test_home_is_cut_off)
+{
+	struct upstream *p, *r;
+	struct session *s;
+
+	setup();
+	p = g_hash_table_lookup(home->known_upstreams, "p");
+	r = g_hash_table_lookup(home->known_upstreams, "r");
+	upstream_note_failure(p, clock_now_us());
+	upstream_note_failure(r, clock_now_us());
+	s = new_caller_at(edge, "own");
+	nr_opened = nr_answers = 0;
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	run_loop();
+	ck_assert_uint_eq(home->sessions.length, 0);
+	ck_assert_ptr_null(s->home);
+	ck_assert_uint_eq(nr_answers, 0);
+	wait_for_homes();
+	complete_logins_at(edge);
+	expect_command(LINK_FORWARD, "WRITE 1 x");
+	ck_assert_ptr_eq(sent[0].link->upstream->entry, edge);
+	reply(REFUSAL_NONE, SESSION_IDLE, 41, "DONE x");
+	ck_assert_str_eq(last_result, "DONE x");
+	teardown();
+}
+END_TEST
+
+/*
+ * Guards against callers that wait at a daemon without any connection to an
+ * upstream, as its limit is reached, while another daemon has one.
+ */
+START_TEST(test_peer_runs_statement)
+{
+	struct home_set *set;
+	struct upstream *p;
+	struct session *s;
+
+	setup();
+	set = g_hash_table_lookup(edge->home_sets, "s");
+	set->all_daemons = true;
+	p = g_hash_table_lookup(edge->known_upstreams, "p");
+	p->connections_full_at_us = clock_now_us();
+	p->connect_after_us = clock_now_us() + 10000000;
+	s = new_caller_at(edge, "own");
+	nr_answers = 0;
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	run_and_log_in();
+	expect_command(LINK_FORWARD, "WRITE 1 x");
+	ck_assert_ptr_eq(sent[0].link->upstream->entry, home);
+	reply(REFUSAL_NONE, SESSION_IDLE, 41, "DONE x");
+	run_loop();
+	ck_assert_str_eq(last_result, "DONE x");
+	ck_assert_uint_eq(s->own.position.lsn, 41);
+	teardown();
+}
+END_TEST
+
 /* Guards against a caller that waits forever for a home that does not
  * answer. */
 START_TEST(test_home_silent)
@@ -357,4 +416,5 @@
 END_TEST
 
 TEST_MAIN("relay", test_statement, test_transaction, test_abandoned_transaction,
-	  test_home_lost, test_home_drains, test_home_aborts, test_home_silent)
+	  test_home_lost, test_home_drains, test_home_aborts, test_home_silent,
+	  test_home_is_cut_off, test_peer_runs_statement)
--- /dev/null
+++ b/tests/test_wait_limit.c
@@ -0,0 +1,56 @@
+#include "test_main.h"
+#include "wait_limit.h"
+
+static const struct wait_limit statement = { .arrived_us = 1000000,
+					     .target_us = 400000,
+					     .timeout_us = 1000000 };
+
+/* Guards against callers that learn only at the end of their target that there
+ * was no capacity, when another attempt cannot be in time any more. */
+START_TEST(test_overload)
+{
+	int64_t limit_us = wait_limit_saturated_us(&statement);
+
+	ck_assert_int_le(limit_us - statement.arrived_us,
+			 statement.target_us / 4);
+	ck_assert_int_eq(wait_limit_first_check_us(&statement), limit_us);
+	ck_assert_int_eq(wait_limit_next_check_us(&statement, limit_us - 1,
+						  limit_us),
+			 0);
+	ck_assert_int_ne(wait_limit_next_check_us(&statement, limit_us - 1,
+						  limit_us - 1),
+			 0);
+}
+END_TEST
+
+/* Guards against refusing statements during a promotion as if there was
+ * overload, and against keeping them until their time-out. */
+START_TEST(test_unavailable)
+{
+	int64_t limit_us = wait_limit_unavailable_us(&statement);
+	int64_t now_us, checks = 0;
+
+	for (now_us = wait_limit_first_check_us(&statement); now_us;
+	     now_us = wait_limit_next_check_us(&statement, 0, now_us)) {
+		ck_assert_int_le(now_us, limit_us);
+		checks++;
+	}
+	ck_assert_int_gt(checks, 1);
+	ck_assert_int_lt(limit_us - statement.arrived_us, statement.timeout_us);
+}
+END_TEST
+
+/* Guards against refusing at once what has a very short target, and against
+ * waiting beyond the time-out for a target that is longer. */
+START_TEST(test_other_targets)
+{
+	struct wait_limit w = { .target_us = 20000, .timeout_us = 1000000 };
+
+	ck_assert_int_eq(wait_limit_first_check_us(&w), WAIT_SATURATED_MIN_US);
+	w.target_us = 10000000;
+	ck_assert_int_eq(wait_limit_first_check_us(&w),
+			 wait_limit_unavailable_us(&w));
+}
+END_TEST
+
+TEST_MAIN("wait_limit", test_overload, test_unavailable, test_other_targets)
