Do not wait for the lease of a leader that lost its disk

Change: a VM that lost its disk has another identity at the same address. When it asks to join, on a connection opened after this process started, the former identity cannot run any more, and its lease need not be respected. Requests to join go out as soon as a connection opens. Only a lease read from the store is ended so, never that of a leader heard since the start.

--- a/control/peers.c
+++ b/control/peers.c
@@ -1,9 +1,12 @@
 #include "internal.h"
 
 #include "clock.h"
+#include "event_log.h"
 #include "raft_wire.h"
 #include "sighting_wire.h"
 
+#include <jansson.h>
+
 /* Maximum number of known control VM addresses. */
 #define MAX_PEERS 32
 
@@ -21,13 +24,41 @@
 	peer->retry_us = clock_now_us() + CHANNEL_RETRY_INTERVAL_US;
 }
 
-/* Requests sent while the VM was unreachable are lost, so Raft repeats them. */
+static bool is_voter(const struct control_node *node)
+{
+	const struct raft_members *m = raft_current_members(node->raft);
+	unsigned i;
+
+	for (i = 0; i < m->nr; i++)
+		if (m->member[i].id == node->id)
+			return m->member[i].voter;
+	return false;
+}
+
+/* Asks the peer to add this VM if it is no voter or knows no leader. */
+static void send_join(struct control_peer *peer)
+{
+	struct control_node *node = peer->node;
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Join join = WIRE__JOIN__INIT;
+
+	if (!node->raft || (is_voter(node) && raft_leader(node->raft)) ||
+	    !channel_is_open(&peer->channel))
+		return;
+	join.id = node->id;
+	envelope.body_case = WIRE__ENVELOPE__BODY_JOIN;
+	envelope.join = &join;
+	channel_send(&peer->channel, &envelope);
+}
+
+/* Requests sent while the VM was unreachable are lost, so they are repeated. */
 static void on_opened(struct channel *ch)
 {
 	struct control_peer *peer = ch->data;
 	struct raft *raft = peer->node->raft;
 	unsigned i;
 
+	send_join(peer);
 	for (i = 0; raft && i < raft_current_members(raft)->nr; i++) {
 		uint64_t id = raft_current_members(raft)->member[i].id;
 
@@ -182,12 +213,29 @@
 	channel_send(from, &envelope);
 }
 
+/*
+ * The sender runs, and its connection was opened after this process started. So
+ * if it has another identity than the leader that this VM heard before its start
+ * and the same address, that leader lost its disk and will not come back.
+ */
+static void note_identity(struct control_node *node, uint64_t id)
+{
+	uint64_t leader = node->raft ? raft_restored_leader(node->raft) : 0;
+
+	if (!leader || leader == id || leader >> 32 != id >> 32)
+		return;
+	event_log("former_leader_ended", "{s:I, s:I}", "leader",
+		  (json_int_t)leader, "replaced_by", (json_int_t)id);
+	raft_restored_leader_ended(node->raft, clock_now_us());
+}
+
 static void handle_join(struct control_node *node, struct channel *from,
 			const Wire__Join *join)
 {
 	struct control_peer *peer =
 		control_peer(node, (uint32_t)(join->id >> 32));
 
+	note_identity(node, join->id);
 	if (peer) {
 		peer->join_id = join->id;
 		peer->join_us = clock_now_us();
@@ -226,32 +274,6 @@
 	}
 }
 
-static bool is_voter(const struct control_node *node)
-{
-	const struct raft_members *m = raft_current_members(node->raft);
-	unsigned i;
-
-	for (i = 0; i < m->nr; i++)
-		if (m->member[i].id == node->id)
-			return m->member[i].voter;
-	return false;
-}
-
-/* Asks all connected peers to add this VM while it is no voter or knows no
- * leader. */
-static void request_join(struct control_node *node)
-{
-	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-	Wire__Join join = WIRE__JOIN__INIT;
-
-	if (!node->raft || (is_voter(node) && raft_leader(node->raft)))
-		return;
-	join.id = node->id;
-	envelope.body_case = WIRE__ENVELOPE__BODY_JOIN;
-	envelope.join = &join;
-	send_to_all(node, &envelope);
-}
-
 void control_peers_tick(struct control_node *node, int64_t now_us)
 {
 	guint i;
@@ -261,7 +283,8 @@
 						      ->member[i]
 						      .id >>
 					      32));
-	request_join(node);
+	for (i = 0; i < node->peers->len; i++)
+		send_join(node->peers->pdata[i]);
 }
 
 void control_peers_connect(struct control_node *node)
--- a/coordination/raft_election.c
+++ b/coordination/raft_election.c
@@ -50,6 +50,7 @@
 	raft->last_contact_us = raft->now_us;
 	raft->lease_leader = leader;
 	raft->lease_term = raft->hs.term;
+	raft->lease_restored = false;
 	raft_reset_deadline(raft);
 	if (raft->hs.voted_for == leader || raft->hs.leader == leader)
 		return;
@@ -60,6 +61,7 @@
 static void release_leader_lease(struct raft *raft)
 {
 	raft->lease_leader = 0;
+	raft->lease_restored = false;
 	raft->last_contact_us = raft->now_us - raft->config.election_timeout_us;
 }
 
@@ -93,12 +95,29 @@
 	raft_reset_deadline(raft);
 	raft->lease_leader = hs->leader ? hs->leader : hs->voted_for;
 	raft->lease_term = hs->term;
+	raft->lease_restored = true;
 	if (raft->lease_leader != raft->config.id)
 		return;
 	release_leader_lease(raft);
 	raft->election_deadline_us = raft->now_us;
 }
 
+uint64_t raft_restored_leader(const struct raft *raft)
+{
+	return raft->lease_restored ? raft->lease_leader : 0;
+}
+
+void raft_restored_leader_ended(struct raft *raft, int64_t now_us)
+{
+	if (!raft->lease_restored)
+		return;
+	raft->now_us = MAX(raft->now_us, now_us);
+	release_leader_lease(raft);
+	if (raft->role == RAFT_FOLLOWER)
+		set_election_timeout(raft, raft->config.election_timeout_us /
+						   PRE_VOTE_RETRY_DIVISOR / 2);
+}
+
 static void count_vote(struct raft *raft, uint64_t id)
 {
 	unsigned i;
--- a/include/raft.h
+++ b/include/raft.h
@@ -249,6 +249,19 @@
  * Requires that clock rates differ by less than RAFT_CLOCK_MARGIN_PERMILLE.
  */
 int64_t raft_lease_until_us(const struct raft *raft);
+/**
+ * raft_restored_leader() - leader that this node heard before its start and not
+ * since, whose lease keeps it from voting for others; 0 if there is none
+ */
+uint64_t raft_restored_leader(const struct raft *raft);
+/**
+ * raft_restored_leader_ended() - raft_restored_leader() does not run any more
+ *
+ * Its lease has ended with it, so this node may vote at once. To be called only
+ * if a process that ran after the start of this one proves it: one that runs in
+ * its place with another disk.
+ */
+void raft_restored_leader_ended(struct raft *raft, int64_t now_us);
 /** raft_last_reply_us() - when member @id last replied to this leader, or -1 */
 int64_t raft_last_reply_us(const struct raft *raft, uint64_t id);
 /** raft_match_index() - last entry known to be synced on member @id; leader */
--- a/include/raft_internal.h
+++ b/include/raft_internal.h
@@ -96,6 +96,8 @@
  * @lease_leader: leader whose lease may depend on this node not voting for
  *            another, 0 for none
  * @lease_term: the term in which it led
+ * @lease_restored: whether @lease_leader was read from the store at the start
+ *                  and that leader was not heard since
  * @pre_vote_granted_to: candidate whose pre-vote was granted last, 0 for none
  * @round: number of the last heartbeat round
  * @round_sent_us: send time of a heartbeat round, by its number modulo the size
@@ -112,6 +114,7 @@
 	int64_t last_contact_us;
 	uint64_t lease_leader;
 	uint64_t lease_term;
+	bool lease_restored;
 	uint64_t pre_vote_granted_to;
 	int64_t pre_vote_granted_us;
 	int64_t election_deadline_us;
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -391,6 +391,32 @@
 }
 END_TEST
 
+/* Guards against waiting for the lease of a leader that lost its disk: with two
+ * of five disks lost, the others elect a leader before that lease would end. */
+START_TEST(test_leader_disk_lost)
+{
+	unsigned lost, i;
+	int64_t started_us;
+
+	start_group(5);
+	put_config(7, "seven");
+	lost = leader_index();
+	for (i = 0; i < 5; i++)
+		stop_vm(i);
+	erase_disk(lost);
+	erase_disk((lost + 1) % 5);
+	started_us = clock_now_us();
+	for (i = 0; i < 5; i++)
+		start_vm(i, false);
+	ck_assert(run_until(has_leader, 5));
+	ck_assert_int_lt(clock_now_us() - started_us,
+			 CONTROL_ELECTION_TIMEOUT_US);
+	expect_config(7, "seven");
+	ck_assert(run_until(all_members_run, 10));
+	stop_group();
+}
+END_TEST
+
 static bool new_vm_has_config(void)
 {
 	return vms[5].node->reg.version == 7;
@@ -786,7 +812,8 @@
 
 TEST_MAIN("control_node", test_unreachable_daemon_count,
 	  test_upstream_answers_daemon, test_handover_executor, test_all_stop,
-	  test_new_leader_sends_config, test_two_disks_lost, test_replaced,
-	  test_minority, test_sightings_survive_restart,
-	  test_outdated_sightings_file, test_promotion_needs_lease,
-	  test_minority_sends_no_config, test_one_roster, test_leaving_primary)
+	  test_new_leader_sends_config, test_two_disks_lost,
+	  test_leader_disk_lost, test_replaced, test_minority,
+	  test_sightings_survive_restart, test_outdated_sightings_file,
+	  test_promotion_needs_lease, test_minority_sends_no_config,
+	  test_one_roster, test_leaving_primary)
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -351,6 +351,35 @@
 }
 END_TEST
 
+/*
+ * Guards against waiting for a leader that lost its disk, and against ending
+ * the lease of a leader that was heard since the start.
+ */
+START_TEST(test_leader_without_disk)
+{
+	struct sim *sim = sim_new(9, 3);
+	uint64_t leader = sim_wait_for_leader(sim)->id;
+	uint64_t id = leader % 3 + 1;
+	struct raft_message msg = vote_request(id % 3 + 1, id, 50);
+	struct raft *raft = sim->node[id].raft;
+
+	ck_assert_uint_eq(raft_restored_leader(raft), 0);
+	raft_restored_leader_ended(raft, sim->now_us);
+	raft_receive(raft, &msg, sim->now_us);
+	ck_assert_uint_lt(raft_term(raft), 50);
+	sim_crash(sim, id);
+	sim_start(sim, id);
+	raft = sim->node[id].raft;
+	ck_assert_uint_eq(raft_restored_leader(raft), leader);
+	raft_receive(raft, &msg, sim->now_us);
+	ck_assert_uint_lt(raft_term(raft), 50);
+	raft_restored_leader_ended(raft, sim->now_us);
+	raft_receive(raft, &msg, sim->now_us);
+	ck_assert_uint_eq(raft_term(raft), 50);
+	sim_free(sim);
+}
+END_TEST
+
 static void stop_all(struct sim *sim)
 {
 	unsigned i;
@@ -680,9 +709,9 @@
 	  test_lease_is_exclusive, test_snapshot_to_late_node,
 	  test_flow_control, test_propose_while_applying, test_seeded_jitter,
 	  test_malformed_messages, test_vote_survives_restart,
-	  test_restart_respects_lease, test_empty_node_does_not_vote,
-	  test_replaced_entries_are_unsynced, test_third_node_decides,
-	  test_stop_of_all_needs_no_timeout,
+	  test_restart_respects_lease, test_leader_without_disk,
+	  test_empty_node_does_not_vote, test_replaced_entries_are_unsynced,
+	  test_third_node_decides, test_stop_of_all_needs_no_timeout,
 	  test_only_leader_heard_gets_early_vote, test_upgrade_respects_lease,
 	  test_late_pre_vote_of_leader, test_lease_is_exclusive_over_stops,
 	  test_pre_vote_repeated_on_connection)
