Order what waits by the caller's first attempt and by mean costs

Cause 1: a caller that was refused, or waited for the routes, and comes back at once was treated like one that had just arrived, though its target counts from its first attempt.

--- a/coordination/send_window.c
+++ b/coordination/send_window.c
@@ -41,6 +41,12 @@
 	reduce(w, REFUSED_FACTOR, now_us);
 }
 
+bool send_window_is_queueing(const struct send_window *w)
+{
+	return w->latency_us * 100 >
+	       w->base_latency_us * SEND_WINDOW_QUEUEING_PERCENT;
+}
+
 bool send_window_allows(const struct send_window *w, unsigned in_flight)
 {
 	return (double)(in_flight + 1) <= w->size;
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -125,7 +125,10 @@
 
 static struct urgency urgency_of(const struct session *s, int64_t now_us)
 {
-	int64_t since_us = s->tx == TX_OPEN ? s->tx_begun_us : s->arrived_us;
+	int64_t since_us = s->asked_us;
+
+	if (s->tx == TX_OPEN)
+		since_us = MIN(since_us, s->tx_begun_us);
 
 	return (struct urgency){
 		.priority = s->route->priority,
--- a/entry/guest.c
+++ b/entry/guest.c
@@ -245,6 +245,8 @@
 	copy_statement(s, in);
 	s->last_active_us = now_us;
 	s->arrived_us = now_us - (int64_t)in->arrived_age_us;
+	s->asked_us =
+		now_us - (int64_t)MAX(in->asked_age_us, in->arrived_age_us);
 	request_start(s);
 }
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -139,8 +139,9 @@
  * struct service - upstreams of one service and sessions that wait for them
  * @samples: log positions of the primary
  * @waiting: sessions that wait for a connection, in any order
- * @cost_us: smoothed time of a statement at the upstream, by read rule
- * @answer_times: the same with its deviation, to find lost answers
+ * @cost_us: smoothed time of a statement at an upstream where no statements
+ *           queue, by read rule
+ * @answer_times: times of all answers with their deviation, by read rule
  * @repeat_budget: limits the statements repeated because of lost answers
  * @window_full_at_us: when a statement was last delayed because the send window
  *                  of an upstream was full
@@ -251,6 +252,10 @@
  * @tx_wrote: whether a statement of the transaction wrote
  * @statement: the outstanding statement
  * @arrived_us: when @statement arrived
+ * @asked_us: since when the caller has waited for @statement: earlier than
+ *            @arrived_us if it waited for the routes or was refused right
+ *            before; 0 if nothing is asked for
+ * @may_ask_again_us: when it was last refused, or told that the session started
  * @statement_sent_us: when @statement was sent to the upstream
  * @last_dispatch: number of the dispatch that last examined it
  * @timer: time-out of the current phase
@@ -293,6 +298,8 @@
 	struct statement statement;
 	enum request_phase phase;
 	int64_t arrived_us;
+	int64_t asked_us;
+	int64_t may_ask_again_us;
 	int64_t statement_sent_us;
 	uint64_t last_dispatch;
 	int timer;
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -50,6 +50,7 @@
 	out->staleness_us = (uint64_t)s->route->staleness_us;
 	out->priority = s->route->priority;
 	out->arrived_age_us = age(s->arrived_us, now_us);
+	out->asked_age_us = age(s->asked_us, now_us);
 	out->transaction_age_us = age(s->tx_begun_us, now_us);
 	out->transaction = s->tx;
 	out->plain = s->tx_may_write;
--- a/entry/request.c
+++ b/entry/request.c
@@ -13,6 +13,8 @@
 #define RELAY_MARGIN_US (60 * 1000ll)
 /* Pause after an upstream refused a statement for lack of capacity. */
 #define BUSY_PAUSE_US (15 * 1000ll)
+/* Time in which a refused caller that wants the same again asks for it. */
+#define ASK_AGAIN_WITHIN_US (200 * 1000ll)
 /* Pause before an upstream that is not the primary is asked again. */
 #define NOT_PRIMARY_PAUSE_US (120 * 1000ll)
 
@@ -56,6 +58,9 @@
 	stop_timer(s);
 	dequeue(s);
 	s->phase = REQUEST_NONE;
+	s->may_ask_again_us = now_us;
+	if (answer->refusal != REFUSAL_BUSY && s->tx != TX_OPEN)
+		s->asked_us = 0;
 	if (!answer->refusal) {
 		s->close_when_idle = false;
 		entry_count(entry, ENTRY_COUNT_DONE, 1);
@@ -256,13 +261,25 @@
 	route_request(s);
 }
 
+/* A caller that was refused and comes back at once asks for the same again, so
+ * its target counts from its first attempt. */
+static void note_asked(struct session *s, int64_t now_us)
+{
+	if (s->tx == TX_OPEN && s->tx_answered)
+		return;
+	if (!s->asked_us || now_us - s->may_ask_again_us > ASK_AGAIN_WITHIN_US)
+		s->asked_us = now_us;
+}
+
 void request_start(struct session *s)
 {
 	int64_t now_us = clock_now_us();
 
 	entry_count(s->entry, ENTRY_COUNT_STATEMENTS, 1);
-	if (!s->remote_caller)
+	if (!s->remote_caller) {
 		s->arrived_us = now_us;
+		note_asked(s, now_us);
+	}
 	s->attempts = 0;
 	s->classified = false;
 	g_clear_pointer(&s->last_upstream, g_free);
@@ -555,23 +572,31 @@
 	request_complete(s, &out);
 }
 
-/* Divisors of the cost's moving average, for falling and for rising values. The
- * cost follows lower values faster, so that it estimates the time of a
- * statement that does not queue at the upstream. */
-#define COST_FALL_DIVISOR 8
-#define COST_RISE_DIVISOR 128
+/* Divisor: weight of a new sample in the moving average of a kind's cost. */
+#define COST_DIVISOR 32
 
-static void note_duration(struct session *s, int64_t now_us)
+/*
+ * The cost is the work of one kind of statement, which orders what waits. While
+ * statements queue at the upstream, their durations say little about it.
+ */
+static void note_cost(struct session *s, int64_t duration_us)
 {
 	int64_t *cost_us = &s->service->cost_us[s->route->rule];
+
+	if (!*cost_us)
+		*cost_us = duration_us;
+	else if (!send_window_is_queueing(&s->link->upstream->window))
+		*cost_us += (duration_us - *cost_us) / COST_DIVISOR;
+}
+
+static void note_duration(struct session *s, int64_t now_us)
+{
 	int64_t duration_us = now_us - s->statement_sent_us;
 
 	answer_time_add(&s->service->answer_times[s->route->rule], duration_us);
 	repeat_budget_answered(&s->service->repeat_budget);
+	note_cost(s, duration_us);
 	send_window_answered(&s->link->upstream->window, duration_us, now_us);
-	*cost_us += (duration_us - *cost_us) / (duration_us < *cost_us ?
-							COST_FALL_DIVISOR :
-							COST_RISE_DIVISOR);
 }
 
 static void count_in_summary(struct session *s,
--- a/entry/session.c
+++ b/entry/session.c
@@ -69,6 +69,8 @@
 static void finish_start(struct session *s)
 {
 	s->awaiting_routes = false;
+	s->asked_us = s->last_active_us;
+	s->may_ask_again_us = clock_now_us();
 	if (g_hash_table_contains(s->entry->table->routes, s->database))
 		s->ops->started(s->handle);
 	else
--- a/include/send_window.h
+++ b/include/send_window.h
@@ -22,6 +22,8 @@
 #define SEND_WINDOW_BASE_GROWTH_DIVISOR 512
 /** The window shrinks if latency exceeds this percentage of the base. */
 #define SEND_WINDOW_SLOW_PERCENT 250
+/** Statements queue if latency exceeds this percentage of the base. */
+#define SEND_WINDOW_QUEUEING_PERCENT 150
 /** Minimum time between two reductions, microseconds. */
 #define SEND_WINDOW_REDUCTION_INTERVAL_US (60 * 1000ll)
 
@@ -44,6 +46,8 @@
 void send_window_answered(struct send_window *w, int64_t us, int64_t now_us);
 /** send_window_refused() - record that the upstream rejected a statement */
 void send_window_refused(struct send_window *w, int64_t now_us);
+/** send_window_is_queueing() - whether statements wait for others there */
+bool send_window_is_queueing(const struct send_window *w);
 /** send_window_allows() - whether to send one more with @in_flight sent */
 bool send_window_allows(const struct send_window *w, unsigned in_flight);
 
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -5793,7 +5793,7 @@
   (ProtobufCMessageInit) wire__session_value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__relay_request__field_descriptors[22] =
+static const ProtobufCFieldDescriptor wire__relay_request__field_descriptors[23] =
 {
   {
     "session",
@@ -6059,10 +6059,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_age_us",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, asked_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__relay_request__field_indices_by_name[] = {
   19,   /* field[19] = arguments */
   6,   /* field[6] = arrived_age_us */
+  22,   /* field[22] = asked_age_us */
   20,   /* field[20] = begun */
   14,   /* field[14] = id */
   16,   /* field[16] = name */
@@ -6087,7 +6100,7 @@
 static const ProtobufCIntRange wire__relay_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor wire__relay_request__descriptor =
 {
@@ -6097,7 +6110,7 @@
   "Wire__RelayRequest",
   "wire",
   sizeof(Wire__RelayRequest),
-  22,
+  23,
   wire__relay_request__field_descriptors,
   wire__relay_request__field_indices_by_name,
   1,  wire__relay_request__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -818,10 +818,14 @@
    */
   protobuf_c_boolean begun;
   uint64_t target_us;
+  /*
+   * How long the caller has waited for this, with earlier attempts.
+   */
+  uint64_t asked_age_us;
 };
 #define WIRE__RELAY_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__relay_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__RelayAnswer
