Keep the statement that is sent next for half of its target

They would have been sent at the next answer.

Change: a statement that no other one goes before may wait for half of its target; limits are checked every 20 ms (60 ms).

--- a/coordination/wait_limit.c
+++ b/coordination/wait_limit.c
@@ -7,7 +7,9 @@
 
 int64_t wait_limit_saturated_us(const struct wait_limit *w)
 {
-	int64_t wait_us = w->target_us * WAIT_SATURATED_PERCENT / 100;
+	int64_t percent = w->first_in_line ? WAIT_FIRST_IN_LINE_PERCENT :
+					     WAIT_SATURATED_PERCENT;
+	int64_t wait_us = w->target_us * percent / 100;
 
 	if (wait_us < WAIT_SATURATED_MIN_US)
 		wait_us = WAIT_SATURATED_MIN_US;
@@ -34,5 +36,5 @@
 	if (now_us >= end_us ||
 	    (saturated && now_us >= wait_limit_saturated_us(w)))
 		return 0;
-	return earlier(end_us, now_us + WAIT_SATURATED_VALID_US);
+	return earlier(end_us, now_us + WAIT_CHECK_INTERVAL_US);
 }
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -137,6 +137,22 @@
 	};
 }
 
+bool service_is_first_in_line(const struct session *s, int64_t now_us)
+{
+	struct urgency own = urgency_of(s, now_us);
+	GList *node;
+
+	for (node = s->service->waiting.head; node; node = node->next) {
+		const struct session *other = node->data;
+		struct urgency urgency = urgency_of(other, now_us);
+
+		if (other != s && other->needs_primary == s->needs_primary &&
+		    urgency_before(&urgency, &own))
+			return false;
+	}
+	return true;
+}
+
 /* The most urgent session that this dispatch has not examined yet. */
 static struct session *most_urgent(const struct service *svc, bool try_primary,
 				   bool try_replicas, int64_t now_us)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -631,6 +631,9 @@
 /* dispatch.c */
 /** service_dispatch() - assign idle connections to waiting sessions */
 void service_dispatch(struct service *svc);
+/** service_is_first_in_line() - whether no waiting session that needs the
+ * primary, or none that does not, as the case of @s may be, goes before it */
+bool service_is_first_in_line(const struct session *s, int64_t now_us);
 /** services_dispatch() - the same for all services */
 void services_dispatch(struct entry *entry);
 
--- a/entry/request.c
+++ b/entry/request.c
@@ -340,7 +340,10 @@
 static void check_waiting(struct session *s, int64_t now_us)
 {
 	struct wait_limit limit = wait_limit_of(s);
-	int64_t next_us = wait_limit_next_check_us(
+	int64_t next_us;
+
+	limit.first_in_line = service_is_first_in_line(s, now_us);
+	next_us = wait_limit_next_check_us(
 		&limit, s->service->window_full_at_us, now_us);
 
 	if (next_us) {
--- a/tests/test_wait_limit.c
+++ b/tests/test_wait_limit.c
@@ -23,6 +23,22 @@
 }
 END_TEST
 
+/* Guards against refusing the statement whose turn comes next, for which the
+ * queue of another daemon is no better, and against keeping it too long. */
+START_TEST(test_first_in_line)
+{
+	struct wait_limit first = statement;
+	int64_t limit_us = wait_limit_saturated_us(&statement);
+
+	first.first_in_line = true;
+	ck_assert_int_ne(wait_limit_next_check_us(&first, limit_us, limit_us),
+			 0);
+	limit_us = first.arrived_us + first.target_us;
+	ck_assert_int_eq(wait_limit_next_check_us(&first, limit_us, limit_us),
+			 0);
+}
+END_TEST
+
 /* Guards against refusing statements during a promotion as if there was
  * overload, and against keeping them until their time-out. */
 START_TEST(test_unavailable)
@@ -53,4 +69,5 @@
 }
 END_TEST
 
-TEST_MAIN("wait_limit", test_overload, test_unavailable, test_other_targets)
+TEST_MAIN("wait_limit", test_overload, test_first_in_line, test_unavailable,
+	  test_other_targets)
