--- a/entry/host.c
+++ b/entry/host.c
@@ -28,6 +28,9 @@
 /* Silence of an upstream after which another connection is probed: one that
  * lost an answer must not make the upstream count as failing. */
 #define SILENCE_PROBE_AFTER_US (100 * 1000ll)
+/* A primary whose full send window delayed a statement within this time is
+ * saturated. */
+#define STRAINED_WITHIN_US (100 * 1000ll)
 /* Interval at which upstreams are probed for the primary. */
 #define PROBE_INTERVAL_US (100 * 1000ll)
 /* A service that was not used for this long is not sampled. */
@@ -476,6 +479,39 @@
 			log_summary(svc, now_us);
 }
 
+/* Whether the primary runs all reads, as all replicas lag too far for them, and
+ * is saturated by them. */
+static bool is_strained(struct service *svc, int64_t now_us)
+{
+	const struct upstream *primary = upstream_primary(svc, now_us);
+	unsigned nr_lagging = 0;
+	guint i;
+
+	if (!primary || now_us - primary->saturated_at_us > STRAINED_WITHIN_US)
+		return false;
+	for (i = 0; i < svc->known_upstreams->len; i++) {
+		const struct upstream *upstream =
+			svc->known_upstreams->pdata[i];
+
+		if (upstream == primary || upstream->gone || upstream->leaving)
+			continue;
+		if (upstream->lag_us <= PROMOTION_MAX_LAG_US)
+			return false;
+		nr_lagging++;
+	}
+	return nr_lagging > 0;
+}
+
+/* Control is told at once, since it hands such a primary over. */
+static void report_strain(struct service *svc, int64_t now_us)
+{
+	bool strained = is_strained(svc, now_us);
+
+	if (strained && !svc->strained)
+		watch_report_at(svc->entry, now_us);
+	svc->strained = strained;
+}
+
 void upstreams_tick(struct entry *entry, int64_t now_us)
 {
 	struct service *svc;
@@ -492,6 +528,7 @@
 	g_hash_table_iter_init(&it, entry->services);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&svc)) {
 		sample_primary(svc, now_us);
+		report_strain(svc, now_us);
 		service_dispatch(svc);
 	}
 }
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -145,6 +145,7 @@
  * @repeat_budget: limits the statements repeated because of lost answers
  * @window_full_at_us: when a statement was last delayed because the send window
  *                  of an upstream was full
+ * @strained: whether its primary was saturated while all replicas lagged
  * @last_used_us: when a session last needed a connection
  * @last_probe_us: when the upstreams were last probed for the primary
  * @dispatching: guards service_dispatch() against recursion
@@ -161,6 +162,7 @@
 	struct answer_time answer_times[3];
 	struct repeat_budget repeat_budget;
 	int64_t window_full_at_us;
+	bool strained;
 	int64_t last_used_us;
 	int64_t last_probe_us;
 	bool dispatching;
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -14,6 +14,8 @@
 /* An upstream is reported as saturated if its full send window delayed a
  * statement within this time. */
 #define SATURATED_US (400 * 1000ll)
+/* Time since its last answer for which an upstream is reported as answering. */
+#define ANSWERED_RECENTLY_US (1500 * 1000ll)
 /* Largest replication lag that is reported. */
 #define MAX_LAG_US (3600 * 1000000ll)
 /* Time after which the leader counts as unreachable and all control VMs
@@ -210,9 +212,9 @@
 	while (g_hash_table_iter_next(&it, NULL, (void **)&upstream)) {
 		Wire__UpstreamHealth *out;
 
-		if (upstream->gone || (!upstream->failing_us &&
-				       now_us - upstream->last_answer_us >
-					       CHANNEL_USER_TIMEOUT_MS * 1000))
+		if (upstream->gone ||
+		    (!upstream->failing_us &&
+		     now_us - upstream->last_answer_us > ANSWERED_RECENTLY_US))
 			continue;
 		out = g_new(Wire__UpstreamHealth, 1);
 		wire__upstream_health__init(out);
