--- a/include/send_window.h
+++ b/include/send_window.h
@@ -15,7 +15,7 @@
  */
 
 /** Initial, smallest and largest window, statements. */
-#define SEND_WINDOW_INITIAL 3.0
+#define SEND_WINDOW_INITIAL 2.0
 #define SEND_WINDOW_MIN 1.0
 #define SEND_WINDOW_MAX 16.0
 /** Divisor: the base latency rises by this fraction per answered statement. */
