Name files by what they hold, count what a service did not do

Cause: host.c, guest.c and memory.c do not say what they hold, and the summary of a service had a field not_done that nothing counted.

Change: entry/upstream.c, entry/relay_clients.c, control/sightings_file.c; the summary counts what was not done, refused while it waited, and relayed.

--- a/control/internal.h
+++ b/control/internal.h
@@ -300,7 +300,7 @@
 void control_view_clear(Wire__View *view);
 void control_watchers_free(struct control_node *node);
 
-/* memory.c */
+/* sightings_file.c */
 /** control_sightings_save() - save sightings and roster if a save is due */
 void control_sightings_save(struct control_node *node, int64_t now_us);
 /** control_sightings_load() - load sightings and roster after a restart */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -121,7 +121,9 @@
  * struct service_summary - statement counts since the last log summary
  * @done: statements that succeeded
  * @writes: those of @done that wrote or committed
- * @not_done: statements that did not succeed
+ * @not_done: statements that did not succeed, also those relayed elsewhere
+ * @waits_refused: those of @not_done that were refused while they waited
+ * @relayed: statements passed on to another daemon
  * @waited_us: sum over @done of the time from arrival until it was sent
  * @upstream_us: sum over @done of the time at the upstream
  * @refusals: refusals by upstreams, indexed by kind
@@ -130,6 +132,8 @@
 	unsigned done;
 	unsigned writes;
 	unsigned not_done;
+	unsigned waits_refused;
+	unsigned relayed;
 	int64_t waited_us;
 	int64_t upstream_us;
 	unsigned refusals[REFUSAL_NR];
@@ -491,7 +495,7 @@
 /** entry_random() - 24 random bits, not for cryptographic use */
 uint32_t entry_random(struct entry *entry);
 
-/* host.c */
+/* upstream.c */
 /** service_get() - the service of this name, created if needed */
 struct service *service_get(struct entry *entry, const char *name);
 void service_free(void *data);
@@ -614,7 +618,7 @@
 void relay_answered(struct home_link *home, const Wire__RelayAnswer *answer);
 void relay_home_lost(struct home_link *home);
 
-/* guest.c */
+/* relay_clients.c */
 bool relay_clients_listen(struct entry *entry, GError **error);
 void relay_clients_tick(struct entry *entry);
 void relay_clients_close(struct entry *entry);
--- a/entry/request.c
+++ b/entry/request.c
@@ -67,6 +67,7 @@
 		histogram_add(&entry->answer_times[s->route->rule],
 			      now_us - s->arrived_us);
 	} else {
+		s->service->summary.not_done++;
 		entry_count(entry,
 			    refusal_had_no_effect(answer->refusal) ?
 				    ENTRY_COUNT_REFUSED :
@@ -185,6 +186,7 @@
 {
 	start_timer(s,
 		    s->arrived_us + s->route->statement_us + RELAY_MARGIN_US);
+	s->service->summary.relayed++;
 	relay_start(s, home);
 }
 
@@ -352,6 +354,7 @@
 	}
 	if (s->tx == TX_OPEN)
 		session_end_transaction(s, TX_FAILED);
+	s->service->summary.waits_refused++;
 	refuse(s, REFUSAL_BUSY, "no upstream was free in time");
 }
 
--- a/entry/host.c
+++ b/entry/upstream.c
@@ -453,10 +453,12 @@
 	if (!sum->done && !sum->not_done)
 		return;
 	event_log("service_summary",
-		  "{s:s, s:i, s:i, s:i, s:I, s:I, s:i, s:i, s:i, s:i, s:i}",
+		  "{s:s, s:i, s:i, s:i, s:i, s:i, s:I, s:I, "
+		  "s:i, s:i, s:i, s:i, s:i}",
 		  "service", svc->name, "done", (int)sum->done, "writes",
 		  (int)sum->writes, "not_done", (int)sum->not_done,
-		  "mean_wait_us",
+		  "waits_refused", (int)sum->waits_refused, "relayed",
+		  (int)sum->relayed, "mean_wait_us",
 		  (json_int_t)(sum->waited_us / MAX(sum->done, 1)),
 		  "mean_upstream_us",
 		  (json_int_t)(sum->upstream_us / MAX(sum->done, 1)), "waiting",
--- a/tests/ablation.sh
+++ b/tests/ablation.sh
@@ -30,7 +30,7 @@
 relays to peers%coordination/relay_policy.c%return nr > 0 || nr_failing > 0;%return false;
 refusal when cut off%entry/peer_relay.c%if (watch_leader_is_unreachable(%if (0 \&\& watch_leader_is_unreachable(%
 lost answers%coordination/answer_time.c%return now_us - sent_us > overdue_us \&\&%return 0 \&\&%
-probe of a silent upstream%entry/host.c%if (link->outstanding->len \&\& waited_us > SILENCE_PROBE_AFTER_US%if (0 \&\& waited_us > SILENCE_PROBE_AFTER_US%
+probe of a silent upstream%entry/upstream.c%if (link->outstanding->len \&\& waited_us > SILENCE_PROBE_AFTER_US%if (0 \&\& waited_us > SILENCE_PROBE_AFTER_US%
 primary's price in placement%include/placement.h%PRIMARY_COST_PERCENT 300%PRIMARY_COST_PERCENT 100
 price of a zone%include/placement.h%CROSS_ZONE_COST_US (4 \* 1000ll)%CROSS_ZONE_COST_US 0ll
 price of a new connection%include/placement.h%CONNECT_COST_US (12 \* 1000ll)%CONNECT_COST_US 0ll
@@ -38,10 +38,10 @@
 pause after BUSY%entry/request.c%BUSY_PAUSE_US (15 \* 1000ll)%BUSY_PAUSE_US 1000ll
 lag learned from answers%entry/dispatch.c%LAG_VALID_US (200 \* 1000ll)%LAG_VALID_US 0ll
 one log-in at a time%entry/dispatch.c%if (!has_opening_link(candidates\[chosen\]))%if (1 || has_opening_link(candidates[chosen]))
-spare connections%entry/host.c%MAX(connection_share(upstream) / 2, 1) : 0%connection_share(upstream) : 0
-own search for the primary%entry/host.c%if (!upstream || upstream->failing_us)%if (!upstream)
+spare connections%entry/upstream.c%MAX(connection_share(upstream) / 2, 1) : 0%connection_share(upstream) : 0
+own search for the primary%entry/upstream.c%if (!upstream || upstream->failing_us)%if (!upstream)
 handover of a strained primary%control/promotions.c%if (!promotion_all_replicas_lag(view)) {%if (1) {
-immediate report of strain%entry/host.c%if (strained \&\& !svc->strained)%if (0)
+immediate report of strain%entry/upstream.c%if (strained \&\& !svc->strained)%if (0)
 former leader first%coordination/raft_election.c%raft->election_deadline_us = raft->now_us;%;
 leader without disk%control/peers.c%	note_identity(node, join->id);%	if (0) note_identity(node, join->id);
 short connection attempts%include/channel.h%CONNECT_TIMEOUT_US (50 \* 1000ll)%CONNECT_TIMEOUT_US (400 * 1000ll)
