--- a/entry/request.c
+++ b/entry/request.c
@@ -347,7 +347,6 @@
 	limit.first_in_line = service_is_first_in_line(s, now_us);
 	next_us = wait_limit_next_check_us(
 		&limit, s->service->window_full_at_us, now_us);
-
 	if (next_us) {
 		start_timer(s, next_us);
 		return;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -738,16 +738,16 @@
 {
 	struct upstream *upstream =
 		g_hash_table_lookup(entry->known_upstreams, id);
+	struct service *svc = upstream->service;
 	unsigned i;
 
 	for (i = 0; i < nr; i++)
 		link_open(upstream);
 	complete_logins();
 	for (i = 0; i < 50; i++) {
-		answer_time_add(
-			&upstream->service->answer_times[READ_OWN_WRITES],
-			10000);
-		repeat_budget_answered(&upstream->service->repeat_budget);
+		answer_time_add(&svc->answer_times[READ_OWN_WRITES], 10000);
+		answer_time_add(&svc->answer_times[READ_BOUNDED], 10000);
+		repeat_budget_answered(&svc->repeat_budget);
 	}
 	return upstream;
 }
@@ -847,6 +847,22 @@
 }
 END_TEST
 
+/* Guards against giving up a handover whose question waits for a slot of the
+ * saturated primary longer than other answers take. */
+START_TEST(test_slow_handover)
+{
+	struct link_command status = { .verb = LINK_STATUS };
+	struct upstream *p;
+
+	setup();
+	p = connect_and_learn("p", 1);
+	link_send(p->links->pdata[0], LINK_PURPOSE_HANDOVER, &status);
+	lose_answer(p->links->pdata[0]);
+	ck_assert_uint_eq(nr_closed, 0);
+	teardown();
+}
+END_TEST
+
 /* Guards against reporting an upstream as failing because one connection broke
  * while others work, and against not reporting it when all broke. */
 START_TEST(test_broken_connection)
@@ -975,5 +991,5 @@
 	  test_time_outs, test_one_log_in, test_leaving, test_route_removed,
 	  test_early_caller, test_handover, test_overloaded_handover,
 	  test_found_primary, test_silent_primary, test_drain, test_lost_read,
-	  test_lost_answer_in_transaction, test_lost_write,
+	  test_lost_answer_in_transaction, test_lost_write, test_slow_handover,
 	  test_broken_connection, test_silence_is_probed, test_cut_off)
