Look for unreachable upstreams only while statements wait

Cause, from the read-through: each dispatch, and so each answer of an upstream, collected the waiting sessions twice, also when none wait or all upstreams are reached, as is nearly always so.

Change: nothing is done for an empty queue, and sessions are collected only if the upstreams cannot be reached.

--- a/entry/peer_relay.c
+++ b/entry/peer_relay.c
@@ -63,10 +63,13 @@
 
 static void relay_all(struct service *svc, bool needs_primary, int64_t now_us)
 {
-	g_autoptr(GPtrArray) sessions = waiting_sessions(svc, needs_primary);
+	g_autoptr(GPtrArray) sessions = NULL;
 	guint i, nr = 0;
 
-	if (!sessions->len || !is_unreachable(svc, needs_primary, now_us))
+	if (!is_unreachable(svc, needs_primary, now_us))
+		return;
+	sessions = waiting_sessions(svc, needs_primary);
+	if (!sessions->len)
 		return;
 	for (i = 0; i < sessions->len; i++) {
 		if (!request_relay_to_peer(sessions->pdata[i]))
@@ -85,6 +88,8 @@
 
 void service_relay_unreachable(struct service *svc, int64_t now_us)
 {
+	if (g_queue_is_empty(&svc->waiting))
+		return;
 	relay_all(svc, true, now_us);
 	relay_all(svc, false, now_us);
 }
