Log what a promotion was decided by and logs that were cut

Cause: the logs could not tell the hypotheses on STALE apart: neither the log positions that the leader compared nor a log that became shorter after a change of primary was written.

Change: promotion_ordered lists each upstream with its position, the daemons it answers and fails, and whether its log diverged; entry daemons log upstream_log_cut when an upstream's log of a newer term is shorter than before.

Conclusion: a former primary that leads again with a log of its own shows as a promotion_ordered, or as a claim without an order, and without upstream_log_cut.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -146,10 +146,31 @@
 	return up.position;
 }
 
+/* The upstreams that a promotion was decided by, for the log. */
+static char *upstreams_text(const struct promotion_view *view)
+{
+	GString *out = g_string_new(NULL);
+	unsigned i;
+
+	for (i = 0; i < view->nr; i++) {
+		const struct promotion_upstream *up = &view->upstreams[i];
+
+		g_string_append_printf(out,
+				       "%s%s %u.%" G_GUINT64_FORMAT
+				       " answered %u failing %u%s",
+				       i ? ", " : "", up->id, up->position.term,
+				       up->position.lsn, up->answered,
+				       up->failing,
+				       up->diverged ? " diverged" : "");
+	}
+	return g_string_free(out, FALSE);
+}
+
 static void request_promotion(struct control_node *node, const char *service,
 			      const char *id, enum promotion_reason reason,
 			      const struct promotion_view *view)
 {
+	g_autofree char *upstreams = upstreams_text(view);
 	const struct promotion_upstream *p =
 		view->primary >= 0 ? &view->upstreams[view->primary] : NULL;
 	struct control_promotion_state *state = get_or_add_state(node, service);
@@ -163,13 +184,13 @@
 	state->pending = true;
 	state->position_at_request = newest_position(node, id);
 	event_log_always("promotion_ordered",
-			 "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:I}", "service",
-			 service, "upstream", id, "was", p ? p->id : "", "why",
-			 promotion_reason_text(reason), "silent_us",
-			 (json_int_t)(p ? p->silent_us : -1), "answered",
-			 p ? (int)p->answered : 0, "failing",
+			 "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:I, s:s}",
+			 "service", service, "upstream", id, "was",
+			 p ? p->id : "", "why", promotion_reason_text(reason),
+			 "silent_us", (json_int_t)(p ? p->silent_us : -1),
+			 "answered", p ? (int)p->answered : 0, "failing",
 			 p ? (int)p->failing : 0, "token",
-			 (json_int_t)node->lead_term);
+			 (json_int_t)node->lead_term, "upstreams", upstreams);
 	control_count(node, CONTROL_COUNT_PROMOTIONS, 1);
 	node->ops->promote(service, id, node->lead_term, node->data);
 }
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -232,6 +232,21 @@
 	return nr;
 }
 
+/* After a change of primary an upstream discards what its new primary lacks. */
+static void note_discarded_log(const struct upstream *upstream,
+			       struct position position)
+{
+	struct position was = upstream->log_position;
+
+	if (position.term == was.term || position.lsn >= was.lsn)
+		return;
+	event_log("upstream_log_cut", "{s:s, s:s, s:I, s:I, s:I, s:I}",
+		  "upstream", upstream->id, "service", upstream->service->name,
+		  "was_term", (json_int_t)was.term, "was_position",
+		  (json_int_t)was.lsn, "term", (json_int_t)position.term,
+		  "position", (json_int_t)position.lsn);
+}
+
 void upstream_note_answer(struct upstream *upstream,
 			  const struct statement_answer *answer, int64_t now_us)
 {
@@ -244,6 +259,7 @@
 	upstream->failures = 0;
 	if (!answer || !answer->position.term)
 		return;
+	note_discarded_log(upstream, answer->position);
 	upstream->log_position = answer->position;
 	upstream->log_position_at_us = now_us;
 	upstream->lag_us = read_samples_lag(&upstream->service->samples,
