Give each promotion request a fencing token of its own

Cause: the fencing token of a promotion was the Raft term of the control leader, so all requests of one leader carried the same one. The platform may leave a request without an answer and carry it out 2 to 12 s later, and refuses it only if a higher token was used since. An upstream that was requested without an answer, led, was cut off from its replicas and was replaced was so made the primary again. Its commits that its successor did not have were back; reads in between had missed them. The class is that of: a log that continued alone leads again, this time without a decision of ours.

Change: the token is the Raft term and, in its lower 32 bits, a number that grows with each request of the VM. Why this works: the newest request for a service has the highest token, also over a change of leader, so the platform refuses all requests that it superseded.

During an update to this version a leader of the old version is refused once one of the new version has made a request for the service.

--- a/control/internal.h
+++ b/control/internal.h
@@ -193,6 +193,7 @@
  * @earliest_save_us: earliest time of the next save
  * @refresh_save_us: time of the next save if nothing changes
  * @last_handover: lower 32 bits of the last handover number
+ * @last_order: lower 32 bits of the last fencing token
  * @views_due: whether a view is to be sent to all watchers
  * @had_lease: whether this VM was leader with a valid lease in the last
  *             iteration of the event loop
@@ -227,6 +228,7 @@
 	int64_t refresh_save_us;
 	int64_t started_us;
 	uint64_t last_handover;
+	uint64_t last_order;
 	bool views_due;
 	bool had_lease;
 	bool stopping;
--- a/control/node.h
+++ b/control/node.h
@@ -52,7 +52,8 @@
 /**
  * struct control_ops - callbacks that the platform provides
  * @promote: start to promote upstream @id to primary of @service; @token is
- *           the fencing token. The result goes to control_promotion_answered()
+ *           the fencing token, higher than those of all earlier requests. The
+ *           result goes to control_promotion_answered()
  * @sync_replicas: number of replicas that must hold a commit before it is
  *                 acknowledged, according to the configuration in @document
  */
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -174,6 +174,9 @@
 	const struct promotion_upstream *p =
 		view->primary >= 0 ? &view->upstreams[view->primary] : NULL;
 	struct control_promotion_state *state = get_or_add_state(node, service);
+	/* The platform may carry out an order long after it was given. It then
+	 * refuses one that a newer order superseded. */
+	uint64_t token = node->lead_term << 32 | ++node->last_order;
 
 	if (!state->id || strcmp(state->id, id)) {
 		g_free(state->id);
@@ -189,10 +192,10 @@
 			 p ? p->id : "", "why", promotion_reason_text(reason),
 			 "silent_us", (json_int_t)(p ? p->silent_us : -1),
 			 "answered", p ? (int)p->answered : 0, "failing",
-			 p ? (int)p->failing : 0, "token",
-			 (json_int_t)node->lead_term, "upstreams", upstreams);
+			 p ? (int)p->failing : 0, "token", (json_int_t)token,
+			 "upstreams", upstreams);
 	control_count(node, CONTROL_COUNT_PROMOTIONS, 1);
-	node->ops->promote(service, id, node->lead_term, node->data);
+	node->ops->promote(service, id, token, node->data);
 }
 
 static bool must_repeat_request(const struct control_promotion_state *state,
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -28,13 +28,27 @@
 static char *root;
 static unsigned nr_promotions;
 static char promoted_id[64];
+/* Upstream of the first promotion request; requests for it get no answer. */
+static char unanswered_id[64];
+static uint64_t newest_unanswered_token;
+static uint64_t promoted_token;
+static bool leave_first_unanswered;
 
 static void promote(const char *service, const char *id, uint64_t token,
 		    void *data)
 {
 	struct vm *vm = data;
 
+	if (leave_first_unanswered && !unanswered_id[0])
+		g_strlcpy(unanswered_id, id, sizeof(unanswered_id));
+	if (leave_first_unanswered && !strcmp(id, unanswered_id)) {
+		newest_unanswered_token = token;
+		control_promotion_answered(vm->node, service, id,
+					   PROMOTION_OUTCOME_UNKNOWN);
+		return;
+	}
 	nr_promotions++;
+	promoted_token = token;
 	g_strlcpy(promoted_id, id, sizeof(promoted_id));
 	control_promotion_answered(vm->node, service, id, PROMOTION_DONE);
 }
@@ -611,6 +625,43 @@
 }
 END_TEST
 
+static bool is_first_request_unanswered(void)
+{
+	return newest_unanswered_token > 0;
+}
+
+/* Guards against a promotion request without an answer that the platform
+ * carries out after a newer one, since both carry the same fencing token. */
+START_TEST(test_superseded_promotion)
+{
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	struct sighting c = upstream("c", false, 1);
+	struct sighting failed;
+
+	start_group(3);
+	nr_promotions = 0;
+	newest_unanswered_token = 0;
+	unanswered_id[0] = '\0';
+	leave_first_unanswered = true;
+	control_add_announcement(vms[0].node, &a);
+	control_add_announcement(vms[0].node, &b);
+	control_add_announcement(vms[0].node, &c);
+	a = upstream("a", true, 2);
+	a.leaving = true;
+	control_add_announcement(vms[0].node, &a);
+	ck_assert(run_until(is_first_request_unanswered, 3));
+	failed = upstream(unanswered_id, false, 2);
+	failed.leaving = true;
+	control_add_announcement(vms[0].node, &failed);
+	ck_assert(run_until(is_promotion_requested, 6));
+	ck_assert_str_ne(promoted_id, unanswered_id);
+	ck_assert_uint_gt(promoted_token, newest_unanswered_token);
+	leave_first_unanswered = false;
+	stop_group();
+}
+END_TEST
+
 static struct control_watcher make_daemon(const char *name, bool failing)
 {
 	struct control_watcher w = { .name = (char *)name,
@@ -815,5 +866,5 @@
 	  test_new_leader_sends_config, test_two_disks_lost,
 	  test_leader_disk_lost, test_replaced, test_minority,
 	  test_sightings_survive_restart, test_outdated_sightings_file,
-	  test_promotion_needs_lease, test_minority_sends_no_config,
-	  test_one_roster, test_leaving_primary)
+	  test_promotion_needs_lease, test_superseded_promotion,
+	  test_minority_sends_no_config, test_one_roster, test_leaving_primary)
