Check who leads before a handover ends in a promotion

What callers would see: STALE.

Cause, found while looking for the same cause elsewhere: a handover that fails or times out has the former primary promoted again, whatever happened in its second. If another upstream has become the primary meanwhile, by an order of an earlier leader that is carried out late, the former primary leads again with a log of its own. A complete handover had the same gap for the successor.

Evidence: test_failed_handover_of_former_primary fails on the code before ("nr_promotions == 1").

Change: the end of a handover asks succession first and logs handover_superseded. The control tests share the daemon that reports.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -331,6 +331,14 @@
 	g_autofree char *id = g_strdup(complete ? state->id : state->from);
 
 	state->handover = 0;
+	/* An order of an earlier leader may have been carried out meanwhile. */
+	follow_primary(node, state->service);
+	if (succession_diverged(get_or_add_succession(node, state->service), id,
+				newest_position(node, id))) {
+		event_log_always("handover_superseded", "{s:s, s:s}", "service",
+				 state->service, "upstream", id);
+		return;
+	}
 	/* After a failure the promotion of the old primary is requested: if it
 	 * was not stopped, nothing changes. */
 	request_promotion(node, state->service, id,
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -699,6 +699,37 @@
 			channel_send(&daemon_channels[i], &envelope);
 }
 
+static void connect_daemon(void)
+{
+	unsigned i;
+
+	for (i = 0; i < 3; i++) {
+		int64_t next_us = 0;
+
+		daemon_channels[i].stream.fd = -1;
+		channel_connect(&daemon_channels[i], loop, IP(i), PORT,
+				&daemon_events, NULL, &next_us);
+	}
+	run_until(NULL, 0.3);
+}
+
+static void disconnect_daemon(void)
+{
+	unsigned i;
+
+	for (i = 0; i < 3; i++)
+		channel_close(&daemon_channels[i]);
+}
+
+static void announce_to_all(const struct sighting *sighting)
+{
+	unsigned i;
+
+	for (i = 0; i < 3; i++)
+		if (vms[i].node)
+			control_add_announcement(vms[i].node, sighting);
+}
+
 /* Guards against a new control leader that promotes a former primary whose log
  * went on alone, since the leader before it requested the last promotion. */
 START_TEST(test_new_leader_knows_former_primary)
@@ -712,46 +743,71 @@
 	struct sighting a = upstream("a", true, 1);
 	struct sighting b = upstream("b", false, 1);
 	struct sighting c = upstream("c", false, 1);
-	unsigned stopped, i;
+	unsigned stopped;
 
 	start_group(3);
-	for (i = 0; i < 3; i++) {
-		int64_t next_us = 0;
-
-		daemon_channels[i].stream.fd = -1;
-		channel_connect(&daemon_channels[i], loop, IP(i), PORT,
-				&daemon_events, NULL, &next_us);
-	}
-	run_until(NULL, 0.3);
+	connect_daemon();
 	nr_promotions = 0;
-	for (i = 0; i < 3; i++) {
-		control_add_announcement(vms[i].node, &a);
-		control_add_announcement(vms[i].node, &b);
-		control_add_announcement(vms[i].node, &c);
-	}
+	announce_to_all(&a);
+	announce_to_all(&b);
+	announce_to_all(&c);
 	run_until(NULL, 0.2);
 	report_upstreams(first, G_N_ELEMENTS(first));
 	ck_assert(run_until(is_promotion_requested, 3));
 	ck_assert_str_eq(promoted_id, "b");
 	b = upstream("b", true, 2);
-	for (i = 0; i < 3; i++)
-		control_add_announcement(vms[i].node, &b);
+	announce_to_all(&b);
 	run_until(NULL, 0.3);
 	stopped = leader_index();
-	channel_close(&daemon_channels[stopped]);
 	stop_vm(stopped);
 	ck_assert(run_until(has_leader, 5));
 	nr_promotions = 0;
 	a = upstream("a", false, 2);
 	c = upstream("c", false, 2);
-	control_add_announcement(leader(), &a);
-	control_add_announcement(leader(), &c);
+	announce_to_all(&a);
+	announce_to_all(&c);
 	report_upstreams(second, G_N_ELEMENTS(second));
 	ck_assert(run_until(is_promotion_requested, 3));
 	ck_assert_str_eq(promoted_id, "c");
-	for (i = 0; i < 3; i++)
-		if (i != stopped)
-			channel_close(&daemon_channels[i]);
+	disconnect_daemon();
+	stop_group();
+}
+END_TEST
+
+/* Guards against a failed handover that makes the former primary lead again
+ * although another upstream has become the primary meanwhile. */
+START_TEST(test_failed_handover_of_former_primary)
+{
+	static const struct reported_upstream before[] = { { "a", false, 80 },
+							   { "b", false, 79 },
+							   { "c", false, 70 } };
+	static const struct reported_upstream after[] = { { "a", false, 109 },
+							  { "b", false, 79 },
+							  { "c", false, 79 } };
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	struct sighting c = upstream("c", false, 1);
+
+	start_group(3);
+	connect_daemon();
+	nr_promotions = 0;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	announce_to_all(&c);
+	report_upstreams(before, G_N_ELEMENTS(before));
+	run_until(NULL, 0.2);
+	a = upstream("a", true, 2);
+	a.leaving = true;
+	announce_to_all(&a);
+	run_until(NULL, 0.3);
+	ck_assert_uint_eq(nr_promotions, 0);
+	/* An order of an earlier leader is carried out late. */
+	c = upstream("c", true, 2);
+	announce_to_all(&c);
+	report_upstreams(after, G_N_ELEMENTS(after));
+	run_until(NULL, 1.5);
+	ck_assert_uint_eq(nr_promotions, 0);
+	disconnect_daemon();
 	stop_group();
 }
 END_TEST
@@ -961,5 +1017,6 @@
 	  test_leader_disk_lost, test_replaced, test_minority,
 	  test_sightings_survive_restart, test_outdated_sightings_file,
 	  test_promotion_needs_lease, test_superseded_promotion,
-	  test_new_leader_knows_former_primary, test_minority_sends_no_config,
+	  test_new_leader_knows_former_primary,
+	  test_failed_handover_of_former_primary, test_minority_sends_no_config,
 	  test_one_roster, test_leaving_primary)
