Match no late relay answer to a later statement

What callers could see: rows and signature of another statement (MIXED), a promise that a write did not run although it did (REFUSED), or a write run twice (TWICE).

A home that is held up for more than 60 ms past the time-out of a statement may answer while the session's next statement is on its way to it; the answer, or the refusal to run it, was then taken for that of the next one.

Evidence: test_late_answer (one answer before the home ran the statement), test_late_refusal and test_late_decline fail on the code before, each run first in the suite.

Change: a session that gives a relayed statement up continues under a new number. Why this works: numbers are never used again by a daemon, so what arrives for the old one finds no session.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -107,6 +107,8 @@
 		return;
 	detach_from_home(s);
 	end.session = s->number;
+	/* An answer that is on its way must not match a later statement. */
+	s->number = ++s->entry->last_session_number;
 	envelope.body_case = WIRE__ENVELOPE__BODY_RELAY_END;
 	envelope.relay_end = &end;
 	channel_send(&home->channel, &envelope);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -415,6 +415,108 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer that arrives after its statement has timed out and is
+ * taken for the answer to the session's next statement.
+ */
+START_TEST(test_late_answer)
+{
+	struct session *s;
+
+	setup();
+	s = new_caller_at(edge, "own");
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	run_and_log_in();
+	expect_command(LINK_FORWARD, "WRITE 1 x");
+	/* The home's answer is on its way when the edge gives up. */
+	reply(REFUSAL_NONE, SESSION_IDLE, 41, "DONE x1");
+	timer_service_advance(&edge_timers,
+			      clock_now_us() + STATEMENT_US + 70000);
+	ck_assert_int_eq(last_answer.refusal, REFUSAL_TIMEOUT);
+	nr_answers = 0;
+	send_statement(s, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	run_and_log_in();
+	ck_assert_uint_eq(nr_answers, 0);
+	expect_command(LINK_FORWARD, "WRITE 2 x");
+	reply(REFUSAL_NONE, SESSION_IDLE, 42, "DONE x2");
+	run_loop();
+	ck_assert_uint_eq(nr_answers, 1);
+	ck_assert_str_eq(last_result, "DONE x2");
+	teardown();
+}
+END_TEST
+
+/* Relays a write that the edge gives up while the home's answer, to be made by
+ * @answer_late, is on its way, and then another write. */
+static void answer_too_late(void (*answer_late)(void))
+{
+	struct session *s = new_caller_at(edge, "own");
+
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	run_loop();
+	ck_assert_uint_eq(home->sessions.length, 1);
+	answer_late();
+	ck_assert_uint_eq(home->sessions.length, 0);
+	timer_service_advance(&edge_timers,
+			      clock_now_us() + STATEMENT_US + 70000);
+	ck_assert_int_eq(last_answer.refusal, REFUSAL_TIMEOUT);
+	nr_answers = 0;
+	send_statement(s, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+}
+
+static void refuse_at_home(void)
+{
+	complete_logins_at(home);
+	((struct session *)home->sessions.head->data)->attempts =
+		ENTRY_MAX_ATTEMPTS;
+	reply(REFUSAL_BUSY, SESSION_IDLE, 9, NULL);
+}
+
+/* Guards against a caller who is promised that a write did not run, because an
+ * earlier write of its session was refused, while the home runs the write. */
+START_TEST(test_late_refusal)
+{
+	setup();
+	answer_too_late(refuse_at_home);
+	run_loop();
+	service_dispatch(service_get(home, "s"));
+	expect_command(LINK_FORWARD, "WRITE 2 x");
+	ck_assert_uint_eq(nr_answers, 0);
+	reply(REFUSAL_NONE, SESSION_IDLE, 42, "DONE x2");
+	run_loop();
+	ck_assert_str_eq(last_result, "DONE x2");
+	teardown();
+}
+END_TEST
+
+static void decline_at_home(void)
+{
+	request_relay_to_peer(home->sessions.head->data);
+}
+
+/* Guards against a write that runs at two daemons, or whose caller is promised
+ * that it did not run, because an earlier write of its session was declined. */
+START_TEST(test_late_decline)
+{
+	unsigned i, nr_runs = 0;
+
+	setup();
+	answer_too_late(decline_at_home);
+	run_and_log_in();
+	wait_for_homes();
+	complete_logins_at(edge);
+	for (i = 0; i < nr_sent; i++)
+		nr_runs += !strcmp(sent[i].text, "WRITE 2 x");
+	ck_assert_uint_eq(nr_runs, 1);
+	ck_assert_uint_eq(nr_answers, 0);
+	reply(REFUSAL_NONE, SESSION_IDLE, 42, "DONE x2");
+	run_loop();
+	ck_assert_str_eq(last_result, "DONE x2");
+	teardown();
+}
+END_TEST
+
 TEST_MAIN("relay", test_statement, test_transaction, test_abandoned_transaction,
 	  test_home_lost, test_home_drains, test_home_aborts, test_home_silent,
-	  test_home_is_cut_off, test_peer_runs_statement)
+	  test_home_is_cut_off, test_peer_runs_statement, test_late_answer,
+	  test_late_refusal, test_late_decline)
