Abort a transaction that a draining home has rolled back

For the next statement of such a one it looked first at whether it drains and declined it, so the daemon of the caller took the statement elsewhere, where it began a new transaction.

Change: a home looks first at whether the transaction was aborted, and answers so.

It belongs to the requests that a planned stop cuts off.

--- a/entry/relay.c
+++ b/entry/relay.c
@@ -118,6 +118,10 @@
 {
 	home_note_declined(home, s->service->name);
 	detach_from_home(s);
+	if (s->tx == TX_OPEN && s->tx_answered) {
+		request_link_lost(s);
+		return;
+	}
 	request_retry(s, REFUSAL_BUSY);
 }
 
--- a/entry/relay_clients.c
+++ b/entry/relay_clients.c
@@ -223,12 +223,6 @@
 		link->channel.malformed++;
 		return;
 	}
-	/* An open transaction may finish here while this daemon is draining. */
-	if (!entry->table || ((!remote || remote->session->tx != TX_OPEN) &&
-			      entry->drain_started_us)) {
-		decline_request(link, in->session);
-		return;
-	}
 	/* The transaction was aborted here in the meantime. */
 	if ((in->begun && !remote) ||
 	    (remote && (remote->session->phase != REQUEST_NONE ||
@@ -236,6 +230,12 @@
 		answer_aborted(link, in);
 		return;
 	}
+	/* An open transaction may finish here while this daemon is draining. */
+	if (!entry->table || ((!remote || remote->session->tx != TX_OPEN) &&
+			      entry->drain_started_us)) {
+		decline_request(link, in->session);
+		return;
+	}
 	if (!remote)
 		remote = remote_new(link, in->session);
 	s = remote->session;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -516,7 +516,74 @@
 }
 END_TEST
 
+/*
+ * Guards against a commit that succeeds in a new transaction after a draining
+ * home has rolled the transaction back.
+ */
+START_TEST(test_draining_home_aborts)
+{
+	struct session *s;
+
+	setup();
+	s = new_caller_at(edge, "own");
+	send_statement(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	run_and_log_in();
+	reply_in_transaction();
+	reply_in_transaction();
+	run_loop();
+	entry_drain(home);
+	sessions_tick(home, clock_now_us() + 3400000);
+	expect_command(LINK_ROLLBACK, NULL);
+	reply_done();
+	nr_answers = 0;
+	send_statement(s, STATEMENT_COMMIT, "COMMIT", NULL, NULL);
+	run_loop();
+	wait_for_homes();
+	complete_logins_at(edge);
+	ck_assert_uint_eq(nr_sent, nr_replied);
+	ck_assert_uint_eq(nr_answers, 1);
+	ck_assert_int_eq(last_answer.refusal, REFUSAL_ABORTED);
+	ck_assert_int_eq(last_answer.state, SESSION_IDLE);
+	teardown();
+}
+END_TEST
+
+/* Guards against a transaction that goes on in a new one at another daemon after
+ * a home declined a statement of it. */
+START_TEST(test_declined_transaction)
+{
+	struct session *s;
+
+	setup();
+	s = new_caller_at(edge, "own");
+	send_statement(s, STATEMENT_BEGIN, "BEGIN", NULL, NULL);
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	run_and_log_in();
+	reply_in_transaction();
+	reply_in_transaction();
+	run_loop();
+	nr_answers = 0;
+	send_statement(s, STATEMENT_WRITE, "WRITE 2 x", NULL, NULL);
+	run_loop();
+	expect_command(LINK_FORWARD, "WRITE 2 x");
+	decline_at_home();
+	reply_in_transaction();
+	expect_command(LINK_ROLLBACK, NULL);
+	reply_done();
+	run_loop();
+	wait_for_homes();
+	complete_logins_at(edge);
+	ck_assert_uint_eq(nr_sent, nr_replied);
+	ck_assert_uint_eq(nr_answers, 1);
+	ck_assert_int_eq(last_answer.refusal, REFUSAL_ABORTED);
+	ck_assert_int_eq(last_answer.state, SESSION_FAILED_TRANSACTION);
+	teardown();
+}
+END_TEST
+
 TEST_MAIN("relay", test_statement, test_transaction, test_abandoned_transaction,
 	  test_home_lost, test_home_drains, test_home_aborts, test_home_silent,
 	  test_home_is_cut_off, test_peer_runs_statement, test_late_answer,
-	  test_late_refusal, test_late_decline)
+	  test_late_refusal, test_late_decline, test_draining_home_aborts,
+	  test_declined_transaction)
