Take no sample without a log position

What callers could see: STALE.

Reads with a bound then required no position, and any replica could answer them. Whether a database answers a BEGIN so is not known; its pages allow it.

Evidence: test_sample_without_position fails on the code before ("s->needs_primary").

Change: read_samples_add() drops such a sample, in place of the check that one of its two callers had.

Conclusion: closed.

--- a/coordination/read_bound.c
+++ b/coordination/read_bound.c
@@ -26,6 +26,8 @@
 {
 	struct read_sample *last;
 
+	if (!position.term)
+		return;
 	if (samples->nr) {
 		last = sample_at(samples, samples->nr - 1);
 		if (requested_us <
--- a/entry/request.c
+++ b/entry/request.c
@@ -445,7 +445,7 @@
 static void note_sample(struct session *s, bool from_primary,
 			const struct statement_answer *answer)
 {
-	if (!from_primary || !answer->position.term)
+	if (!from_primary)
 		return;
 	read_samples_add(&s->service->samples, s->link->sent_us,
 			 answer->position);
--- a/include/read_bound.h
+++ b/include/read_bound.h
@@ -46,8 +46,9 @@
  * read_samples_add() - record a position of the primary
  * @requested_us: when the position was requested
  *
- * Drops the sample if it was requested earlier than the newest one or less than
- * READ_SAMPLE_INTERVAL_US after it in the same term, or if its term is older.
+ * Drops the sample if its position is unknown (term 0), if it was requested
+ * earlier than the newest one or less than READ_SAMPLE_INTERVAL_US after it in
+ * the same term, or if its term is older.
  */
 void read_samples_add(struct read_samples *samples, int64_t requested_us,
 		      struct position position);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -984,6 +984,36 @@
 }
 END_TEST
 
+/* Guards against a replica read without a required position, after the primary
+ * answered a sample without one ("READY T -"). */
+START_TEST(test_sample_without_position)
+{
+	struct statement_answer without = { .state = SESSION_IN_TRANSACTION };
+	struct session *s;
+	struct upstream *p;
+	struct link *link;
+
+	setup();
+	p = g_hash_table_lookup(entry->known_upstreams, "p");
+	link = link_open(p);
+	complete_logins();
+	link_request_sample(link);
+	expect_command(LINK_BEGIN, NULL);
+	nr_replied++;
+	link_replied(link, &without);
+	expect_command(LINK_ROLLBACK, NULL);
+	reply_done();
+	p->window.latency_us = 10000000;
+	s = new_caller("bounded");
+	send_statement(s, STATEMENT_READ, "READ 1", NULL, NULL);
+	complete_logins();
+	ck_assert(s->needs_primary);
+	expect_command(LINK_BEGIN, NULL);
+	ck_assert_ptr_eq(sent[nr_replied].link->upstream, p);
+	teardown();
+}
+END_TEST
+
 TEST_MAIN("entry", test_primary_read, test_replaced_primary, test_own_commit,
 	  test_other_replica, test_known_lag, test_all_behind,
 	  test_refused_begin, test_bounded_needs_sample, test_old_sightings,
@@ -993,4 +1023,5 @@
 	  test_early_caller, test_handover, test_overloaded_handover,
 	  test_found_primary, test_silent_primary, test_drain, test_lost_read,
 	  test_lost_answer_in_transaction, test_lost_write, test_slow_handover,
-	  test_broken_connection, test_silence_is_probed, test_cut_off)
+	  test_broken_connection, test_silence_is_probed, test_cut_off,
+	  test_sample_without_position)
