Take no outdated request for the promotion that took effect

What callers would see: STALE.

Cause, found by reading: succession kept the position of the last requested promotion without limit. If that upstream became the primary much later, by an order that was carried out late or after further changes of primary, the end of its log was taken to be where it was at the request. A position of a newer term was then compared with an end of an older one, and a log that continued alone could count as good.

Evidence: test_outdated_request fails on the code before ("succession_diverged(&s, "a", at(2, 150))").

Change: a request counts until the next change of primary, and only if no newer term ended since. Without a known position of the former primary the newest term of any log is the one that ended.

Why this works: what is left out can only make the known end older or unknown, which refuses a candidate and never admits one.

--- a/coordination/succession.c
+++ b/coordination/succession.c
@@ -38,8 +38,9 @@
 		     struct position position, struct position former)
 {
 	s->base = (struct position){ 0 };
-	s->ended_term = former.term;
-	if (!g_strcmp0(s->requested, id) && s->requested_position.term) {
+	s->ended_term = former.term ? former.term : s->newest_term;
+	if (!g_strcmp0(s->requested, id) && s->requested_position.term &&
+	    s->requested_term >= former.term) {
 		s->base = s->requested_position;
 		s->ended_term = s->requested_term;
 	}
@@ -57,6 +58,7 @@
 		set_base(s, id, position, former);
 	}
 	g_hash_table_remove(s->replaced, id);
+	g_clear_pointer(&s->requested, g_free);
 	g_free(s->primary);
 	s->primary = g_strdup(id);
 }
--- a/include/succession.h
+++ b/include/succession.h
@@ -23,7 +23,8 @@
  * @ended_term: newest term of any log at that time, 0 if unknown
  * @newest_term: newest term of any log
  * @replaced: set of the ids of former primaries
- * @requested: id of the upstream whose promotion was requested last
+ * @requested: id of the upstream whose promotion was requested since the last
+ *             change, NULL if there is none
  * @requested_position: end of its log at that time
  * @requested_term: newest term of any log at that time
  */
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -116,6 +116,29 @@
 }
 END_TEST
 
+/* Guards against a request of long ago that is taken for the promotion that took
+ * effect, with the end of the log at that time. */
+START_TEST(test_outdated_request)
+{
+	/* It took effect late, after commits of a further term. */
+	start("a");
+	succession_request(&s, "b", at(1, 79));
+	succession_set_newest_term(&s, 2);
+	succession_change(&s, "b", at(2, 140), at(2, 149));
+	ck_assert(succession_diverged(&s, "a", at(2, 150)));
+	ck_assert(!succession_diverged(&s, "c", at(2, 139)));
+	succession_finish(&s);
+	/* The primary changed otherwise in between. */
+	start("a");
+	succession_request(&s, "b", at(1, 79));
+	succession_change(&s, "c", at(1, 90), at(1, 91));
+	succession_change(&s, "b", at(1, 95), at(0, 0));
+	ck_assert(succession_diverged(&s, "c", at(1, 120)));
+	ck_assert(succession_diverged(&s, "a", at(0, 0)));
+	succession_finish(&s);
+}
+END_TEST
+
 /* Guards against a VM that knows of no change and promotes a log of an older
  * term, and against one that finds no candidate although no primary changed. */
 START_TEST(test_nothing_known)
@@ -148,4 +171,5 @@
 
 TEST_MAIN("succession", test_former_primary, test_unknown_position,
 	  test_promotion_of_other_leader, test_lost_answer,
-	  test_successor_lacks_last_term, test_nothing_known, test_leads_again)
+	  test_successor_lacks_last_term, test_outdated_request,
+	  test_nothing_known, test_leads_again)
