Promote no upstream whose log is unknown while others are known

A primary is cut off from its replicas, is replaced, crashes and comes back under another id with its log; its successor and the other replica fail while it does.

Cause: no daemon had reported a position of the new id, so it did not count as diverged, it failed for no daemon, and no id of a former primary was its own. It was promoted with commits that its successor lacked.

Change: an upstream without a known position is no candidate while the service has any log that is known. Daemons report a position with the first answer of an upstream, so a replica that can serve is one soon.

If all other upstreams are lost for good such a log may not lead until an operator has it follow another one.

--- a/coordination/succession.c
+++ b/coordination/succession.c
@@ -70,8 +70,10 @@
 
 	if (!g_strcmp0(s->primary, id))
 		return false;
+	/* A log without a known position may be of a former primary that has
+	 * come back under another id. */
 	if (!position.term)
-		return replaced;
+		return replaced || s->newest_term || s->ended_term;
 	if (s->base.term && position.term == s->base.term)
 		return position.lsn > s->base.lsn;
 	/* Where the older terms ended is not known. */
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -49,11 +49,29 @@
 	start("a");
 	promote("b", at(1, 79), at(1, 80));
 	ck_assert(succession_diverged(&s, "a", at(0, 0)));
+	ck_assert(succession_diverged(&s, "c", at(0, 0)));
+	succession_finish(&s);
+	/* Nothing is known of any log. */
+	succession_init(&s);
 	ck_assert(!succession_diverged(&s, "c", at(0, 0)));
 	succession_finish(&s);
 }
 END_TEST
 
+/* Guards against a former primary that is promoted with commits that its
+ * successor lacked, after it came back under another id. */
+START_TEST(test_former_primary_under_other_id)
+{
+	start("a");
+	promote("b", at(1, 104), at(1, 131));
+	succession_set_newest_term(&s, 2);
+	ck_assert(succession_diverged(&s, "d", at(0, 0)));
+	ck_assert(succession_diverged(&s, "d", at(1, 131)));
+	ck_assert(!succession_diverged(&s, "d", at(2, 140)));
+	succession_finish(&s);
+}
+END_TEST
+
 /* Guards against a control leader that was not elected yet when the primary
  * changed and promotes the former one. */
 START_TEST(test_promotion_of_other_leader)
@@ -147,7 +165,7 @@
 	succession_set_newest_term(&s, 2);
 	ck_assert(succession_diverged(&s, "a", at(1, 109)));
 	ck_assert(!succession_diverged(&s, "a", at(2, 80)));
-	ck_assert(!succession_diverged(&s, "c", at(0, 0)));
+	ck_assert(succession_diverged(&s, "c", at(0, 0)));
 	/* The upstream with the newest term is forgotten. */
 	succession_set_newest_term(&s, 1);
 	ck_assert(!succession_diverged(&s, "a", at(1, 109)));
@@ -172,4 +190,5 @@
 TEST_MAIN("succession", test_former_primary, test_unknown_position,
 	  test_promotion_of_other_leader, test_lost_answer,
 	  test_successor_lacks_last_term, test_outdated_request,
-	  test_nothing_known, test_leads_again)
+	  test_nothing_known, test_leads_again,
+	  test_former_primary_under_other_id)
