Keep who led a service over a restart of control

Cause: what a control VM knows of former primaries was in memory only.

Change: the sightings file holds the succession of each service. An older version ignores the field and writes files without it.

Conclusion: fixed while a disk with the file is left. A VM whose file is older than a minute or lost starts without that knowledge, as before.

--- a/control/internal.h
+++ b/control/internal.h
@@ -350,6 +350,9 @@
  *                              replace primaries if needed */
 void control_promotions_tick(struct control_node *node, int64_t now_us);
 void control_promotion_state_free(void *data);
+/** control_succession() - who led @service, without a primary if unknown */
+struct succession *control_succession(struct control_node *node,
+				      const char *service);
 void control_succession_free(void *data);
 /** control_upstream_answers() - whether @id answers any connected daemon */
 bool control_upstream_answers(const struct control_node *node, const char *id);
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -113,8 +113,8 @@
 	return up.position;
 }
 
-static struct succession *get_or_add_succession(struct control_node *node,
-						const char *service)
+struct succession *control_succession(struct control_node *node,
+				      const char *service)
 {
 	struct succession *s = g_hash_table_lookup(node->successions, service);
 
@@ -128,7 +128,7 @@
 
 static void follow_primary(struct control_node *node, const char *service)
 {
-	struct succession *s = get_or_add_succession(node, service);
+	struct succession *s = control_succession(node, service);
 	const struct sighting *primary =
 		sightings_primary(&node->sightings, service);
 	struct position former = { 0 };
@@ -144,7 +144,7 @@
 static void mark_diverged(struct control_node *node, const char *service,
 			  GArray *upstreams)
 {
-	struct succession *s = get_or_add_succession(node, service);
+	struct succession *s = control_succession(node, service);
 	struct promotion_upstream *up;
 	uint32_t newest_term = 0;
 	guint i;
@@ -215,7 +215,7 @@
 	}
 	state->at_us = clock_now_us();
 	state->pending = true;
-	succession_request(get_or_add_succession(node, service), id,
+	succession_request(control_succession(node, service), id,
 			   newest_position(node, id));
 	event_log_always("promotion_ordered",
 			 "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:I, s:s}",
@@ -333,7 +333,7 @@
 	state->handover = 0;
 	/* An order of an earlier leader may have been carried out meanwhile. */
 	follow_primary(node, state->service);
-	if (succession_diverged(get_or_add_succession(node, state->service), id,
+	if (succession_diverged(control_succession(node, state->service), id,
 				newest_position(node, id))) {
 		event_log_always("handover_superseded", "{s:s, s:s}", "service",
 				 state->service, "upstream", id);
--- a/coordination/succession.c
+++ b/coordination/succession.c
@@ -16,6 +16,20 @@
 	g_free(s->requested);
 }
 
+void succession_restore(struct succession *s, const char *primary,
+			struct position base, uint32_t ended_term)
+{
+	g_free(s->primary);
+	s->primary = g_strdup(primary);
+	s->base = base;
+	s->ended_term = ended_term;
+}
+
+void succession_restore_replaced(struct succession *s, const char *id)
+{
+	g_hash_table_add(s->replaced, g_strdup(id));
+}
+
 void succession_set_newest_term(struct succession *s, uint32_t term)
 {
 	s->newest_term = term;
--- a/include/succession.h
+++ b/include/succession.h
@@ -42,6 +42,18 @@
 void succession_init(struct succession *s);
 void succession_finish(struct succession *s);
 
+/**
+ * succession_restore() - continue with what was known before a restart
+ * @primary: id of the upstream that led
+ * @base: end of its log when it was promoted, term 0 if unknown
+ * @ended_term: newest term of any log at that time, 0 if unknown
+ */
+void succession_restore(struct succession *s, const char *primary,
+			struct position base, uint32_t ended_term);
+
+/** succession_restore_replaced() - @id led before the present primary */
+void succession_restore_replaced(struct succession *s, const char *id);
+
 /**
  * succession_set_newest_term() - tell the newest term of any log
  *
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -1447,6 +1447,51 @@
   assert(message->base.descriptor == &wire__service_primary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__succession__init
+                     (Wire__Succession         *message)
+{
+  static const Wire__Succession init_value = WIRE__SUCCESSION__INIT;
+  *message = init_value;
+}
+size_t wire__succession__get_packed_size
+                     (const Wire__Succession *message)
+{
+  assert(message->base.descriptor == &wire__succession__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__succession__pack
+                     (const Wire__Succession *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__succession__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__succession__pack_to_buffer
+                     (const Wire__Succession *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__succession__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Succession *
+       wire__succession__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Succession *)
+     protobuf_c_message_unpack (&wire__succession__descriptor,
+                                allocator, len, data);
+}
+void   wire__succession__free_unpacked
+                     (Wire__Succession *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__succession__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__view__init
                      (Wire__View         *message)
 {
@@ -5587,7 +5632,97 @@
   (ProtobufCMessageInit) wire__service_primary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__view__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__succession__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Succession, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primary",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Succession, primary),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Succession, log_end),
+    &wire__position__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Succession, ended_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replaced",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wire__Succession, n_replaced),
+    offsetof(Wire__Succession, replaced),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__succession__field_indices_by_name[] = {
+  3,   /* field[3] = ended_term */
+  2,   /* field[2] = log_end */
+  1,   /* field[1] = primary */
+  4,   /* field[4] = replaced */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange wire__succession__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wire__succession__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Succession",
+  "Succession",
+  "Wire__Succession",
+  "wire",
+  sizeof(Wire__Succession),
+  5,
+  wire__succession__field_descriptors,
+  wire__succession__field_indices_by_name,
+  1,  wire__succession__number_ranges,
+  (ProtobufCMessageInit) wire__succession__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__view__field_descriptors[11] =
 {
   {
     "fresh",
@@ -5709,6 +5844,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "successions",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__View, n_successions),
+    offsetof(Wire__View, successions),
+    &wire__succession__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__view__field_indices_by_name[] = {
   2,   /* field[2] = config */
@@ -5721,11 +5868,12 @@
   5,   /* field[5] = primaries */
   8,   /* field[8] = roster */
   4,   /* field[4] = sightings */
+  10,   /* field[10] = successions */
 };
 static const ProtobufCIntRange wire__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__view__descriptor =
 {
@@ -5735,7 +5883,7 @@
   "Wire__View",
   "wire",
   sizeof(Wire__View),
-  10,
+  11,
   wire__view__field_descriptors,
   wire__view__field_indices_by_name,
   1,  wire__view__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -47,6 +47,7 @@
 typedef struct Wire__Watch Wire__Watch;
 typedef struct Wire__RosterEntry Wire__RosterEntry;
 typedef struct Wire__ServicePrimary Wire__ServicePrimary;
+typedef struct Wire__Succession Wire__Succession;
 typedef struct Wire__View Wire__View;
 typedef struct Wire__SessionValue Wire__SessionValue;
 typedef struct Wire__RelayRequest Wire__RelayRequest;
@@ -726,6 +727,27 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * The primary of a service and those before it; see include/succession.h.
+ */
+struct  Wire__Succession
+{
+  ProtobufCMessage base;
+  char *service;
+  char *primary;
+  /*
+   * End of the log of the primary when it was promoted.
+   */
+  Wire__Position *log_end;
+  uint32_t ended_term;
+  size_t n_replaced;
+  char **replaced;
+};
+#define WIRE__SUCCESSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__succession__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0,NULL }
+
+
 struct  Wire__View
 {
   ProtobufCMessage base;
@@ -760,10 +782,15 @@
   Wire__RosterEntry **roster;
   size_t n_handovers;
   Wire__Handover **handovers;
+  /*
+   * Only in the sightings file of a control VM.
+   */
+  size_t n_successions;
+  Wire__Succession **successions;
 };
 #define WIRE__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__view__descriptor) \
-    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Wire__SessionValue
@@ -1684,6 +1711,25 @@
 void   wire__service_primary__free_unpacked
                      (Wire__ServicePrimary *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Succession methods */
+void   wire__succession__init
+                     (Wire__Succession         *message);
+size_t wire__succession__get_packed_size
+                     (const Wire__Succession   *message);
+size_t wire__succession__pack
+                     (const Wire__Succession   *message,
+                      uint8_t             *out);
+size_t wire__succession__pack_to_buffer
+                     (const Wire__Succession   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Succession *
+       wire__succession__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__succession__free_unpacked
+                     (Wire__Succession *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__View methods */
 void   wire__view__init
                      (Wire__View         *message);
@@ -2124,6 +2170,9 @@
 typedef void (*Wire__ServicePrimary_Closure)
                  (const Wire__ServicePrimary *message,
                   void *closure_data);
+typedef void (*Wire__Succession_Closure)
+                 (const Wire__Succession *message,
+                  void *closure_data);
 typedef void (*Wire__View_Closure)
                  (const Wire__View *message,
                   void *closure_data);
@@ -2217,6 +2266,7 @@
 extern const ProtobufCMessageDescriptor wire__watch__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_entry__descriptor;
 extern const ProtobufCMessageDescriptor wire__service_primary__descriptor;
+extern const ProtobufCMessageDescriptor wire__succession__descriptor;
 extern const ProtobufCMessageDescriptor wire__view__descriptor;
 extern const ProtobufCMessageDescriptor wire__session_value__descriptor;
 extern const ProtobufCMessageDescriptor wire__relay_request__descriptor;
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -730,44 +730,78 @@
 			control_add_announcement(vms[i].node, sighting);
 }
 
-/* Guards against a new control leader that promotes a former primary whose log
- * went on alone, since the leader before it requested the last promotion. */
-START_TEST(test_new_leader_knows_former_primary)
-{
-	static const struct reported_upstream first[] = { { "a", true, 80 },
+/* Upstream a is replaced by b, which has received less, and continues alone. */
+static const struct reported_upstream before_change[] = { { "a", true, 80 },
 							  { "b", false, 79 },
 							  { "c", false, 70 } };
-	static const struct reported_upstream second[] = { { "a", false, 109 },
-							   { "b", true, 79 },
-							   { "c", false, 79 } };
+static const struct reported_upstream after_change[] = { { "a", false, 109 },
+							 { "b", true, 79 },
+							 { "c", false, 79 } };
+
+static void replace_primary(void)
+{
 	struct sighting a = upstream("a", true, 1);
 	struct sighting b = upstream("b", false, 1);
 	struct sighting c = upstream("c", false, 1);
-	unsigned stopped;
 
-	start_group(3);
-	connect_daemon();
 	nr_promotions = 0;
 	announce_to_all(&a);
 	announce_to_all(&b);
 	announce_to_all(&c);
 	run_until(NULL, 0.2);
-	report_upstreams(first, G_N_ELEMENTS(first));
+	report_upstreams(before_change, G_N_ELEMENTS(before_change));
 	ck_assert(run_until(is_promotion_requested, 3));
 	ck_assert_str_eq(promoted_id, "b");
 	b = upstream("b", true, 2);
 	announce_to_all(&b);
-	run_until(NULL, 0.3);
-	stopped = leader_index();
-	stop_vm(stopped);
-	ck_assert(run_until(has_leader, 5));
+	run_until(NULL, 0.6);
 	nr_promotions = 0;
-	a = upstream("a", false, 2);
-	c = upstream("c", false, 2);
+}
+
+static void lose_new_primary(void)
+{
+	struct sighting a = upstream("a", false, 2);
+	struct sighting c = upstream("c", false, 2);
+
 	announce_to_all(&a);
 	announce_to_all(&c);
-	report_upstreams(second, G_N_ELEMENTS(second));
+	report_upstreams(after_change, G_N_ELEMENTS(after_change));
 	ck_assert(run_until(is_promotion_requested, 3));
+}
+
+/* Guards against a new control leader that promotes a former primary whose log
+ * went on alone, since the leader before it requested the last promotion. */
+START_TEST(test_new_leader_knows_former_primary)
+{
+	start_group(3);
+	connect_daemon();
+	replace_primary();
+	stop_vm(leader_index());
+	ck_assert(run_until(has_leader, 5));
+	lose_new_primary();
+	ck_assert_str_eq(promoted_id, "c");
+	disconnect_daemon();
+	stop_group();
+}
+END_TEST
+
+/* Guards against a promotion of a former primary whose log went on alone, after
+ * all control VMs were restarted and daemons know no position of its successor. */
+START_TEST(test_restart_keeps_former_primary)
+{
+	unsigned i;
+
+	start_group(3);
+	connect_daemon();
+	replace_primary();
+	disconnect_daemon();
+	for (i = 0; i < 3; i++)
+		stop_vm(i);
+	for (i = 0; i < 3; i++)
+		start_vm(i, false);
+	ck_assert(run_until(has_leader, 5));
+	connect_daemon();
+	lose_new_primary();
 	ck_assert_str_eq(promoted_id, "c");
 	disconnect_daemon();
 	stop_group();
@@ -1018,5 +1052,6 @@
 	  test_sightings_survive_restart, test_outdated_sightings_file,
 	  test_promotion_needs_lease, test_superseded_promotion,
 	  test_new_leader_knows_former_primary,
+	  test_restart_keeps_former_primary,
 	  test_failed_handover_of_former_primary, test_minority_sends_no_config,
 	  test_one_roster, test_leaving_primary)
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -72,6 +72,22 @@
 }
 END_TEST
 
+/* Guards against a former primary that is promoted with commits that its
+ * successor lacked, after a restart of all control VMs. */
+START_TEST(test_restored)
+{
+	succession_init(&s);
+	succession_restore(&s, "b", at(1, 106), 1);
+	succession_restore_replaced(&s, "a");
+	succession_change(&s, "b", at(0, 0), at(0, 0));
+	succession_set_newest_term(&s, 1);
+	ck_assert(succession_diverged(&s, "a", at(1, 149)));
+	ck_assert(succession_diverged(&s, "d", at(1, 149)));
+	ck_assert(!succession_diverged(&s, "c", at(1, 106)));
+	succession_finish(&s);
+}
+END_TEST
+
 /* Guards against a control leader that was not elected yet when the primary
  * changed and promotes the former one. */
 START_TEST(test_promotion_of_other_leader)
@@ -191,4 +207,4 @@
 	  test_promotion_of_other_leader, test_lost_answer,
 	  test_successor_lacks_last_term, test_outdated_request,
 	  test_nothing_known, test_leads_again,
-	  test_former_primary_under_other_id)
+	  test_former_primary_under_other_id, test_restored)
