Request no promotion after a handover without the lease

What callers could see: two control VMs that promote for one service (ONE), and commits lost by it.

Cause: daemons send the result of a handover to every control VM. A VM that had ordered it as the leader and lost its lease or its leadership since requested the promotion nevertheless; every other path checks the lease. After a loss of the leadership lead_term is 0, so the fencing token was only the number of the order, which a platform accepts that has seen no token for the service.

Change: the result of a handover is ignored without the lease. A leader that is stopping still ends its handover, as before.

Why this works: the daemon repeats the result for 2.5 s, so a lease that is renewed soon still ends the handover, and otherwise it times out. A new leader hears from the stopped primary that it is a replica and promotes the longest log.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -324,6 +324,11 @@
 	}
 }
 
+static bool holds_lease(const struct control_node *node, int64_t now_us)
+{
+	return node->lead_term && raft_lease_until_us(node->raft) >= now_us;
+}
+
 static void end_handover(struct control_node *node,
 			 struct control_promotion_state *state, bool complete)
 {
@@ -364,6 +369,10 @@
 	struct control_promotion_state *state;
 	GHashTableIter it;
 
+	/* A daemon repeats the result, so a lease that is renewed soon still
+	 * ends the handover. */
+	if (!holds_lease(node, clock_now_us()))
+		return;
 	g_hash_table_iter_init(&it, node->promotion_states);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&state))
 		if (state->handover && state->handover == result->number) {
@@ -468,10 +477,10 @@
 static bool may_promote(const struct control_node *node, int64_t now_us)
 {
 	/* A new leader first collects reports of daemons and upstreams. */
-	return node->lead_term && node->lead_term_applied && !node->stopping &&
+	return holds_lease(node, now_us) && node->lead_term_applied &&
+	       !node->stopping &&
 	       now_us - raft_became_leader_us(node->raft) >=
-		       CONTROL_ELECTION_TIMEOUT_US &&
-	       raft_lease_until_us(node->raft) >= now_us;
+		       CONTROL_ELECTION_TIMEOUT_US;
 }
 
 void control_promotions_tick(struct control_node *node, int64_t now_us)
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -846,6 +846,79 @@
 }
 END_TEST
 
+static void report_handover(uint64_t number, bool complete)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__Watch watch = WIRE__WATCH__INIT;
+	Wire__HandoverResult result = WIRE__HANDOVER_RESULT__INIT;
+	Wire__HandoverResult *results = &result;
+	unsigned i;
+
+	result.number = number;
+	result.complete = complete;
+	watch.daemon = (char *)"asking";
+	watch.availability_zone = (char *)"z";
+	watch.handovers = &results;
+	watch.n_handovers = 1;
+	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
+	envelope.watch = &watch;
+	for (i = 0; i < 3; i++)
+		if (vms[i].node)
+			channel_send(&daemon_channels[i], &envelope);
+}
+
+static struct control_node *ordering_node;
+
+static bool is_handover_ordered(void)
+{
+	struct control_promotion_state *state;
+
+	ordering_node = leader();
+	state = ordering_node ?
+			g_hash_table_lookup(ordering_node->promotion_states,
+					    "s") :
+			NULL;
+	return state && state->handover;
+}
+
+/* Guards against a control VM that requests a promotion without a lease, since
+ * the result of a handover that it ordered as the leader arrives. */
+START_TEST(test_handover_result_needs_lease)
+{
+	static const struct reported_upstream both[] = { { "a", false, 80 },
+							 { "b", false, 80 } };
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	struct control_promotion_state *state;
+	unsigned i;
+
+	start_group(3);
+	connect_daemon();
+	nr_promotions = 0;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	report_upstreams(both, G_N_ELEMENTS(both));
+	run_until(NULL, 0.2);
+	a = upstream("a", true, 2);
+	a.leaving = true;
+	announce_to_all(&a);
+	ck_assert(run_until(is_handover_ordered, 3));
+	state = g_hash_table_lookup(ordering_node->promotion_states, "s");
+	for (i = 0; i < 3; i++)
+		if (vms[i].node != ordering_node)
+			stop_vm(i);
+	run_until(NULL, 0.6);
+	ck_assert_int_lt(raft_lease_until_us(ordering_node->raft),
+			 clock_now_us());
+	ck_assert_uint_ne(state->handover, 0);
+	report_handover(state->handover, true);
+	run_until(NULL, 0.3);
+	ck_assert_uint_eq(nr_promotions, 0);
+	disconnect_daemon();
+	stop_group();
+}
+END_TEST
+
 static struct control_watcher make_daemon(const char *name, bool failing)
 {
 	struct control_watcher w = { .name = (char *)name,
@@ -1054,4 +1127,5 @@
 	  test_new_leader_knows_former_primary,
 	  test_restart_keeps_former_primary,
 	  test_failed_handover_of_former_primary, test_minority_sends_no_config,
-	  test_one_roster, test_leaving_primary)
+	  test_handover_result_needs_lease, test_one_roster,
+	  test_leaving_primary)
