Hand over only from a primary that has stopped

What callers could see: commits that were acknowledged after the handover took the end of the log and that the successor lacks are dropped (LOST with sync_replicas).

Cause: a daemon demotes a primary with the term of its last known log position and one. A primary that has not committed in its term yet, or whose last position the daemon saw before, leads a newer term and goes on leading. The answer tells so, but the handover took it for stopped and went on.

Evidence: test_handover_before_first_commit fails on the code before ("sent[nr_replied].verb == 6, verb == 7": STATUS at the successor in place of a second DEMOTE).

Change: if the answer says that it still leads, the next DEMOTE has the term of the answer and one.

Why this works: the status names the term that is led, so the second DEMOTE is above it. If a database answered with its role before the command, the second one changes nothing. The time-out of the handover bounds the attempts.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -142,10 +142,13 @@
 /**
  * struct upstream_status - role and log position of an upstream
  * @primary: whether it is a primary
+ * @term: the term that it leads or follows, which its log shows only once
+ *        something was committed in it
  * @received: end of the log that it received, whether replayed or not
  */
 struct upstream_status {
 	bool primary;
+	uint32_t term;
 	struct position received;
 };
 
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -65,7 +65,8 @@
 	}
 	from = g_hash_table_lookup(entry->known_upstreams, h->from);
 	command.verb = LINK_DEMOTE;
-	command.min_position.term = from ? from->log_position.term + 1 : 0;
+	command.min_position.term =
+		MAX(h->demote_term, from ? from->log_position.term + 1 : 0);
 	send_command(entry, h->from, &command);
 }
 
@@ -114,6 +115,11 @@
 		schedule_poll(entry);
 		return;
 	}
+	if (h->phase == HANDOVER_STOPPING && status.primary) {
+		h->demote_term = status.term + 1;
+		schedule_poll(entry);
+		return;
+	}
 	if (h->phase == HANDOVER_STOPPING) {
 		h->end = status.received;
 		h->phase = HANDOVER_CATCHING_UP;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -386,6 +386,7 @@
  * @number: number of the order, 0 if there was none
  * @from: the primary
  * @to: its successor
+ * @demote_term: least term that demotes the primary, 0 if unknown
  * @end: end of the primary's log after it was demoted
  * @expires_us: deadline; once done, until when the result is reported
  * @awaiting_answer: whether a command is unanswered
@@ -397,6 +398,7 @@
 	enum handover_phase phase;
 	char *from;
 	char *to;
+	uint32_t demote_term;
 	struct position end;
 	int64_t expires_us;
 	bool awaiting_answer;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -58,12 +58,17 @@
 	nr_closed++;
 }
 
-/* End of the log that an upstream reports in its status. */
+/* What an upstream reports in its status: the end of its log, and the term that
+ * it leads, 0 for a replica. */
 static struct position status_position;
+static uint32_t status_leads_term;
 
 static bool read_status(const struct statement_answer *answer,
 			struct upstream_status *status)
 {
+	status->primary = status_leads_term > 0;
+	status->term = status_leads_term ? status_leads_term :
+					   status_position.term;
 	status->received = status_position;
 	return true;
 }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -30,6 +30,7 @@
 				       .upstream_ops = &upstream_ops };
 
 	opening_lsn = 100;
+	status_leads_term = 0;
 	nr_sent = nr_replied = nr_opened = nr_closed = nr_answers = nr_ended =
 		nr_started = 0;
 	memset(&last_answer, 0, sizeof(last_answer));
@@ -638,6 +639,34 @@
 }
 END_TEST
 
+/* Guards against a handover that goes on while the primary still leads: it has
+ * committed nothing in its term yet, so its log shows an older one. */
+START_TEST(test_handover_before_first_commit)
+{
+	setup();
+	link_open(g_hash_table_lookup(entry->known_upstreams, "p"));
+	link_open(g_hash_table_lookup(entry->known_upstreams, "r"));
+	complete_logins();
+	order_handover(7, "e");
+	expect_command(LINK_DEMOTE, NULL);
+	ck_assert_uint_eq(sent[0].min_position.term, 2);
+	status_position = (struct position){ 1, 50 };
+	status_leads_term = 2;
+	reply_done();
+	advance(30000);
+	expect_command(LINK_DEMOTE, NULL);
+	ck_assert_uint_eq(sent[1].min_position.term, 3);
+	status_position = (struct position){ 2, 51 };
+	status_leads_term = 0;
+	reply_done();
+	expect_command(LINK_STATUS, NULL);
+	reply_done();
+	ck_assert(entry->handover.complete);
+	ck_assert_uint_eq(entry->handover.end.lsn, 51);
+	teardown();
+}
+END_TEST
+
 /* Guards against a daemon that is cut off from control and refuses all writes
  * until it is told of the new primary. */
 START_TEST(test_found_primary)
@@ -1020,8 +1049,8 @@
 	  test_leader_unreachable, test_lost_answers, test_lost_transaction,
 	  test_values_are_reset, test_prepared, test_caller_leaves,
 	  test_time_outs, test_one_log_in, test_leaving, test_route_removed,
-	  test_early_caller, test_handover, test_overloaded_handover,
-	  test_found_primary, test_silent_primary, test_drain, test_lost_read,
-	  test_lost_answer_in_transaction, test_lost_write, test_slow_handover,
-	  test_broken_connection, test_silence_is_probed, test_cut_off,
-	  test_sample_without_position)
+	  test_early_caller, test_handover, test_handover_before_first_commit,
+	  test_overloaded_handover, test_found_primary, test_silent_primary,
+	  test_drain, test_lost_read, test_lost_answer_in_transaction,
+	  test_lost_write, test_slow_handover, test_broken_connection,
+	  test_silence_is_probed, test_cut_off, test_sample_without_position)
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -228,13 +228,14 @@
 START_TEST(test_status)
 {
 	static const char row[] =
-		"ROW replica 3 3.1209 0 12 2 17\r\nDONE -\r\n";
+		"ROW replica 4 3.1209 0 12 2 17\r\nDONE -\r\n";
 	struct statement_answer answer = { .result = (const uint8_t *)row,
 					   .len = sizeof(row) - 1 };
 	struct upstream_status status;
 
 	ck_assert(line_parse_status(&answer, &status));
 	ck_assert(!status.primary);
+	ck_assert_uint_eq(status.term, 4);
 	ck_assert_uint_eq(status.received.term, 3);
 	ck_assert_uint_eq(status.received.lsn, 1209);
 	answer.len = 10;
