Promote again if the promoted upstream does not lead

What callers could see: writes refused without end, though replicas answer.

Cause: an upstream that was promoted counts as the primary until another one claims the role, whatever it says itself. If it never led, or was demoted since, and answers as a replica, no promotion is needed in the eyes of the leader. Ways to get there: it crashes between the platform's answer and the change; a daemon carries out the DEMOTE of a handover after the handover timed out and the primary was confirmed; the promotion after a handover because of lag is lost.

Evidence: test_promoted_upstream_does_not_lead fails on the code before ("nr_promotions == 0" after 5 s).

Change: an upstream that announces more than PROMOTION_REQUEST_INTERVAL_US after its appointment that it is a replica does not count as the primary, so the candidate with the longest log is promoted, which may be the same one.

Why this works: a change is announced at once and announcements are numbered, so the newest one shows the role. If another upstream leads and its claim was not heard yet, it has the longest log, and its promotion changes nothing.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -68,6 +68,17 @@
 	return up.answered;
 }
 
+/* Whether an upstream that was promoted has said since that it does not lead. */
+static bool denies_leading(const struct control_node *node,
+			   const struct sighting *upstream)
+{
+	const struct appointment *a = g_hash_table_lookup(
+		node->sightings.appointments, upstream->service);
+
+	return !upstream->primary && a && !strcmp(a->id, upstream->id) &&
+	       upstream->heard_us - a->at_us > PROMOTION_REQUEST_INTERVAL_US;
+}
+
 /* Return: a struct promotion_upstream for each of the service's upstreams; also
  * sets the primary and the number of unannounced upstreams in @view. */
 static GArray *collect_upstreams(const struct control_node *node,
@@ -93,7 +104,8 @@
 
 		if (upstream->gone || strcmp(upstream->service, service))
 			continue;
-		if (upstream == primary_sighting)
+		if (upstream == primary_sighting &&
+		    !denies_leading(node, upstream))
 			view->primary = (int)out->len;
 		if (upstream->heard_us < node->started_us)
 			view->unannounced_upstreams++;
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -919,6 +919,44 @@
 }
 END_TEST
 
+/* Guards against a service without a primary for good: the upstream that was
+ * promoted says that it does not lead, and answers as a replica. */
+START_TEST(test_promoted_upstream_does_not_lead)
+{
+	static const struct reported_upstream both[] = { { "a", false, 80 },
+							 { "b", false, 80 } };
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	unsigned i;
+
+	start_group(3);
+	nr_promotions = 0;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	run_until(NULL, 0.2);
+	a = upstream("a", true, 2);
+	a.leaving = true;
+	announce_to_all(&a);
+	ck_assert(run_until(is_promotion_requested, 3));
+	ck_assert_str_eq(promoted_id, "b");
+	connect_daemon();
+	nr_promotions = 0;
+	for (i = 2; i < 12 && !nr_promotions; i++) {
+		a = upstream("a", false, i + 1);
+		b = upstream("b", false, i);
+		announce_to_all(&a);
+		announce_to_all(&b);
+		report_upstreams(both, G_N_ELEMENTS(both));
+		run_until(is_promotion_requested, 0.5);
+		if (i < 6)
+			ck_assert_uint_eq(nr_promotions, 0);
+	}
+	ck_assert_uint_eq(nr_promotions, 1);
+	disconnect_daemon();
+	stop_group();
+}
+END_TEST
+
 static struct control_watcher make_daemon(const char *name, bool failing)
 {
 	struct control_watcher w = { .name = (char *)name,
@@ -1128,4 +1166,4 @@
 	  test_restart_keeps_former_primary,
 	  test_failed_handover_of_former_primary, test_minority_sends_no_config,
 	  test_handover_result_needs_lease, test_one_roster,
-	  test_leaving_primary)
+	  test_leaving_primary, test_promoted_upstream_does_not_lead)
