Carry out one handover at a time

What callers could see: commits acknowledged before a planned change of primary are lost (LOST), and a primary stopped for nothing.

Cause: a daemon knows one handover, and its answers carry no number. Two services whose primaries leave, or whose replicas lag, at the same time get the same executor (control_handover_executor takes the daemon heard last). The second order replaced the first while the DEMOTE of the first was unanswered, and its answer was taken for that of the second DEMOTE: the end of one database's log became the position that the successor in the other one had to reach. Control repeats both orders in each View, so the two went on to replace each other. The same happened to the answer of an order that timed out.

Evidence: test_two_handovers fails on the code before ("entry->handover.number == 7": 8; the log says handover_finished from q to s, complete, after one answer, of p). Without the second condition it fails at "nr_sent == 3" (4).

Change: an order waits while another is in progress or has a command without an answer. Control repeats it, so it is begun by the next View. A link that stays silent is closed after 2 s (ENTRY_ABANDONED_TIMEOUT_US) and ends the wait.

A handover that waits for more than 1 s times out at control and is ordered again.

--- a/entry/handover.c
+++ b/entry/handover.c
@@ -146,6 +146,9 @@
 	if (in->number == h->number ||
 	    g_strcmp0(in->daemon, entry->config.name))
 		return;
+	/* An answer to this order would be taken for one to the new order. */
+	if (h->number && (h->phase != HANDOVER_DONE || h->awaiting_answer))
+		return;
 	if (h->timer != TIMER_NONE)
 		timer_cancel(entry->timers, &h->timer);
 	g_free(h->from);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -761,6 +761,61 @@
 }
 END_TEST
 
+static void order_handover_of(uint64_t number, const char *from, const char *to)
+{
+	Wire__Handover order = WIRE__HANDOVER__INIT;
+
+	order.number = number;
+	order.daemon = "e";
+	order.from = (char *)from;
+	order.to = (char *)to;
+	handover_start(entry, &order);
+}
+
+/* Guards against the end of one primary's log that is taken for that of another
+ * primary, whose successor would then lack commits. */
+START_TEST(test_two_handovers)
+{
+	static const char *const ids[] = { "p", "r", "q", "s" };
+	unsigned i;
+
+	setup();
+	add_sighting("q", false, false, 1);
+	add_sighting("s", false, false, 1);
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		link_open(g_hash_table_lookup(entry->known_upstreams, ids[i]));
+	complete_logins();
+	order_handover_of(7, "p", "r");
+	order_handover_of(8, "q", "s");
+	/* The end of the log of p, and then what was asked next. */
+	status_position = (struct position){ 1, 50 };
+	reply_done();
+	status_position = (struct position){ 1, 60 };
+	reply_done();
+	ck_assert_uint_eq(entry->handover.number, 7);
+	ck_assert_int_eq(entry->handover.phase, HANDOVER_DONE);
+	ck_assert_str_eq(sent[0].link->upstream->id, "p");
+	ck_assert_str_eq(sent[1].link->upstream->id, "r");
+	/* Control repeats the other order. */
+	order_handover_of(8, "q", "s");
+	ck_assert_uint_eq(nr_sent, 3);
+	ck_assert_str_eq(sent[2].link->upstream->id, "q");
+	expect_command(LINK_DEMOTE, NULL);
+	/* Its answer belongs to no order that is given after its time-out. */
+	handover_tick(entry, clock_now_us() + 800000);
+	ck_assert_int_eq(entry->handover.phase, HANDOVER_DONE);
+	order_handover_of(9, "p", "r");
+	ck_assert_uint_eq(nr_sent, 3);
+	reply_done();
+	ck_assert(!entry->handover.complete);
+	order_handover_of(9, "p", "r");
+	ck_assert_uint_eq(entry->handover.number, 9);
+	ck_assert_int_eq(entry->handover.phase, HANDOVER_STOPPING);
+	expect_command(LINK_DEMOTE, NULL);
+	teardown();
+}
+END_TEST
+
 /* Returns an upstream with @nr open connections that has answered often enough
  * to know how long an answer takes. */
 static struct upstream *connect_and_learn(const char *id, unsigned nr)
@@ -1050,7 +1105,8 @@
 	  test_values_are_reset, test_prepared, test_caller_leaves,
 	  test_time_outs, test_one_log_in, test_leaving, test_route_removed,
 	  test_early_caller, test_handover, test_handover_before_first_commit,
-	  test_overloaded_handover, test_found_primary, test_silent_primary,
-	  test_drain, test_lost_read, test_lost_answer_in_transaction,
-	  test_lost_write, test_slow_handover, test_broken_connection,
-	  test_silence_is_probed, test_cut_off, test_sample_without_position)
+	  test_two_handovers, test_overloaded_handover, test_found_primary,
+	  test_silent_primary, test_drain, test_lost_read,
+	  test_lost_answer_in_transaction, test_lost_write, test_slow_handover,
+	  test_broken_connection, test_silence_is_probed, test_cut_off,
+	  test_sample_without_position)
