Take no promoted upstream for a replica because of an announcement

What callers could see: STALE, and acknowledged writes lost.

Cause: a promotion that was given up (CANDIDATE_TIMEOUT_US) is carried out once the candidate goes on, since SQL has no fence. Two databases then have a log of the same term, and positions are compared by term and number only. All that keeps reads and the count of replicas behind a commit from such an upstream is that it says that it is a primary. An announcement replaced what its own answer had said, also one that was written before the promotion and came after it: a VM that was frozen with its database sends it when it goes on. Until the next answer to a probe (100 ms, or as long as the query fails) its positions then counted as those of a replica of the primary.

Evidence: test_promoted_late fails on the code before ("out.upstream == 2": the read that needs 2:290 went to the upstream that was promoted late).

Change: the directory keeps whether the position was reported by a primary, and only the next position changes that. What control is told stays as it was, as a former primary that announces itself as a replica has to be repointed.

Not covered: such an upstream that is started as a replica without being rewound and reports a running receiver.

--- a/comfreywheel-bench/model_request.c
+++ b/comfreywheel-bench/model_request.c
@@ -184,7 +184,7 @@
 	}
 	for (db = 0; db < MODEL_DATABASES; db++) {
 		up = directory_upstream_at(&op->daemon->dir, db);
-		if (db == op->database || up->says_primary)
+		if (db == op->database || !directory_is_replica(up))
 			continue;
 		if (position_covers(&cl->history, up->received, op->written)) {
 			store(now_us, op);
--- a/comfreywheeld/commit_wait.c
+++ b/comfreywheeld/commit_wait.c
@@ -39,7 +39,7 @@
 	for (i = 0; i < cluster->upstreams->len; i++) {
 		handle = g_array_index(cluster->upstreams, int, i);
 		up = directory_upstream_at(dir, handle);
-		if (handle != cluster->primary && !up->says_primary &&
+		if (handle != cluster->primary && directory_is_replica(up) &&
 		    position_covers(&cluster->history, up->received,
 				    req->commit))
 			nr++;
--- a/coordination/router.c
+++ b/coordination/router.c
@@ -42,7 +42,7 @@
 
 	if (handle == cl->primary || handle == req->exclude)
 		return false;
-	if (up->leaving || !up->reachable || up->says_primary)
+	if (up->leaving || !up->reachable || !directory_is_replica(up))
 		return false;
 	if (up->position_reported_us == INT64_MIN ||
 	    directory_has_diverged(dir, handle))
--- a/include/upstream_directory.h
+++ b/include/upstream_directory.h
@@ -46,6 +46,8 @@
  * @fresh_as_of_us: reads here see everything committed before this time;
  *            INT64_MIN if unknown
  * @says_primary: whether the upstream claims to be a primary
+ * @wrote_own_log: whether it was a primary when it reported @received and
+ *                 @replayed; announcements do not change it
  * @leaving: whether the upstream has announced that it is leaving
  * @reachable: result of the last probes
  * @missed_probes: consecutive probes without an answer
@@ -67,6 +69,7 @@
 	int64_t position_reported_us;
 	int64_t fresh_as_of_us;
 	bool says_primary;
+	bool wrote_own_log;
 	bool leaving;
 	bool reachable;
 	unsigned missed_probes;
@@ -190,6 +193,16 @@
  */
 bool directory_has_diverged(const struct upstream_directory *dir, int upstream);
 
+/**
+ * directory_is_replica() - whether an upstream holds another one's log
+ *
+ * One that was promoted and did not become the cluster's primary has a log of
+ * the same term as the primary's and other writes. So its position tells nothing
+ * until it reports one as a replica, whatever an announcement, which may be late,
+ * says of its role.
+ */
+bool directory_is_replica(const struct upstream *up);
+
 /** directory_is_current() - announced or probed within the expiry */
 bool directory_is_current(const struct upstream_directory *dir, int upstream,
 			  int64_t now_us);
--- a/state/upstream_directory.c
+++ b/state/upstream_directory.c
@@ -327,7 +327,7 @@
 		received = position_max(received, up->received);
 	up->received = received;
 	up->replayed = replayed;
-	up->says_primary = !in_recovery;
+	up->says_primary = up->wrote_own_log = !in_recovery;
 	if (cl->primary == upstream && !in_recovery && lease_valid &&
 	    received.term == cl->term)
 		record_primary_position(dir, cl, received, asked_us);
@@ -380,6 +380,11 @@
 	return false;
 }
 
+bool directory_is_replica(const struct upstream *up)
+{
+	return !up->says_primary && !up->wrote_own_log;
+}
+
 bool directory_is_current(const struct upstream_directory *dir, int upstream,
 			  int64_t now_us)
 {
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -131,6 +131,36 @@
 }
 END_TEST
 
+/* Guards against a read at an upstream that was promoted late: its log has the
+ * primary's term and not the primary's writes, and its announcement is older. */
+START_TEST(test_promoted_late)
+{
+	struct upstream_announcement ann = fixture_announcement("a");
+	struct route_request req = read_request();
+	struct position pos = { 2, 300 };
+	int i;
+
+	setup();
+	term_history_add(&directory_cluster_at(&dir, 0)->history, 1, 100);
+	directory_set_primary(&dir, 0, "b", 2, false);
+	fixture_note_position(&dir, 2, 290, 97 * MS, 98 * MS);
+	directory_record_position(&dir, 1, false, pos, pos, 97 * MS, 98 * MS,
+				  true);
+	directory_record_announcement(&dir, &ann, 0, 99 * MS);
+	req.has_position = true;
+	req.needed = (struct position){ 2, 290 };
+	for (i = 0; i < 50; i++) {
+		decide(&req, 100 * MS);
+		ck_assert_int_eq(out.upstream, 2);
+	}
+	directory_record_position(&dir, 1, true, pos, pos, 99 * MS, 100 * MS,
+				  true);
+	decide(&req, 100 * MS);
+	ck_assert_int_eq(out.upstream, 1);
+	directory_finish(&dir);
+}
+END_TEST
+
 /* Guards against the use, without a valid lease, of a primary that may have
  * been replaced. */
 START_TEST(test_primary_needs_a_lease)
@@ -264,6 +294,7 @@
 END_TEST
 
 TEST_MAIN("router", test_needed_position, test_freshness, test_leaving,
-	  test_ineligible_replicas, test_primary_needs_a_lease,
-	  test_write_waits_for_a_primary, test_waits_for_replay_if_sooner,
-	  test_load_and_zone, test_load_ramp_of_new_replica)
+	  test_ineligible_replicas, test_promoted_late,
+	  test_primary_needs_a_lease, test_write_waits_for_a_primary,
+	  test_waits_for_replay_if_sooner, test_load_and_zone,
+	  test_load_ramp_of_new_replica)
