Promote no replica of an earlier term than the one that ends

What callers could see: writes refused without end after a second change of primary. Two databases then have a log of the same term, and if the operator makes the one follow the other without a rewind: STALE, since positions are compared by term and number.

Cause: if no daemon knows what it acknowledged in the term (all were restarted, or fenced by expiry) and every known replica answers, any replica qualified, also one that still followed the primary of an earlier term. A promotion adds one to the replica's term, so the new log had the number of the term that ends, the condition for DONE ("received.term > fo->term") was never met, the candidate answered, so no other one was tried, and the fence stayed.

Evidence: test_candidate_of_earlier_term fails on the code before ("choose_candidate(&r) == 1", -1 expected).

--- a/coordination/failover.c
+++ b/coordination/failover.c
@@ -196,7 +196,7 @@
 			       &fo->last_query_us, QUERY_RETRY_US, now_us);
 		return;
 	}
-	candidate = failover_choose_candidate(view, &fo->blocked);
+	candidate = failover_choose_candidate(view, fo->term, &fo->blocked);
 	if (candidate >= 0 && (failover_all_answered(view) ||
 			       is_due(fo->fenced_us, CANDIDATE_CHOICE_WAIT_US,
 				      now_us, decision))) {
@@ -214,7 +214,7 @@
 				   int64_t now_us,
 				   struct failover_decision *decision)
 {
-	int other = failover_choose_candidate(view, &fo->blocked);
+	int other = failover_choose_candidate(view, fo->term, &fo->blocked);
 
 	if (other >= 0 && other != fo->candidate) {
 		propose_step(fo, FAILOVER_PROMOTING, other, now_us, decision);
--- a/coordination/failover_choice.c
+++ b/coordination/failover_choice.c
@@ -127,7 +127,7 @@
 	return best;
 }
 
-int failover_choose_candidate(const struct failover_view *view,
+int failover_choose_candidate(const struct failover_view *view, uint32_t term,
 			      const char **blocked)
 {
 	unsigned ack_replicas_min = MAX(view->ack_replicas, 1u), answered;
@@ -142,6 +142,11 @@
 		*blocked = "the last acknowledged write of a daemon is unknown "
 			   "and too few replicas answer to guarantee that one "
 			   "of them holds it; restore a replica";
+	/* Promoted, it would begin the current term a second time. */
+	else if (view->replicas[best].received.term < term)
+		*blocked = "no answering replica has followed the primary of "
+			   "the current term; restore one or make one follow "
+			   "it";
 	else if (!position_covers(NULL, view->replicas[best].received,
 				  required))
 		*blocked = "no answering replica holds every acknowledged "
--- a/coordination/failover_internal.h
+++ b/coordination/failover_internal.h
@@ -17,10 +17,11 @@
 
 /**
  * failover_choose_candidate() - choose a replica with every acknowledged write
+ * @term: the term that ends; a replica of an earlier one does not qualify
  * @blocked: set to the reason and what to do if none qualifies, else NULL
  * Return: index of the replica, -1 if none may be promoted now
  */
-int failover_choose_candidate(const struct failover_view *view,
+int failover_choose_candidate(const struct failover_view *view, uint32_t term,
 			      const char **blocked);
 
 #endif
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -352,6 +352,28 @@
 }
 END_TEST
 
+/* Guards against a second log of the current term: the term of a replica that
+ * still follows an earlier one becomes the current one, and the run never ends. */
+START_TEST(test_candidate_of_earlier_term)
+{
+	struct run r;
+
+	run_init(&r);
+	r.daemons[0].acknowledged = (struct position){ 0, 0 };
+	r.daemons[1].acknowledged = (struct position){ 0, 0 };
+	r.daemons[2].acknowledged = (struct position){ 0, 0 };
+	r.replicas[0].received.term = r.replicas[1].received.term = TERM - 1;
+	advance_to(&r, FAILOVER_FENCING, -1);
+	confirm_fences_from(&r, 0);
+	answer_all(&r);
+	ck_assert_int_eq(choose_candidate(&r), -1);
+	ck_assert_ptr_nonnull(r.fo.blocked);
+	/* The operator has made one of them follow the last primary. */
+	r.replicas[0].received = (struct position){ TERM, 90 };
+	ck_assert_int_eq(choose_candidate(&r), 0);
+}
+END_TEST
+
 /* Guards against choosing a candidate by answers from before the fence. */
 START_TEST(test_positions_queried_after_fence)
 {
@@ -435,4 +457,5 @@
 	  test_suspicion_of_new_leader, test_suspicion_is_confirmed,
 	  test_steps_in_order, test_abandon_and_propose_again,
 	  test_fence_by_expiry, test_candidate_choice,
-	  test_positions_queried_after_fence, test_resume, test_candidate_fails)
+	  test_candidate_of_earlier_term, test_positions_queried_after_fence,
+	  test_resume, test_candidate_fails)
