Model promotions that are carried out late

The class of the incident there: the leader gives a candidate up after 2 s (CANDIDATE_TIMEOUT_US) and promotes another one, and SQL has no fence. The model had "answer of the promotion lost", in which the first candidate leads first. Two faults are new: the order is carried out as the second candidate's promotion ends, or once the first candidate follows the second one. Each is followed by every other fault, 7 s later.

Change besides: between fail-overs the model's leader asks again about a replica that had been promoted, as daemons' reports do in the product.

--- a/comfreywheel-bench/failover_drive.c
+++ b/comfreywheel-bench/failover_drive.c
@@ -209,6 +209,21 @@
 	}
 }
 
+/* Between fail-overs daemons report what an operator made a replica again. */
+static void doubt_promoted(struct control_vm *vm, unsigned cluster)
+{
+	enum failover_step step = vm->runs[cluster].step;
+	struct failover_replica *r;
+	unsigned i;
+
+	if (step == FAILOVER_FENCING || step == FAILOVER_PROMOTING)
+		return;
+	for (i = 0; i < WORLD_REPLICATION - 1; i++) {
+		r = &vm->replicas[cluster][i];
+		r->answered = r->answered && !r->promoted;
+	}
+}
+
 void world_drive(struct control_vm *vm, unsigned cluster)
 {
 	struct world_times *t = &vm->world->times[cluster];
@@ -230,6 +245,7 @@
 
 	if (!vm->leads || !cluster_of(vm, cluster))
 		return;
+	doubt_promoted(vm, cluster);
 	for (i = 0; i < nr; i++)
 		view_daemon(vm, cluster, i, &daemons[i]);
 	for (i = 0; i < ORDERS_MAX; i++) {
--- a/comfreywheel-bench/failover_faults.c
+++ b/comfreywheel-bench/failover_faults.c
@@ -2,6 +2,9 @@
 
 #define STALL_US (3000 * WORLD_MS)
 #define RESTART_US (1000 * WORLD_MS)
+/* The leader gives a candidate up after 2 s. */
+#define LATE_US (2200 * WORLD_MS)
+#define LATER_US (4500 * WORLD_MS)
 #define FAR_BEHIND_US (5000 * WORLD_MS)
 
 int world_primary(const struct world *world, unsigned cluster)
@@ -230,6 +233,7 @@
 
 static void restore_answers(struct world *world, int node, void *data)
 {
+	world_database(world, node)->order_delay_us = 0;
 	cut_answers(world, node, false);
 }
 
@@ -250,6 +254,9 @@
 		world_isolate(world, candidate, -1, true);
 		return;
 	}
+	if (world->trap == TRAP_LATE_ORDER)
+		world_database(world, candidate)->order_delay_us =
+			world->trap_delay_us;
 	cut_answers(world, candidate, true);
 	world_after(world, STALL_US, candidate, restore_answers, NULL);
 }
@@ -287,6 +294,20 @@
 	set_trap(world, TRAP_ANSWER, FAILOVER_PROMOTING);
 }
 
+/* The candidate carries out the order while its successor is promoted. */
+static void promoted_late(struct world *world)
+{
+	world->trap_delay_us = LATE_US;
+	set_trap(world, TRAP_LATE_ORDER, FAILOVER_PROMOTING);
+}
+
+/* It does so when it follows the primary that was promoted in its place. */
+static void promoted_later(struct world *world)
+{
+	world->trap_delay_us = LATER_US;
+	set_trap(world, TRAP_LATE_ORDER, FAILOVER_PROMOTING);
+}
+
 static void repaired_then_lost(struct world *world, int node, void *data)
 {
 	world_repair(world);
@@ -329,6 +350,8 @@
 	{ "leader dies at done", leader_dies_done },
 	{ "candidate dies", candidate_dies },
 	{ "answer of the promotion lost", answer_lost },
+	{ "promotion carried out late", promoted_late },
+	{ "promotion carried out late by a replica", promoted_later },
 	{ "two VMs lost around a repair", two_lost_around_repair },
 };
 
--- a/comfreywheel-bench/failover_upstream.c
+++ b/comfreywheel-bench/failover_upstream.c
@@ -145,6 +145,13 @@
 	world_after(world, time_us, node, promoted, g_memdup2(l, sizeof(*l)));
 }
 
+static void promote_late(struct world *world, int node, void *data)
+{
+	if (world_database(world, node)->up)
+		promote(world, node, data);
+	g_free(data);
+}
+
 /* Takes over the sender's history, as a replica that is copied anew would. */
 static void replay(struct world *world, int node, void *data)
 {
@@ -225,7 +232,11 @@
 				    g_memdup2(l, sizeof(*l)));
 		break;
 	case LETTER_PROMOTE:
-		promote(world, l->to, l);
+		if (db->order_delay_us)
+			world_after(world, db->order_delay_us, l->to,
+				    promote_late, g_memdup2(l, sizeof(*l)));
+		else
+			promote(world, l->to, l);
 		break;
 	case LETTER_REPOINT:
 		if (!db->primary)
--- a/comfreywheel-bench/failover_world.h
+++ b/comfreywheel-bench/failover_world.h
@@ -88,6 +88,7 @@
  * @refuses: while not up, whether its VM still refuses connections
  * @upstream: node that it replicates from
  * @lag_us: extra delay of its replication
+ * @order_delay_us: time after which it carries out an order to promote
  */
 struct database {
 	bool up;
@@ -101,6 +102,7 @@
 	unsigned nr_lineage;
 	int64_t lag_us;
 	int64_t promoting_until_us;
+	int64_t order_delay_us;
 };
 
 /** struct world_write - a write whose answer is withheld */
@@ -188,6 +190,7 @@
 	TRAP_LEADER,
 	TRAP_CANDIDATE,
 	TRAP_ANSWER,
+	TRAP_LATE_ORDER,
 };
 
 /** struct world_times - when the last fail-over of a cluster got where */
@@ -266,6 +269,7 @@
 	char *violation;
 	enum world_trap trap;
 	int trap_step;
+	int64_t trap_delay_us;
 	void (*on_step)(struct world *world, int leader, int candidate,
 			int step);
 	int naive_primary[WORLD_CLUSTERS_MAX];
--- a/tests/test_failover_faults.c
+++ b/tests/test_failover_faults.c
@@ -9,6 +9,8 @@
  */
 
 #define HOLD_US (5000 * WORLD_MS)
+/* Time in which a late order has been carried out. */
+#define AFTER_LATE_US (7000 * WORLD_MS)
 
 static struct faults_run make_run(unsigned first, unsigned second,
 				  unsigned long seed)
@@ -67,6 +69,25 @@
 }
 END_TEST
 
+/* Guards against a later fail-over that counts on the log of an upstream whose
+ * promotion was given up and carried out all the same. */
+START_TEST(test_faults_after_late_promotion)
+{
+	struct faults_run run;
+	unsigned i, j;
+
+	for (i = 0; i < faults_nr(); i++) {
+		if (!g_str_has_prefix(fault_name(i), "promotion carried out"))
+			continue;
+		for (j = 1; j < faults_nr(); j++) {
+			run = make_run(i, j, 2000 + i * faults_nr() + j);
+			run.gap_us += AFTER_LATE_US;
+			run_faults(&run);
+		}
+	}
+}
+END_TEST
+
 /* Guards against disruption by a control VM that was silent for an hour. */
 START_TEST(test_control_vm_silent_for_hour)
 {
@@ -96,4 +117,5 @@
 END_TEST
 
 TEST_MAIN("failover_faults", test_single_faults, test_fault_pairs,
-	  test_control_vm_silent_for_hour, test_naive_breaks_invariants)
+	  test_faults_after_late_promotion, test_control_vm_silent_for_hour,
+	  test_naive_breaks_invariants)
