Remember the term of a primary whose reports end

What callers could see: no primary for as long as the failed one is away, though good replicas answer.

Cause: takes the newest term of any log for the one that ended if no position of the former primary is reported any more, as when it left or another upstream has its address. That term may be the new primary's own, if its first commit is reported before the change is seen. Its position then counted as the end of the ended term, and every replica that followed it further as diverged.

Evidence: test_unknown_former_primary fails without the remembered position ("!succession_diverged(&s, "c", at(2, 90))").

Change: succession remembers the newest known position of the primary and uses it when its reports have ended. The newest term of any log is used only if none was ever known.

Conclusion: closed for a former primary that was reported once. If the reports of it already follow the new primary when the change is seen, the same happens still.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -145,10 +145,11 @@
 		sightings_primary(&node->sightings, service);
 	struct position former = { 0 };
 
-	if (!primary || !g_strcmp0(s->primary, primary->id))
-		return;
 	if (s->primary)
 		former = newest_position(node, s->primary);
+	succession_note_position(s, s->primary, former);
+	if (!primary || !g_strcmp0(s->primary, primary->id))
+		return;
 	succession_change(s, primary->id, newest_position(node, primary->id),
 			  former);
 }
@@ -168,6 +169,7 @@
 	succession_set_newest_term(s, newest_term);
 	for (i = 0; i < upstreams->len; i++) {
 		up = &g_array_index(upstreams, struct promotion_upstream, i);
+		succession_note_position(s, up->id, up->position);
 		up->diverged = succession_diverged(s, up->id, up->position);
 	}
 }
--- a/coordination/succession.c
+++ b/coordination/succession.c
@@ -35,6 +35,13 @@
 	s->newest_term = term;
 }
 
+void succession_note_position(struct succession *s, const char *id,
+			      struct position position)
+{
+	if (!g_strcmp0(s->primary, id))
+		s->position = position_max(s->position, position);
+}
+
 void succession_request(struct succession *s, const char *id,
 			struct position position)
 {
@@ -69,12 +76,13 @@
 		return;
 	if (s->primary) {
 		g_hash_table_add(s->replaced, g_strdup(s->primary));
-		set_base(s, id, position, former);
+		set_base(s, id, position, position_max(s->position, former));
 	}
 	g_hash_table_remove(s->replaced, id);
 	g_clear_pointer(&s->requested, g_free);
 	g_free(s->primary);
 	s->primary = g_strdup(id);
+	s->position = position;
 }
 
 bool succession_diverged(const struct succession *s, const char *id,
--- a/include/succession.h
+++ b/include/succession.h
@@ -19,6 +19,7 @@
 /**
  * struct succession - the primary of one service and those before it
  * @primary: id of the upstream that leads, NULL if unknown
+ * @position: newest known end of its log, term 0 if unknown
  * @base: end of its log when it was promoted, term 0 if unknown
  * @ended_term: newest term of any log at that time, 0 if unknown
  * @newest_term: newest term of any log
@@ -30,6 +31,7 @@
  */
 struct succession {
 	char *primary;
+	struct position position;
 	struct position base;
 	uint32_t ended_term;
 	uint32_t newest_term;
@@ -62,6 +64,14 @@
  */
 void succession_set_newest_term(struct succession *s, uint32_t term);
 
+/**
+ * succession_note_position() - the log of @id ends at @position
+ *
+ * Remembered for the primary, whose reports may end before it is replaced.
+ */
+void succession_note_position(struct succession *s, const char *id,
+			      struct position position);
+
 /**
  * succession_request() - this VM requests the promotion of @id
  * @position: last known end of its log
@@ -72,7 +82,8 @@
 /**
  * succession_change() - @id is the primary from now on
  * @position: last known end of its log, term 0 if unknown
- * @former: last known end of the log of the primary before it
+ * @former: last known end of the log of the primary before it, term 0 if there
+ *          is no newer one than the position noted
  *
  * Does nothing if it was the primary already.
  */
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -173,6 +173,26 @@
 }
 END_TEST
 
+/* Guards against a service without any candidate: the former primary is not
+ * reported any more, and its successor has committed before the change is seen. */
+START_TEST(test_unknown_former_primary)
+{
+	start("a");
+	succession_set_newest_term(&s, 2);
+	succession_change(&s, "b", at(2, 83), at(0, 0));
+	ck_assert(!succession_diverged(&s, "c", at(2, 90)));
+	ck_assert(succession_diverged(&s, "c", at(1, 109)));
+	ck_assert(succession_diverged(&s, "a", at(1, 109)));
+	ck_assert(!succession_diverged(&s, "a", at(2, 90)));
+	/* Its successor is not reported any more either. */
+	succession_note_position(&s, "b", at(2, 140));
+	succession_change(&s, "c", at(2, 120), at(0, 0));
+	ck_assert(succession_diverged(&s, "b", at(2, 140)));
+	ck_assert(!succession_diverged(&s, "d", at(2, 120)));
+	succession_finish(&s);
+}
+END_TEST
+
 /* Guards against a VM that knows of no change and promotes a log of an older
  * term, and against one that finds no candidate although no primary changed. */
 START_TEST(test_nothing_known)
@@ -207,4 +227,5 @@
 	  test_promotion_of_other_leader, test_lost_answer,
 	  test_successor_lacks_last_term, test_outdated_request,
 	  test_nothing_known, test_leads_again,
-	  test_former_primary_under_other_id, test_restored)
+	  test_former_primary_under_other_id, test_restored,
+	  test_unknown_former_primary)
