Forget the log position of a database that started again

What callers could see: acknowledged commits lost (LOST with sync_replicas).

Cause: a database may start again under its id without its log. A daemon kept the position that it had seen before for as long as the new one answered without a position, and reported it, so the empty log could count as the longest one.

Evidence: test_restarted_without_log fails on the code before ("r->log_position.term == 1").

Change: a new start in the announcement makes the position unknown until the next answer.

Why this works: an unknown position comes last among candidates, and with synchronous replicas as many unknown ones stop the choice.

Conclusion: closed for the daemon that has the announcement. Others report the old position until they have it too.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -60,6 +60,7 @@
  * struct upstream - one upstream and the connections to it
  * @other_zone: whether it is in another availability zone
  * @revision: revision of the sighting that was last applied
+ * @born_ms: start of the database according to that sighting
  * @leaving: whether it is shutting down and gets no new work
  * @gone: whether it is gone or has changed its service; it is freed once its
  *        links are closed
@@ -92,6 +93,7 @@
 	char *address;
 	bool other_zone;
 	uint64_t revision;
+	uint64_t born_ms;
 	bool leaving;
 	bool gone;
 	GPtrArray *links;
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -107,6 +107,10 @@
 	if (upstream->revision == sighting->revision)
 		return;
 	upstream->revision = sighting->revision;
+	/* It may have started again without its log. */
+	if (upstream->born_ms != sighting->born_ms)
+		upstream->log_position = (struct position){ 0 };
+	upstream->born_ms = sighting->born_ms;
 	if (sighting->leaving && !upstream->leaving)
 		event_log("upstream_leaving", "{s:s}", "upstream",
 			  upstream->id);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -1098,6 +1098,39 @@
 }
 END_TEST
 
+/* Guards against promoting an empty log: an upstream that started again under
+ * its id is reported with the position that it had before. */
+START_TEST(test_restarted_without_log)
+{
+	struct sighting again = { .id = "r",
+				  .service = "s",
+				  .address = "r",
+				  .availability_zone = "z",
+				  .born_ms = 2,
+				  .sequence = 1,
+				  .heard_us = clock_now_us() };
+	struct upstream *r;
+	struct link *link;
+
+	setup();
+	r = g_hash_table_lookup(entry->known_upstreams, "r");
+	link_open(r);
+	complete_logins();
+	ck_assert_uint_eq(r->log_position.lsn, 100);
+	add_sighting("r", false, false, 2);
+	ck_assert_uint_eq(r->log_position.lsn, 100);
+	link_closed(r->links->pdata[0], REFUSAL_NONE);
+	sightings_merge(&entry->sightings, &again);
+	upstreams_update(entry);
+	link = link_open(r);
+	link_opened(link, (struct position){ 0 });
+	ck_assert_uint_eq(r->log_position.term, 0);
+	link_opened(link, (struct position){ 1, 7 });
+	ck_assert_uint_eq(r->log_position.lsn, 7);
+	teardown();
+}
+END_TEST
+
 TEST_MAIN("entry", test_primary_read, test_replaced_primary, test_own_commit,
 	  test_other_replica, test_known_lag, test_all_behind,
 	  test_refused_begin, test_bounded_needs_sample, test_old_sightings,
@@ -1109,4 +1142,4 @@
 	  test_silent_primary, test_drain, test_lost_read,
 	  test_lost_answer_in_transaction, test_lost_write, test_slow_handover,
 	  test_broken_connection, test_silence_is_probed, test_cut_off,
-	  test_sample_without_position)
+	  test_sample_without_position, test_restarted_without_log)
