Tell the term that a primary leads from its progress

What callers could see: no primary for as long as the failed one is away, and after it is forgotten none at all, though good replicas answer.

Cause: succession takes a position of the new primary in the newest term of the former one for the end of that term. A control VM that sees the change late, since it was frozen, cut off or restarted with an old sightings file, compares positions of the new term: the former primary follows the new one already. All that replicas receive from then on counted as diverged, until the next change of primary. The same happened, until its first commit, to a new primary whose log was longer than last reported.

Evidence: test_change_seen_late of succession and control_node and test_longer_log_than_known fail without the change ("!succession_diverged(&s, "c", at(2, 88))", "run_until(is_promotion_requested, 2)", "!succession_diverged(&s, "c", at(1, 85))").

Change: the known end of the ended term follows the primary's log, and if the log still grows in that term 5 s after the change was seen, the term is its own.

Why this works: a primary extends its log only in the term that it leads, and 5 s is more than an outdated position is reported (2.5 s after the last report, of an answer at most 1.5 s old). Until then a doubtful log is refused as before.

Conclusion: the time without a candidate is bounded to 5 s after the change was seen. The processor time of the notes was not measured.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -14,6 +14,10 @@
 /* Timeout of a handover, including the messages to and from the daemon that
  * carries it out, microseconds. */
 #define HANDOVER_TIMEOUT_US (1000 * 1000ll)
+/* Time for which a position of the primary may have been reported from before
+ * its promotion: a daemon reports upstreams that answered recently, and counts
+ * as connected for CONTROL_WATCHER_TIMEOUT_US after its last report. */
+#define SETTLED_AFTER_US (2 * CONTROL_WATCHER_TIMEOUT_US)
 /* Pause after a refused promotion request, microseconds. */
 #define REFUSED_RETRY_US (300 * 1000ll)
 
@@ -138,20 +142,24 @@
 	return s;
 }
 
-static void follow_primary(struct control_node *node, const char *service)
+static void follow_primary(struct control_node *node, const char *service,
+			   int64_t now_us)
 {
 	struct succession *s = control_succession(node, service);
 	const struct sighting *primary =
 		sightings_primary(&node->sightings, service);
-	struct position former = { 0 };
+	struct position last = { 0 };
 
 	if (s->primary)
-		former = newest_position(node, s->primary);
-	succession_note_position(s, s->primary, former);
-	if (!primary || !g_strcmp0(s->primary, primary->id))
+		last = newest_position(node, s->primary);
+	if (primary && g_strcmp0(s->primary, primary->id)) {
+		succession_change(s, primary->id,
+				  newest_position(node, primary->id), last);
+		s->seen_us = now_us;
 		return;
-	succession_change(s, primary->id, newest_position(node, primary->id),
-			  former);
+	}
+	succession_note_position(s, s->primary, last,
+				 now_us - s->seen_us > SETTLED_AFTER_US);
 }
 
 static void mark_diverged(struct control_node *node, const char *service,
@@ -169,7 +177,6 @@
 	succession_set_newest_term(s, newest_term);
 	for (i = 0; i < upstreams->len; i++) {
 		up = &g_array_index(upstreams, struct promotion_upstream, i);
-		succession_note_position(s, up->id, up->position);
 		up->diverged = succession_diverged(s, up->id, up->position);
 	}
 }
@@ -351,7 +358,7 @@
 
 	state->handover = 0;
 	/* An order of an earlier leader may have been carried out meanwhile. */
-	follow_primary(node, state->service);
+	follow_primary(node, state->service, clock_now_us());
 	if (succession_diverged(control_succession(node, state->service), id,
 				newest_position(node, id))) {
 		event_log_always("handover_superseded", "{s:s, s:s}", "service",
@@ -499,20 +506,15 @@
 
 void control_promotions_tick(struct control_node *node, int64_t now_us)
 {
-	bool changed = node->successions_revision != node->sightings.revision;
 	bool promote = may_promote(node, now_us);
 	GHashTable *services;
 	GHashTableIter it;
 	char *service;
 
-	if (!changed && !promote)
-		return;
-	node->successions_revision = node->sightings.revision;
 	services = collect_services(node);
 	g_hash_table_iter_init(&it, services);
 	while (g_hash_table_iter_next(&it, (void **)&service, NULL)) {
-		if (changed)
-			follow_primary(node, service);
+		follow_primary(node, service, now_us);
 		if (promote)
 			check_service(node, service, now_us);
 	}
--- a/coordination/succession.c
+++ b/coordination/succession.c
@@ -36,10 +36,20 @@
 }
 
 void succession_note_position(struct succession *s, const char *id,
-			      struct position position)
+			      struct position position, bool settled)
 {
-	if (!g_strcmp0(s->primary, id))
-		s->position = position_max(s->position, position);
+	if (g_strcmp0(s->primary, id) || !position.term)
+		return;
+	s->position = position_max(s->position, position);
+	if (position.term > s->ended_term ||
+	    position_compare(position, s->base) <= 0)
+		return;
+	if (!settled || position.term != s->base.term) {
+		s->base = position;
+		return;
+	}
+	s->ended_term = position.term - 1;
+	s->base = (struct position){ 0 };
 }
 
 void succession_request(struct succession *s, const char *id,
--- a/include/succession.h
+++ b/include/succession.h
@@ -20,6 +20,7 @@
  * struct succession - the primary of one service and those before it
  * @primary: id of the upstream that leads, NULL if unknown
  * @position: newest known end of its log, term 0 if unknown
+ * @seen_us: when the caller saw that it leads
  * @base: end of its log when it was promoted, term 0 if unknown
  * @ended_term: newest term of any log at that time, 0 if unknown
  * @newest_term: newest term of any log
@@ -32,6 +33,7 @@
 struct succession {
 	char *primary;
 	struct position position;
+	int64_t seen_us;
 	struct position base;
 	uint32_t ended_term;
 	uint32_t newest_term;
@@ -66,11 +68,15 @@
 
 /**
  * succession_note_position() - the log of @id ends at @position
+ * @settled: whether it has been seen to lead for longer than outdated positions
+ *           are reported
  *
- * Remembered for the primary, whose reports may end before it is replaced.
+ * Remembered for the primary, whose reports may end before it is replaced. A
+ * primary extends its log only in the term that it leads, so progress once it
+ * is settled shows that this term had not ended before.
  */
 void succession_note_position(struct succession *s, const char *id,
-			      struct position position);
+			      struct position position, bool settled);
 
 /**
  * succession_request() - this VM requests the promotion of @id
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -846,6 +846,51 @@
 }
 END_TEST
 
+/* Guards against a service without any candidate: a VM saw the change of primary
+ * only when the replicas followed the new one already. */
+START_TEST(test_change_seen_late)
+{
+	static const struct reported_upstream seen[] = { { "a", false, 85 },
+							 { "b", false, 83 },
+							 { "c", false, 84 } };
+	static const struct reported_upstream later[] = { { "a", false, 95 },
+							  { "b", false, 95 },
+							  { "c", false, 94 } };
+	static const struct reported_upstream lost[] = { { "a", false, 96 },
+							 { "b", true, 95 },
+							 { "c", false, 97 } };
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	struct sighting c = upstream("c", false, 1);
+	unsigned i;
+
+	start_group(3);
+	connect_daemon();
+	nr_promotions = 0;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	announce_to_all(&c);
+	report_upstreams(seen, G_N_ELEMENTS(seen));
+	run_until(NULL, 0.3);
+	a = upstream("a", false, 2);
+	b = upstream("b", true, 2);
+	announce_to_all(&a);
+	announce_to_all(&b);
+	for (i = 0; i < 6; i++) {
+		run_until(NULL, 1);
+		report_upstreams(i < 5 ? seen : later, G_N_ELEMENTS(seen));
+	}
+	run_until(NULL, 0.3);
+	c = upstream("c", false, 2);
+	announce_to_all(&c);
+	report_upstreams(lost, G_N_ELEMENTS(lost));
+	ck_assert(run_until(is_promotion_requested, 2));
+	ck_assert_str_eq(promoted_id, "c");
+	disconnect_daemon();
+	stop_group();
+}
+END_TEST
+
 static void report_handover(uint64_t number, bool complete)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
@@ -1166,4 +1211,5 @@
 	  test_restart_keeps_former_primary,
 	  test_failed_handover_of_former_primary, test_minority_sends_no_config,
 	  test_handover_result_needs_lease, test_one_roster,
-	  test_leaving_primary, test_promoted_upstream_does_not_lead)
+	  test_leaving_primary, test_promoted_upstream_does_not_lead,
+	  test_change_seen_late)
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -185,7 +185,7 @@
 	ck_assert(succession_diverged(&s, "a", at(1, 109)));
 	ck_assert(!succession_diverged(&s, "a", at(2, 90)));
 	/* Its successor is not reported any more either. */
-	succession_note_position(&s, "b", at(2, 140));
+	succession_note_position(&s, "b", at(2, 140), true);
 	succession_change(&s, "c", at(2, 120), at(0, 0));
 	ck_assert(succession_diverged(&s, "b", at(2, 140)));
 	ck_assert(!succession_diverged(&s, "d", at(2, 120)));
@@ -193,6 +193,50 @@
 }
 END_TEST
 
+/* Guards against a service without any candidate: a VM that was away sees the
+ * change when the former primary follows the new one already. */
+START_TEST(test_change_seen_late)
+{
+	start("a");
+	succession_change(&s, "b", at(2, 83), at(2, 85));
+	succession_set_newest_term(&s, 2);
+	/* This might be the end of the term that a led. */
+	succession_note_position(&s, "b", at(2, 88), false);
+	ck_assert(succession_diverged(&s, "c", at(2, 89)));
+	ck_assert(!succession_diverged(&s, "c", at(2, 88)));
+	succession_note_position(&s, "b", at(2, 88), true);
+	ck_assert(succession_diverged(&s, "c", at(2, 89)));
+	/* It commits in this term, so the replicas follow it. */
+	succession_note_position(&s, "b", at(2, 95), true);
+	ck_assert(!succession_diverged(&s, "c", at(2, 97)));
+	ck_assert(!succession_diverged(&s, "a", at(2, 97)));
+	ck_assert(succession_diverged(&s, "a", at(1, 109)));
+	succession_finish(&s);
+}
+END_TEST
+
+/* Guards against a service without any candidate after a new primary fails
+ * before its first commit: its log was longer than known when it was promoted. */
+START_TEST(test_longer_log_than_known)
+{
+	start("a");
+	promote("b", at(1, 79), at(1, 80));
+	succession_note_position(&s, "b", at(1, 85), false);
+	ck_assert(!succession_diverged(&s, "c", at(1, 85)));
+	ck_assert(succession_diverged(&s, "a", at(1, 86)));
+	succession_note_position(&s, "b", at(2, 86), true);
+	ck_assert(succession_diverged(&s, "a", at(1, 86)));
+	succession_finish(&s);
+	/* It was not known at all. */
+	start("a");
+	succession_change(&s, "b", at(0, 0), at(1, 80));
+	succession_note_position(&s, "b", at(1, 79), true);
+	ck_assert(succession_diverged(&s, "c", at(1, 80)));
+	ck_assert(!succession_diverged(&s, "c", at(1, 79)));
+	succession_finish(&s);
+}
+END_TEST
+
 /* Guards against a VM that knows of no change and promotes a log of an older
  * term, and against one that finds no candidate although no primary changed. */
 START_TEST(test_nothing_known)
@@ -228,4 +272,5 @@
 	  test_successor_lacks_last_term, test_outdated_request,
 	  test_nothing_known, test_leads_again,
 	  test_former_primary_under_other_id, test_restored,
-	  test_unknown_former_primary)
+	  test_unknown_former_primary, test_change_seen_late,
+	  test_longer_log_than_known)
