Count no late report of a primary as progress in its term

What callers could see: STALE, by a former primary that is promoted again.

Cause, found by reading: a position beyond the known end, first reported more than 5 s after the change, was taken for progress of the new primary in its own term. It may as well be the end of the ended term that no daemon had reported before, as after a cut of the daemons that use the new primary, or after a restart of control, where the time of the change was not known either.

Evidence: test_late_report_of_primary fails on the code before ("succession_diverged(&s, "a", at(1, 109))").

Change: progress is a difference between two positions that were both noted once the primary was settled. A restored succession counts as seen at the restart.

A primary that commits nothing and whose log is first reported short and later whole, both after 5 s, is still misjudged.

--- a/control/sightings_file.c
+++ b/control/sightings_file.c
@@ -141,6 +141,7 @@
 	if (in->log_end)
 		base = (struct position){ in->log_end->term, in->log_end->lsn };
 	succession_restore(s, in->primary, base, in->ended_term);
+	s->seen_us = clock_now_us();
 	for (i = 0; i < in->n_replaced; i++)
 		succession_restore_replaced(s, in->replaced[i]);
 }
--- a/coordination/succession.c
+++ b/coordination/succession.c
@@ -41,15 +41,18 @@
 	if (g_strcmp0(s->primary, id) || !position.term)
 		return;
 	s->position = position_max(s->position, position);
-	if (position.term > s->ended_term ||
-	    position_compare(position, s->base) <= 0)
+	if (position.term > s->ended_term)
 		return;
-	if (!settled || position.term != s->base.term) {
-		s->base = position;
+	if (s->settled_position.term == position.term &&
+	    position.lsn > s->settled_position.lsn) {
+		s->ended_term = position.term - 1;
+		s->base = (struct position){ 0 };
 		return;
 	}
-	s->ended_term = position.term - 1;
-	s->base = (struct position){ 0 };
+	if (settled)
+		s->settled_position =
+			position_max(s->settled_position, position);
+	s->base = position_max(s->base, position);
 }
 
 void succession_request(struct succession *s, const char *id,
@@ -93,6 +96,7 @@
 	g_free(s->primary);
 	s->primary = g_strdup(id);
 	s->position = position;
+	s->settled_position = (struct position){ 0 };
 }
 
 bool succession_diverged(const struct succession *s, const char *id,
--- a/include/succession.h
+++ b/include/succession.h
@@ -20,6 +20,8 @@
  * struct succession - the primary of one service and those before it
  * @primary: id of the upstream that leads, NULL if unknown
  * @position: newest known end of its log, term 0 if unknown
+ * @settled_position: newest end of its log noted once it was settled, term 0 if
+ *                    there is none
  * @seen_us: when the caller saw that it leads
  * @base: end of its log when it was promoted, term 0 if unknown
  * @ended_term: newest term of any log at that time, 0 if unknown
@@ -33,6 +35,7 @@
 struct succession {
 	char *primary;
 	struct position position;
+	struct position settled_position;
 	int64_t seen_us;
 	struct position base;
 	uint32_t ended_term;
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -237,6 +237,20 @@
 }
 END_TEST
 
+/* Guards against a former primary that is promoted with commits that its
+ * successor lacked: no daemon reported the successor until long after the change,
+ * and its log was longer than known. */
+START_TEST(test_late_report_of_primary)
+{
+	start("a");
+	promote("b", at(1, 79), at(1, 80));
+	succession_note_position(&s, "b", at(1, 85), true);
+	ck_assert(succession_diverged(&s, "a", at(1, 109)));
+	ck_assert(!succession_diverged(&s, "c", at(1, 85)));
+	succession_finish(&s);
+}
+END_TEST
+
 /* Guards against a VM that knows of no change and promotes a log of an older
  * term, and against one that finds no candidate although no primary changed. */
 START_TEST(test_nothing_known)
@@ -272,5 +286,5 @@
 	  test_successor_lacks_last_term, test_outdated_request,
 	  test_nothing_known, test_leads_again,
 	  test_former_primary_under_other_id, test_restored,
-	  test_unknown_former_primary, test_change_seen_late,
-	  test_longer_log_than_known)
+	  test_unknown_former_primary, test_late_report_of_primary,
+	  test_change_seen_late, test_longer_log_than_known)
