Note positions of primaries once a second where nothing is promoted

Cause: since every control VM goes through the reports of all daemons for each service ten times a second. Only the leader decides by them at that rate.

Change: a VM that may not promote does so when an upstream's announcement changed, and otherwise once a second.

Conclusion: a new leader's knowledge of the end of a log may be a second old, which refuses a candidate and never admits one.

--- a/control/internal.h
+++ b/control/internal.h
@@ -184,6 +184,8 @@
  * @puts: struct control_pending_put that await a majority
  * @promotion_states: service to struct control_promotion_state
  * @successions: service to struct succession
+ * @successions_revision: revision of @sightings at their last update
+ * @followed_us: time of their last update
  * @saved_revision: revision of @sightings in the sightings file
  * @saved_roster_revision: revision of @roster in the sightings file
  * @earliest_save_us: earliest time of the next save
@@ -219,6 +221,8 @@
 	GPtrArray *puts;
 	GHashTable *promotion_states;
 	GHashTable *successions;
+	uint64_t successions_revision;
+	int64_t followed_us;
 	uint64_t saved_revision;
 	uint64_t saved_roster_revision;
 	int64_t earliest_save_us;
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -18,6 +18,9 @@
  * its promotion: a daemon reports upstreams that answered recently, and counts
  * as connected for CONTROL_WATCHER_TIMEOUT_US after its last report. */
 #define SETTLED_AFTER_US (2 * CONTROL_WATCHER_TIMEOUT_US)
+/* Interval at which a VM that does not promote notes the positions of primaries,
+ * microseconds. */
+#define FOLLOW_INTERVAL_US (1000 * 1000ll)
 /* Pause after a refused promotion request, microseconds. */
 #define REFUSED_RETRY_US (300 * 1000ll)
 
@@ -504,6 +507,12 @@
 		       CONTROL_ELECTION_TIMEOUT_US;
 }
 
+static bool must_follow(const struct control_node *node, int64_t now_us)
+{
+	return node->successions_revision != node->sightings.revision ||
+	       now_us - node->followed_us >= FOLLOW_INTERVAL_US;
+}
+
 void control_promotions_tick(struct control_node *node, int64_t now_us)
 {
 	bool promote = may_promote(node, now_us);
@@ -511,6 +520,10 @@
 	GHashTableIter it;
 	char *service;
 
+	if (!promote && !must_follow(node, now_us))
+		return;
+	node->successions_revision = node->sightings.revision;
+	node->followed_us = now_us;
 	services = collect_services(node);
 	g_hash_table_iter_init(&it, services);
 	while (g_hash_table_iter_next(&it, (void **)&service, NULL)) {
