Prefer a daemon without a handover for the next one

What callers could see: planned changes of primary that take seconds longer when several services have one at the same time.

Cause: every handover went to the daemon that reported last, the same for all services of one check.

Evidence: test_busy_handover_executor fails on the code before ("control_handover_executor(&node, "a", "a", now_us) == &second").

Change: a daemon that has no handover goes first.

Conclusion: closed; with more handovers than daemons some still wait.

--- a/control/internal.h
+++ b/control/internal.h
@@ -363,6 +363,9 @@
  * Return: the daemon that reported last among those that both upstreams
  *         answer, NULL if there is none
  *
+ * A daemon carries out one handover at a time, so one without a handover goes
+ * first.
+ *
  * A daemon whose VM has failed still counts as connected for up to
  * CONTROL_WATCHER_TIMEOUT_US, and a handover given to it ends only by its
  * timeout. The latest report makes that least likely.
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -268,11 +268,24 @@
 	return false;
 }
 
+static bool has_handover(const struct control_node *node, const char *daemon)
+{
+	const struct control_promotion_state *state;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, node->promotion_states);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&state))
+		if (state->handover && !strcmp(state->executor, daemon))
+			return true;
+	return false;
+}
+
 const struct control_watcher *
 control_handover_executor(const struct control_node *node, const char *from,
 			  const char *to, int64_t now_us)
 {
 	const struct control_watcher *best = NULL;
+	bool best_busy = false;
 	guint i;
 
 	for (i = 0; i < node->watchers->len; i++) {
@@ -281,12 +294,18 @@
 			g_hash_table_lookup(w->reports, from);
 		const struct control_report *b =
 			g_hash_table_lookup(w->reports, to);
+		bool busy;
 
 		if (!w->name || w->draining || !a || !b || a->failing_us ||
 		    b->failing_us || !control_watcher_is_connected(w, now_us))
 			continue;
-		if (!best || w->heard_us > best->heard_us)
-			best = w;
+		busy = has_handover(node, w->name);
+		if (best &&
+		    (busy > best_busy ||
+		     (busy == best_busy && w->heard_us <= best->heard_us)))
+			continue;
+		best = w;
+		best_busy = busy;
 	}
 	return best;
 }
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -1179,7 +1179,9 @@
 	struct control_watcher silent = make_daemon("lost", false);
 	struct control_watcher live = make_daemon("there", false);
 	struct control_watcher failing = make_daemon("misses", true);
-	struct control_node node = { .watchers = g_ptr_array_new() };
+	struct control_node node = { .watchers = g_ptr_array_new(),
+				     .promotion_states = g_hash_table_new(
+					     g_str_hash, g_str_equal) };
 	int64_t now_us = clock_now_us();
 
 	g_ptr_array_add(node.watchers, &silent);
@@ -1197,12 +1199,48 @@
 	g_hash_table_destroy(silent.reports);
 	g_hash_table_destroy(live.reports);
 	g_hash_table_destroy(failing.reports);
+	g_hash_table_destroy(node.promotion_states);
+	g_ptr_array_free(node.watchers, TRUE);
+}
+END_TEST
+
+/* Guards against handovers of several services that wait for one daemon and time
+ * out, though other daemons could carry them out. */
+START_TEST(test_busy_handover_executor)
+{
+	struct control_watcher first = make_daemon("first", false);
+	struct control_watcher second = make_daemon("second", false);
+	struct control_promotion_state state = { .handover = 7,
+						 .executor = (char *)"first" };
+	struct control_node node = { .watchers = g_ptr_array_new(),
+				     .promotion_states = g_hash_table_new(
+					     g_str_hash, g_str_equal) };
+	int64_t now_us = clock_now_us();
+
+	g_ptr_array_add(node.watchers, &first);
+	g_ptr_array_add(node.watchers, &second);
+	g_hash_table_insert(node.promotion_states, (char *)"s", &state);
+	first.heard_us = now_us;
+	second.heard_us = now_us - 20000;
+	ck_assert_ptr_eq(control_handover_executor(&node, "a", "a", now_us),
+			 &second);
+	second.draining = true;
+	ck_assert_ptr_eq(control_handover_executor(&node, "a", "a", now_us),
+			 &first);
+	second.draining = false;
+	state.handover = 0;
+	ck_assert_ptr_eq(control_handover_executor(&node, "a", "a", now_us),
+			 &first);
+	g_hash_table_destroy(first.reports);
+	g_hash_table_destroy(second.reports);
+	g_hash_table_destroy(node.promotion_states);
 	g_ptr_array_free(node.watchers, TRUE);
 }
 END_TEST
 
 TEST_MAIN("control_node", test_unreachable_daemon_count,
-	  test_upstream_answers_daemon, test_handover_executor, test_all_stop,
+	  test_upstream_answers_daemon, test_handover_executor,
+	  test_busy_handover_executor, test_all_stop,
 	  test_new_leader_sends_config, test_two_disks_lost,
 	  test_leader_disk_lost, test_replaced, test_minority,
 	  test_sightings_survive_restart, test_outdated_sightings_file,
