Give no lease to a model's daemon that is cut off from control

Cause: a daemon that is isolated with the former primary and restarts got a lease 0.05 to 0.5 s later, though nothing that grants leases reaches it, and served reads at the former primary. In the product a lease needs a grant of the leader (control_client.c, take_grant).

Change: such a daemon asks control again every 0.1 s until it is reached.

--- a/comfreywheel-bench/model_faults.c
+++ b/comfreywheel-bench/model_faults.c
@@ -1,6 +1,8 @@
 #include "model.h"
 
 #define RESTART_US (7 * SECOND)
+/* A daemon that does not reach control tries again after this time. */
+#define ASK_CONTROL_US (100 * MS)
 #define MEMBERS_US (9 * SECOND)
 #define FAILOVER_US (20 * SECOND)
 #define LEASE_US (1200 * MS)
@@ -46,7 +48,13 @@
 static void restarted(int64_t now_us, void *data)
 {
 	struct model_daemon *d = data;
+	struct model *m = d->model;
 
+	/* Isolated with the former primary, it is told nothing. */
+	if (m->isolated_with == (int)d->index) {
+		model_at(m, now_us + ASK_CONTROL_US, restarted, d);
+		return;
+	}
 	d->lease_valid = true;
 	adopt_members(now_us, d);
 }
