Check that the failed handover in the test was ordered

Cause: test_failed_handover_of_former_primary only checked that nothing was promoted. It passed if no handover was ordered or none ended.

Evidence: with start_handover() reporting a handover that it does not order, the test passed; now it fails ("run_until(is_handover_ordered, 2)").

Change: the test waits for the handover and checks that it ended.

--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -808,6 +808,20 @@
 }
 END_TEST
 
+static struct control_node *ordering_node;
+
+static bool is_handover_ordered(void)
+{
+	struct control_promotion_state *state;
+
+	ordering_node = leader();
+	state = ordering_node ?
+			g_hash_table_lookup(ordering_node->promotion_states,
+					    "s") :
+			NULL;
+	return state && state->handover;
+}
+
 /* Guards against a failed handover that makes the former primary lead again
  * although another upstream has become the primary meanwhile. */
 START_TEST(test_failed_handover_of_former_primary)
@@ -833,13 +847,14 @@
 	a = upstream("a", true, 2);
 	a.leaving = true;
 	announce_to_all(&a);
-	run_until(NULL, 0.3);
+	ck_assert(run_until(is_handover_ordered, 2));
 	ck_assert_uint_eq(nr_promotions, 0);
 	/* An order of an earlier leader is carried out late. */
 	c = upstream("c", true, 2);
 	announce_to_all(&c);
 	report_upstreams(after, G_N_ELEMENTS(after));
 	run_until(NULL, 1.5);
+	ck_assert(!is_handover_ordered());
 	ck_assert_uint_eq(nr_promotions, 0);
 	disconnect_daemon();
 	stop_group();
@@ -912,20 +927,6 @@
 			channel_send(&daemon_channels[i], &envelope);
 }
 
-static struct control_node *ordering_node;
-
-static bool is_handover_ordered(void)
-{
-	struct control_promotion_state *state;
-
-	ordering_node = leader();
-	state = ordering_node ?
-			g_hash_table_lookup(ordering_node->promotion_states,
-					    "s") :
-			NULL;
-	return state && state->handover;
-}
-
 /* Guards against a control VM that requests a promotion without a lease, since
  * the result of a handover that it ordered as the leader arrives. */
 START_TEST(test_handover_result_needs_lease)
