--- a/entry/entry.c
+++ b/entry/entry.c
@@ -50,6 +50,7 @@
 {
 	struct entry *entry = data;
 
+	entry->last_tick_us = now_us;
 	watch_connect(entry);
 	homes_tick(entry);
 	handover_tick(entry, now_us);
@@ -97,6 +98,7 @@
 		entry_free(entry);
 		return NULL;
 	}
+	entry->last_tick_us = now_us;
 	entry->tick_timer = timer_subscribe(
 		timers, now_us, ENTRY_TICK_INTERVAL_US, on_tick, entry);
 	entry->watch_timer = timer_subscribe(
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -451,6 +451,7 @@
  * @fresh: whether any fresh view was received
  * @was_ready: whether readiness was logged
  * @drain_started_us: when it was asked to stop, 0 if it was not
+ * @last_tick_us: when links, upstreams and sessions were last checked
  * @random: state of entry_random()
  * @counter: handles in @counters, by enum entry_counter
  * @answer_times: from a statement's arrival to its answer, by read rule
@@ -478,6 +479,7 @@
 	bool fresh;
 	bool was_ready;
 	int64_t drain_started_us;
+	int64_t last_tick_us;
 	int tick_timer;
 	int watch_timer;
 	int report_timer;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -639,6 +639,29 @@
 }
 END_TEST
 
+/* Guards against a daemon that was stopped for a while and then demotes a primary
+ * on an order that control has given up since. */
+START_TEST(test_outdated_handover)
+{
+	setup();
+	link_open(g_hash_table_lookup(entry->known_upstreams, "p"));
+	link_open(g_hash_table_lookup(entry->known_upstreams, "r"));
+	complete_logins();
+	entry->last_tick_us -= 1000000;
+	order_handover(7, "e");
+	ck_assert_uint_eq(nr_sent, 0);
+	ck_assert_int_eq(entry->handover.phase, HANDOVER_DONE);
+	ck_assert(!entry->handover.complete);
+	advance(ENTRY_TICK_INTERVAL_US);
+	ck_assert_uint_eq(nr_sent, 0);
+	order_handover(7, "e");
+	ck_assert_uint_eq(nr_sent, 0);
+	order_handover(8, "e");
+	expect_command(LINK_DEMOTE, NULL);
+	teardown();
+}
+END_TEST
+
 /* Guards against a handover that goes on while the primary still leads: it has
  * committed nothing in its term yet, so its log shows an older one. */
 START_TEST(test_handover_before_first_commit)
@@ -1139,7 +1162,8 @@
 	  test_time_outs, test_one_log_in, test_leaving, test_route_removed,
 	  test_early_caller, test_handover, test_handover_before_first_commit,
 	  test_two_handovers, test_overloaded_handover, test_found_primary,
-	  test_silent_primary, test_drain, test_lost_read,
-	  test_lost_answer_in_transaction, test_lost_write, test_slow_handover,
-	  test_broken_connection, test_silence_is_probed, test_cut_off,
-	  test_sample_without_position, test_restarted_without_log)
+	  test_outdated_handover, test_silent_primary, test_drain,
+	  test_lost_read, test_lost_answer_in_transaction, test_lost_write,
+	  test_slow_handover, test_broken_connection, test_silence_is_probed,
+	  test_cut_off, test_sample_without_position,
+	  test_restarted_without_log)
