Demote no primary after the time-out of a handover

What callers could see: writes refused, since a primary is demoted and nobody is promoted.

Cause: the time-out of a handover was checked by the tick only. The DEMOTE is also sent when a connection to the primary becomes idle, which after a pause of the process happens before the tick. By then control has given the handover up and confirmed the primary.

Evidence: test_expired_handover fails on the code before ("nr_sent == 2").

Change: each command of a handover checks the time-out first.

--- a/entry/handover.c
+++ b/entry/handover.c
@@ -62,6 +62,10 @@
 	if (!h->number || h->awaiting_answer || h->phase == HANDOVER_DONE ||
 	    h->timer != TIMER_NONE)
 		return;
+	if (clock_now_us() > h->expires_us) {
+		finish_order(entry, false);
+		return;
+	}
 	if (h->phase == HANDOVER_CATCHING_UP) {
 		send_command(entry, h->to, &command);
 		return;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -662,6 +662,28 @@
 }
 END_TEST
 
+/* Guards against demoting a primary after the time-out of the handover: its
+ * connection becomes idle before the next check. */
+START_TEST(test_expired_handover)
+{
+	struct session *s;
+
+	setup();
+	link_open(g_hash_table_lookup(entry->known_upstreams, "p"));
+	complete_logins();
+	s = new_caller("primary");
+	send_statement(s, STATEMENT_WRITE, "WRITE 1 x", NULL, NULL);
+	order_handover(7, "e");
+	ck_assert_uint_eq(nr_sent, 1);
+	entry->handover.expires_us = clock_now_us() - 1;
+	reply_done();
+	ck_assert_uint_eq(nr_sent, 1);
+	ck_assert_int_eq(entry->handover.phase, HANDOVER_DONE);
+	ck_assert(!entry->handover.complete);
+	teardown();
+}
+END_TEST
+
 /* Guards against a handover that goes on while the primary still leads: it has
  * committed nothing in its term yet, so its log shows an older one. */
 START_TEST(test_handover_before_first_commit)
@@ -1165,5 +1187,5 @@
 	  test_outdated_handover, test_silent_primary, test_drain,
 	  test_lost_read, test_lost_answer_in_transaction, test_lost_write,
 	  test_slow_handover, test_broken_connection, test_silence_is_probed,
-	  test_cut_off, test_sample_without_position,
+	  test_cut_off, test_sample_without_position, test_expired_handover,
 	  test_restarted_without_log)
