Start no handover for lag before a late promotion

Cause: a primary that was lost for a second had four or five promotion requests for replica B without an answer, recovered, and was cut off from its replicas. Since they lag, it is handed over: a daemon stops it and waits for B to receive its log. That fails, so the leader requests that the former primary leads again. That request got no answer either. One of those for B was carried out first, and the one for the former primary later, with the highest token: a log that continued alone led again. Its commits, which reads at B had missed, were back. While fewer than four requests had no answer, the same state led to a promotion of B without a handover, since the request without an answer was repeated.

Change: no handover because of lag for 15 s after a promotion request without an answer, unless a later one was answered. Why it works: a primary is then stopped only when no earlier request can make another upstream lead meanwhile. 15 s is chosen: the platform carries a request out 2 to 12 s later, and a promotion takes a second.

Conclusion: fixed for lag. A primary that leaves is still handed over at such a time.

--- a/control/internal.h
+++ b/control/internal.h
@@ -152,6 +152,8 @@
  * @lag_handover_us: when the primary was last changed because replicas lagged
  * @at_us: when the last promotion was requested or confirmed; set back to
  *         shorten the wait before a retry
+ * @unanswered_us: time of the last request without an answer, INT64_MIN / 2 if a
+ *                 later one was answered
  * @nr_unanswered: consecutive promotion requests without an answer
  * @pending: whether a promotion request awaits the platform's answer
  */
@@ -165,6 +167,7 @@
 	int64_t lagging_since_us;
 	int64_t lag_handover_us;
 	int64_t at_us;
+	int64_t unanswered_us;
 	unsigned nr_unanswered;
 	bool pending;
 };
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -196,6 +196,7 @@
 	state->service = g_strdup(service);
 	state->at_us = INT64_MIN / 2;
 	state->lag_handover_us = INT64_MIN / 2;
+	state->unanswered_us = INT64_MIN / 2;
 	g_hash_table_insert(node->promotion_states, state->service, state);
 	return state;
 }
@@ -429,7 +430,8 @@
 static bool lag_handover_due(struct control_promotion_state *state,
 			     const struct promotion_view *view, int64_t now_us)
 {
-	if (!promotion_all_replicas_lag(view)) {
+	if (!promotion_all_replicas_lag(view) ||
+	    !promotion_handover_is_safe(view)) {
 		state->lagging_since_us = 0;
 		return false;
 	}
@@ -494,6 +496,7 @@
 		view.silent_daemons = control_roster_count_unreachable(
 			node, view.upstreams[view.primary].id, now_us);
 	view.since_request_us = now_us - state->at_us;
+	view.since_unanswered_us = now_us - state->unanswered_us;
 	view.uptime_us = now_us - node->started_us;
 	reason = promotion_needed(&view);
 	if (reason == PROMOTION_NOT_NEEDED &&
@@ -571,6 +574,7 @@
 	state->pending = false;
 	if (result == PROMOTION_DONE) {
 		state->at_us = now_us;
+		state->unanswered_us = INT64_MIN / 2;
 		state->nr_unanswered = 0;
 		return;
 	}
@@ -578,6 +582,7 @@
 		now_us - PROMOTION_REQUEST_INTERVAL_US + REFUSED_RETRY_US;
 	if (result == PROMOTION_OUTCOME_UNKNOWN) {
 		state->at_us = now_us - PROMOTION_REQUEST_INTERVAL_US;
+		state->unanswered_us = now_us;
 		state->nr_unanswered++;
 		control_count(node, CONTROL_COUNT_PROMOTIONS_UNCLEAR, 1);
 	} else {
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -96,6 +96,11 @@
 	return replicas > 0;
 }
 
+bool promotion_handover_is_safe(const struct promotion_view *view)
+{
+	return view->since_unanswered_us >= PROMOTION_LATE_EFFECT_US;
+}
+
 const char *promotion_reason_text(enum promotion_reason reason)
 {
 	switch (reason) {
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -31,6 +31,9 @@
 #define PROMOTION_LAG_TOLERATED_US (500 * 1000ll)
 /** Least time between two promotions because of lag, microseconds. */
 #define PROMOTION_LAG_MIN_INTERVAL_US (12 * 1000000ll)
+/** Time after which a promotion request without an answer is no longer carried
+ * out. */
+#define PROMOTION_LATE_EFFECT_US (15 * 1000000ll)
 /** A control VM waits this long after its start for announcements. */
 #define PROMOTION_STARTUP_WAIT_US (3000 * 1000ll)
 /** Time for a promotion request to take effect before the next one is sent. */
@@ -74,6 +77,9 @@
  *                     start of this control VM
  * @uptime_us: time since this control VM started
  * @since_request_us: time since the last promotion request, INT64_MAX if none
+ * @since_unanswered_us: time since the last promotion request without an answer
+ *                       that no later, answered one superseded, INT64_MAX if
+ *                       there is none
  * @sync_replicas: number of replicas that must hold a commit before it is
  *                 acknowledged
  */
@@ -85,6 +91,7 @@
 	unsigned unannounced_upstreams;
 	int64_t uptime_us;
 	int64_t since_request_us;
+	int64_t since_unanswered_us;
 	unsigned sync_replicas;
 };
 
@@ -122,6 +129,17 @@
  */
 bool promotion_all_replicas_lag(const struct promotion_view *view);
 
+/**
+ * promotion_handover_is_safe() - whether the primary may be stopped although it
+ *                                works
+ *
+ * Should the handover fail, the primary is requested to lead again. If an
+ * earlier request without an answer makes another upstream lead before that one
+ * is carried out, the commits that only the former primary has would be back
+ * after reads have missed them.
+ */
+bool promotion_handover_is_safe(const struct promotion_view *view);
+
 /** promotion_reason_text() - the reason in words */
 const char *promotion_reason_text(enum promotion_reason reason);
 
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -1,6 +1,7 @@
 #include "clock.h"
 #include "control/internal.h"
 #include "event_timers.h"
+#include "promotion_policy.h"
 #include "remove_tree.h"
 #include "test_main.h"
 
@@ -33,12 +34,21 @@
 static uint64_t newest_unanswered_token;
 static uint64_t promoted_token;
 static bool leave_first_unanswered;
+/* While set, no request gets an answer. */
+static bool platform_silent;
+static unsigned nr_unanswered;
 
 static void promote(const char *service, const char *id, uint64_t token,
 		    void *data)
 {
 	struct vm *vm = data;
 
+	if (platform_silent) {
+		nr_unanswered++;
+		control_promotion_answered(vm->node, service, id,
+					   PROMOTION_OUTCOME_UNKNOWN);
+		return;
+	}
 	if (leave_first_unanswered && !unanswered_id[0])
 		g_strlcpy(unanswered_id, id, sizeof(unanswered_id));
 	if (leave_first_unanswered && !strcmp(id, unanswered_id)) {
@@ -288,6 +298,7 @@
 static int64_t config_received_us;
 static unsigned nr_configs_received;
 static size_t roster_entries_received[NR_VMS];
+static size_t nr_handovers_received;
 
 static void on_daemon_opened(struct channel *ch)
 {
@@ -308,6 +319,7 @@
 		return;
 	roster_entries_received[ch - daemon_channels] +=
 		envelope->view->n_roster;
+	nr_handovers_received += envelope->view->n_handovers;
 	if (!envelope->view->config.len)
 		return;
 	nr_configs_received++;
@@ -662,11 +674,14 @@
 }
 END_TEST
 
-/* One daemon reports these to all VMs: failing_us and the log's end. */
+/* One daemon reports these to all VMs: failing_us, the log's end, lag and
+ * saturation. */
 struct reported_upstream {
 	const char *id;
 	bool failing;
 	uint64_t lsn;
+	bool lagging;
+	bool saturated;
 };
 
 static void report_upstreams(const struct reported_upstream *upstreams,
@@ -686,6 +701,9 @@
 		health[i].id = (char *)upstreams[i].id;
 		health[i].failing_us = upstreams[i].failing ? 500000 : 0;
 		health[i].position = &positions[i];
+		health[i].lag_us =
+			upstreams[i].lagging ? 2 * PROMOTION_MAX_LAG_US : 0;
+		health[i].saturated = upstreams[i].saturated;
 		list[i] = &health[i];
 	}
 	watch.daemon = (char *)"asking";
@@ -1003,6 +1021,50 @@
 }
 END_TEST
 
+/* Whether enough requests had no answer that the next one is not just the last
+ * one repeated. */
+static bool are_requests_unanswered(void)
+{
+	return nr_unanswered >= 5;
+}
+
+/* Guards against a handover that fails after a late promotion of a replica: the
+ * former primary would lead again with commits that reads have missed. */
+START_TEST(test_no_handover_before_late_promotion)
+{
+	static const struct reported_upstream lost[] = {
+		{ .id = "a", .failing = true, .lsn = 80 },
+		{ .id = "b", .lsn = 79 }
+	};
+	static const struct reported_upstream recovered[] = {
+		{ .id = "a", .lsn = 99, .saturated = true },
+		{ .id = "b", .lsn = 79, .lagging = true }
+	};
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	unsigned nr_before;
+
+	start_group(3);
+	connect_daemon();
+	nr_handovers_received = 0;
+	nr_unanswered = 0;
+	platform_silent = true;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	report_upstreams(lost, G_N_ELEMENTS(lost));
+	ck_assert(run_until(are_requests_unanswered, 3));
+	report_upstreams(recovered, G_N_ELEMENTS(recovered));
+	run_until(NULL, 0.3);
+	nr_before = nr_unanswered;
+	run_until(NULL, 1.2);
+	ck_assert_uint_eq(nr_handovers_received, 0);
+	ck_assert_uint_eq(nr_unanswered, nr_before);
+	platform_silent = false;
+	disconnect_daemon();
+	stop_group();
+}
+END_TEST
+
 static struct control_watcher make_daemon(const char *name, bool failing)
 {
 	struct control_watcher w = { .name = (char *)name,
@@ -1246,6 +1308,7 @@
 	  test_leader_disk_lost, test_replaced, test_minority,
 	  test_sightings_survive_restart, test_outdated_sightings_file,
 	  test_promotion_needs_lease, test_superseded_promotion,
+	  test_no_handover_before_late_promotion,
 	  test_new_leader_knows_former_primary,
 	  test_restart_keeps_former_primary,
 	  test_failed_handover_of_former_primary, test_minority_sends_no_config,
--- a/tests/test_promotion_policy.c
+++ b/tests/test_promotion_policy.c
@@ -19,7 +19,8 @@
 	}
 	view = (struct promotion_view){ .upstreams = ups,
 					.nr = 3,
-					.since_request_us = INT64_MAX };
+					.since_request_us = INT64_MAX,
+					.since_unanswered_us = INT64_MAX };
 }
 
 /* Guards against a needless change of primary. */
@@ -149,6 +150,18 @@
 }
 END_TEST
 
+/* Guards against a handover during which an earlier request takes effect. */
+START_TEST(test_handover_after_unanswered_request)
+{
+	setup();
+	ck_assert(promotion_handover_is_safe(&view));
+	view.since_unanswered_us = PROMOTION_LATE_EFFECT_US - 1;
+	ck_assert(!promotion_handover_is_safe(&view));
+	view.since_unanswered_us = PROMOTION_LATE_EFFECT_US;
+	ck_assert(promotion_handover_is_safe(&view));
+}
+END_TEST
+
 TEST_MAIN("promotion_policy", test_not_needed, test_needed, test_candidate,
 	  test_synchronous_replicas, test_diverged, test_unknown_daemons,
-	  test_lagging)
+	  test_lagging, test_handover_after_unanswered_request)
