Request no promotion of the upstream that leads

What callers could see: up to a second more without a primary. A promotion request that gets no answer is repeated for the same upstream. If it took effect nevertheless, the leader still counted it as unanswered, and when that upstream failed later, it requested the promotion of the failing primary first, up to three times, before it chose another one.

Change: a request is not repeated for the upstream that is the primary. Why it works: that the upstream leads is the answer.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -263,8 +263,10 @@
 	    state->nr_unanswered >= MAX_UNANSWERED_REQUESTS)
 		return false;
 	for (i = 0; i < view->nr; i++)
+		/* If it is the primary, a request took effect. */
 		if (!strcmp(view->upstreams[i].id, state->id))
-			return !view->upstreams[i].leaving &&
+			return (int)i != view->primary &&
+			       !view->upstreams[i].leaving &&
 			       !view->upstreams[i].diverged;
 	return false;
 }
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -879,6 +879,59 @@
 }
 END_TEST
 
+static bool is_request_unanswered(void)
+{
+	return nr_unanswered > 0;
+}
+
+/* Guards against a failing primary that is requested to lead again, because the
+ * request that made it the primary got no answer. */
+START_TEST(test_promoted_without_answer_then_lost)
+{
+	static const struct reported_upstream first[] = {
+		{ .id = "a", .failing = true, .lsn = 80 },
+		{ .id = "b", .lsn = 79 },
+		{ .id = "c", .lsn = 78 }
+	};
+	static const struct reported_upstream between[] = {
+		{ .id = "a", .lsn = 79 },
+		{ .id = "b", .lsn = 79 },
+		{ .id = "c", .lsn = 79 }
+	};
+	static const struct reported_upstream second[] = {
+		{ .id = "a", .lsn = 79 },
+		{ .id = "b", .failing = true, .lsn = 80 },
+		{ .id = "c", .lsn = 79 }
+	};
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	struct sighting c = upstream("c", false, 1);
+
+	start_group(3);
+	connect_daemon();
+	nr_promotions = 0;
+	nr_unanswered = 0;
+	platform_silent = true;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	announce_to_all(&c);
+	report_upstreams(first, G_N_ELEMENTS(first));
+	ck_assert(run_until(is_request_unanswered, 3));
+	a = upstream("a", false, 2);
+	b = upstream("b", true, 2);
+	announce_to_all(&a);
+	announce_to_all(&b);
+	report_upstreams(between, G_N_ELEMENTS(between));
+	run_until(NULL, 0.3);
+	platform_silent = false;
+	report_upstreams(second, G_N_ELEMENTS(second));
+	ck_assert(run_until(is_promotion_requested, 3));
+	ck_assert_str_ne(promoted_id, "b");
+	disconnect_daemon();
+	stop_group();
+}
+END_TEST
+
 /* Guards against a service without any candidate: a VM saw the change of primary
  * only when the replicas followed the new one already. */
 START_TEST(test_change_seen_late)
@@ -1309,6 +1362,7 @@
 	  test_sightings_survive_restart, test_outdated_sightings_file,
 	  test_promotion_needs_lease, test_superseded_promotion,
 	  test_no_handover_before_late_promotion,
+	  test_promoted_without_answer_then_lost,
 	  test_new_leader_knows_former_primary,
 	  test_restart_keeps_former_primary,
 	  test_failed_handover_of_former_primary, test_minority_sends_no_config,
