Stop the control VMs of a failed test before the next one

What callers saw: after one failure in control_node, all later tests of the file with control VMs fail with "cannot listen on 127.1.0.1:39210: Address already in use", so that one failure hides the results of up to 14 others.

Cause: the suites run with CK_FORK=no. A failed assertion leaves the test function by longjmp, past its call of stop_group(), and the VMs keep their sockets and the loop.

Change: stop_group() is the teardown of a checked fixture and also closes the connections of the test's entry daemon; the tests do not call it any more. A VM that cannot start finishes its timers before it is reported.

Why this works: check calls the teardown of a checked fixture after each test, also after a failed one in the same process. No check is changed.

Conclusion: closed for this file.

--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -26,6 +26,8 @@
 
 static struct ev_loop *loop;
 static struct vm vms[NR_VMS];
+/* Connections of an entry daemon, one to each control VM. */
+static struct channel daemon_channels[NR_VMS];
 static char *root;
 static unsigned nr_promotions;
 static char promoted_id[64];
@@ -70,6 +72,12 @@
 
 static const struct control_ops ops = { promote, sync_replicas };
 
+static void finish_timers(unsigned i)
+{
+	event_timers_finish(&vms[i].event_timers);
+	timer_service_finish(&vms[i].timers);
+}
+
 static void start_vm(unsigned i, bool bootstrap)
 {
 	struct control_config config = {
@@ -90,15 +98,16 @@
 	event_timers_init(&vms[i].event_timers, loop, &vms[i].timers);
 	vms[i].node = control_node_new(loop, &vms[i].timers, &config, &ops,
 				       &vms[i], &error);
-	ck_assert_msg(vms[i].node, "%s", error ? error->message : "");
 	g_array_free(config.seeds, TRUE);
+	if (!vms[i].node)
+		finish_timers(i);
+	ck_assert_msg(vms[i].node, "%s", error ? error->message : "");
 }
 
 static void stop_vm(unsigned i)
 {
 	control_node_free(vms[i].node);
-	event_timers_finish(&vms[i].event_timers);
-	timer_service_finish(&vms[i].timers);
+	finish_timers(i);
 	vms[i].node = NULL;
 }
 
@@ -257,11 +266,29 @@
 	ck_assert(run_until(nr >= 5 ? has_five_voters : has_leader, 10));
 }
 
+static void init_group(void)
+{
+	unsigned i;
+
+	memset(vms, 0, sizeof(vms));
+	loop = NULL;
+	root = NULL;
+	for (i = 0; i < NR_VMS; i++)
+		daemon_channels[i].stream.fd = -1;
+	leave_first_unanswered = false;
+	platform_silent = false;
+}
+
+/* A failed assertion leaves a test at once, so the next test would find the
+ * ports in use if the test itself stopped the group. */
 static void stop_group(void)
 {
 	unsigned i;
 
+	if (!loop)
+		return;
 	for (i = 0; i < NR_VMS; i++) {
+		channel_close(&daemon_channels[i]);
 		if (vms[i].node)
 			stop_vm(i);
 		g_free(vms[i].folder);
@@ -289,17 +316,15 @@
 		start_vm(i, false);
 	expect_config(7, "seven");
 	ck_assert(run_until(has_five_voters, 5));
-	stop_group();
 }
 END_TEST
 
-/* An entry daemon that sends one Watch message to each control VM. */
-static struct channel daemon_channels[NR_VMS];
 static int64_t config_received_us;
 static unsigned nr_configs_received;
 static size_t roster_entries_received[NR_VMS];
 static size_t nr_handovers_received;
 
+/* The entry daemon sends one Watch message to each control VM. */
 static void on_daemon_opened(struct channel *ch)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
@@ -376,9 +401,6 @@
 	start_vm((first + 2) % 5, false);
 	ck_assert(run_until(has_received_config, 5));
 	ck_assert_int_le(config_received_us - third_start_us, 150000);
-	for (i = 0; i < 5; i++)
-		channel_close(&daemon_channels[i]);
-	stop_group();
 }
 END_TEST
 
@@ -413,7 +435,6 @@
 		start_vm(i, false);
 	expect_config(8, "eight");
 	ck_assert(run_until(all_members_run, 10));
-	stop_group();
 }
 END_TEST
 
@@ -439,7 +460,6 @@
 			 CONTROL_ELECTION_TIMEOUT_US);
 	expect_config(7, "seven");
 	ck_assert(run_until(all_members_run, 10));
-	stop_group();
 }
 END_TEST
 
@@ -465,7 +485,6 @@
 	ck_assert(run_until(all_members_run, 10));
 	expect_config(7, "seven");
 	ck_assert(run_until(new_vm_has_config, 5));
-	stop_group();
 }
 END_TEST
 
@@ -493,7 +512,6 @@
 		ck_assert_int_ne(outcome, CONFIG_ACCEPTED);
 	}
 	g_bytes_unref(document);
-	stop_group();
 }
 END_TEST
 
@@ -568,7 +586,6 @@
 	ck_assert_ptr_null(sightings_find(control_sightings(vms[0].node), "a"));
 	ck_assert_ptr_nonnull(
 		sightings_find(control_sightings(vms[1].node), "a"));
-	stop_group();
 }
 END_TEST
 
@@ -609,7 +626,6 @@
 	a = upstream("a", false, 2);
 	control_add_announcement(vms[0].node, &a);
 	ck_assert(run_until(is_promotion_requested, 3));
-	stop_group();
 }
 END_TEST
 
@@ -633,7 +649,6 @@
 	ck_assert_str_eq(promoted_id, "b");
 	run_until(NULL, 0.5);
 	ck_assert_uint_eq(nr_promotions, 1);
-	stop_group();
 }
 END_TEST
 
@@ -669,8 +684,6 @@
 	ck_assert(run_until(is_promotion_requested, 6));
 	ck_assert_str_ne(promoted_id, unanswered_id);
 	ck_assert_uint_gt(promoted_token, newest_unanswered_token);
-	leave_first_unanswered = false;
-	stop_group();
 }
 END_TEST
 
@@ -798,8 +811,6 @@
 	ck_assert(run_until(has_leader, 5));
 	lose_new_primary();
 	ck_assert_str_eq(promoted_id, "c");
-	disconnect_daemon();
-	stop_group();
 }
 END_TEST
 
@@ -821,8 +832,6 @@
 	connect_daemon();
 	lose_new_primary();
 	ck_assert_str_eq(promoted_id, "c");
-	disconnect_daemon();
-	stop_group();
 }
 END_TEST
 
@@ -874,8 +883,6 @@
 	run_until(NULL, 1.5);
 	ck_assert(!is_handover_ordered());
 	ck_assert_uint_eq(nr_promotions, 0);
-	disconnect_daemon();
-	stop_group();
 }
 END_TEST
 
@@ -927,8 +934,6 @@
 	report_upstreams(second, G_N_ELEMENTS(second));
 	ck_assert(run_until(is_promotion_requested, 3));
 	ck_assert_str_ne(promoted_id, "b");
-	disconnect_daemon();
-	stop_group();
 }
 END_TEST
 
@@ -972,8 +977,6 @@
 	report_upstreams(lost, G_N_ELEMENTS(lost));
 	ck_assert(run_until(is_promotion_requested, 2));
 	ck_assert_str_eq(promoted_id, "c");
-	disconnect_daemon();
-	stop_group();
 }
 END_TEST
 
@@ -1031,8 +1034,6 @@
 	report_handover(state->handover, true);
 	run_until(NULL, 0.3);
 	ck_assert_uint_eq(nr_promotions, 0);
-	disconnect_daemon();
-	stop_group();
 }
 END_TEST
 
@@ -1069,8 +1070,6 @@
 			ck_assert_uint_eq(nr_promotions, 0);
 	}
 	ck_assert_uint_eq(nr_promotions, 1);
-	disconnect_daemon();
-	stop_group();
 }
 END_TEST
 
@@ -1112,9 +1111,6 @@
 	run_until(NULL, 1.2);
 	ck_assert_uint_eq(nr_handovers_received, 0);
 	ck_assert_uint_eq(nr_unanswered, nr_before);
-	platform_silent = false;
-	disconnect_daemon();
-	stop_group();
 }
 END_TEST
 
@@ -1156,7 +1152,6 @@
 	 * b. */
 	ck_assert(run_until(is_promotion_requested, 5));
 	ck_assert_str_eq(promoted_id, "b");
-	stop_group();
 }
 END_TEST
 
@@ -1193,9 +1188,6 @@
 	channel_send(&daemon_channels[(first + 1) % 3], &envelope);
 	run_until(NULL, 0.2);
 	ck_assert_uint_eq(roster_entries_received[(first + 1) % 3], 1);
-	for (i = 0; i < 3; i++)
-		channel_close(&daemon_channels[i]);
-	stop_group();
 }
 END_TEST
 
@@ -1225,8 +1217,6 @@
 	ck_assert(channel_is_open(&daemon_channels[4]));
 	ck_assert(last_vm_has_config());
 	ck_assert_uint_eq(nr_configs_received, 0);
-	channel_close(&daemon_channels[4]);
-	stop_group();
 }
 END_TEST
 
@@ -1354,18 +1344,17 @@
 }
 END_TEST
 
-TEST_MAIN("control_node", test_unreachable_daemon_count,
-	  test_upstream_answers_daemon, test_handover_executor,
-	  test_busy_handover_executor, test_all_stop,
-	  test_new_leader_sends_config, test_two_disks_lost,
-	  test_leader_disk_lost, test_replaced, test_minority,
-	  test_sightings_survive_restart, test_outdated_sightings_file,
-	  test_promotion_needs_lease, test_superseded_promotion,
-	  test_no_handover_before_late_promotion,
-	  test_promoted_without_answer_then_lost,
-	  test_new_leader_knows_former_primary,
-	  test_restart_keeps_former_primary,
-	  test_failed_handover_of_former_primary, test_minority_sends_no_config,
-	  test_handover_result_needs_lease, test_one_roster,
-	  test_leaving_primary, test_promoted_upstream_does_not_lead,
-	  test_change_seen_late)
+TEST_MAIN_WITH_FIXTURE(
+	"control_node", init_group, stop_group, test_unreachable_daemon_count,
+	test_upstream_answers_daemon, test_handover_executor,
+	test_busy_handover_executor, test_all_stop,
+	test_new_leader_sends_config, test_two_disks_lost,
+	test_leader_disk_lost, test_replaced, test_minority,
+	test_sightings_survive_restart, test_outdated_sightings_file,
+	test_promotion_needs_lease, test_superseded_promotion,
+	test_no_handover_before_late_promotion,
+	test_promoted_without_answer_then_lost,
+	test_new_leader_knows_former_primary, test_restart_keeps_former_primary,
+	test_failed_handover_of_former_primary, test_minority_sends_no_config,
+	test_handover_result_needs_lease, test_one_roster, test_leaving_primary,
+	test_promoted_upstream_does_not_lead, test_change_seen_late)
