--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -1,6 +1,7 @@
 #include "control/internal.h"
 #include "event_timers.h"
 #include "promotion_policy.h"
+#include "raft_internal.h"
 #include "remove_tree.h"
 #include "stall_free_clock.h"
 #include "test_main.h"
@@ -367,6 +368,23 @@
 	return config_received_us;
 }
 
+/* Whether the newest snapshot of a VM holds all entries that it has. */
+static bool is_in_snapshot(const struct control_node *node)
+{
+	return node &&
+	       node->raft->snapshot.index == raft_log_last(&node->raft->log);
+}
+
+static bool are_all_in_snapshot(void)
+{
+	unsigned i;
+
+	for (i = 0; i < 5; i++)
+		if (!is_in_snapshot(vms[i].node))
+			return false;
+	return true;
+}
+
 /*
  * Guards against daemons that get the configuration only with their next report
  * because they connected before a leader was elected, and a leader sends
@@ -376,13 +394,17 @@
 START_TEST(test_new_leader_sends_config)
 {
 	unsigned first, i;
+	uint64_t version = 0;
 	int64_t third_start_us;
 
 	start_group(5);
-	/* Enough puts that a snapshot holds the last one: no applied entry then
-	 * triggers a view. */
-	for (i = 1; i <= CONTROL_SNAPSHOT_ENTRIES + 8; i++)
-		put_config(i, "document");
+	/* With the last put in every snapshot, no entry that is applied after
+	 * the restart triggers a view. */
+	do
+		put_config(++version, "document");
+	while (!is_in_snapshot(leader()) &&
+	       version < 2 * CONTROL_SNAPSHOT_ENTRIES);
+	ck_assert(run_until(are_all_in_snapshot, 5));
 	first = leader_index();
 	for (i = 0; i < 5; i++)
 		stop_vm(i);
