Start the timeout of an attempt after the connect in comfreywheelctl

What operators could see: on a slow machine "no control VM answers" or "no verdict came" although all control VMs answer at once. Shown by a test, not seen in use.

Cause, found by reading: libev counts a timer from the time of the last loop iteration. ctl_exchange() creates its loop, opens the sockets and then starts the timer, so the time of the connect is taken from the time for the reply.

Evidence: test_slow_connect delays zmq_connect() by 1.1 s for attempts of 1 s. Before: "exit 4: comfreywheelctl apply: no control VM answers".

Change: the time of the loop is updated before the timer starts.

--- a/comfreywheelctl/client.c
+++ b/comfreywheelctl/client.c
@@ -50,6 +50,9 @@
 	handle = bus ? bus_connect(bus, address, error) : -1;
 	if (handle >= 0) {
 		bus_send(bus, handle, envelope);
+		/* Without the update the timeout would include the time that
+		 * the connect took. */
+		ev_now_update(exchange.loop);
 		ev_timer_init(&timer, on_timeout, timeout_us * SECONDS_PER_US,
 			      0.);
 		ev_timer_start(exchange.loop, &timer);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -4,10 +4,12 @@
 #include "test_main.h"
 
 #include <arpa/inet.h>
+#include <dlfcn.h>
 #include <glib/gstdio.h>
 #include <pthread.h>
 #include <string.h>
 #include <unistd.h>
+#include <zmq.h>
 
 #define NR_VMS 3
 
@@ -62,6 +64,18 @@
 static bool drop_changes;
 static char *table_files[2];
 
+/* Delay of every zmq_connect(), microseconds. */
+static gulong connect_delay_us;
+
+int zmq_connect(void *socket, const char *endpoint)
+{
+	int (*connect_socket)(void *, const char *);
+
+	*(void **)&connect_socket = dlsym(RTLD_NEXT, "zmq_connect");
+	g_usleep(connect_delay_us);
+	return connect_socket(socket, endpoint);
+}
+
 static void send_verdict(struct vm *vm, const struct bus_return_path *from,
 			 const Wire__ApplyRequest *request,
 			 enum response response)
@@ -450,6 +464,28 @@
 }
 END_TEST
 
+/* Guards against an attempt without time for a reply because the tool took
+ * longer than its timeout to connect. */
+START_TEST(test_slow_connect)
+{
+	char *out, *err;
+	int code;
+
+	write_table_files();
+	start_vms(RESPONSES(accept_in_force), RESPONSES(no_response), NULL,
+		  NULL);
+	connect_delay_us = 1100000;
+	code = run_command_line("ctl apply --control VMS --timeout 8s ROUTES "
+				"POOLS",
+				"", &out, &err);
+	connect_delay_us = 0;
+	ck_assert_msg(code == CTL_OK, "exit %d: %s%s", code, out, err);
+	stop_vms();
+	free(out);
+	free(err);
+}
+END_TEST
+
 /*
  * Guards against invalid files that are sent to the control VMs, and against a
  * wrong exit code or message when no control VM is reachable.
@@ -707,5 +743,5 @@
 }
 END_TEST
 
-TEST_MAIN("ctl", test_apply, test_local_refusals, test_commands,
-	  test_lost_answers, test_diff, test_user_and_keygen)
+TEST_MAIN("ctl", test_apply, test_slow_connect, test_local_refusals,
+	  test_commands, test_lost_answers, test_diff, test_user_and_keygen)
