Stop the control VMs of a failed ctl test before the next one

What callers saw: beside load, test_diff of ctl failed after test_lost_answers, with exit 4 for 0.

Cause: a failed assertion leaves the test past stop_vms() and "drop_changes = false", so the VMs of the next test do not answer.

Change: a checked fixture stops the VMs that still run after a test and resets both switches. No check is changed.

Conclusion: closed for this file.

--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -62,6 +62,7 @@
 static GHashTable *request_ids;
 static uint64_t last_base_version;
 static bool drop_changes;
+static bool are_vms_running;
 static char *table_files[2];
 
 /* Delay of every zmq_connect(), microseconds. */
@@ -223,12 +224,14 @@
 	ev_async_init(&stop_event, on_stop);
 	ev_async_start(loop, &stop_event);
 	ck_assert_int_eq(pthread_create(&thread, NULL, run_loop, NULL), 0);
+	are_vms_running = true;
 }
 
 static void stop_vms(void)
 {
 	size_t i;
 
+	are_vms_running = false;
 	ev_async_send(loop, &stop_event);
 	pthread_join(thread, NULL);
 	for (i = 0; i < NR_VMS; i++) {
@@ -239,6 +242,16 @@
 	g_hash_table_destroy(request_ids);
 }
 
+/* After a failed assertion the next test must not find VMs that drop
+ * changes. */
+static void clean_up(void)
+{
+	drop_changes = false;
+	connect_delay_us = 0;
+	if (are_vms_running)
+		stop_vms();
+}
+
 static void write_table_files(void)
 {
 	const char *texts[] = { routes_text, pools_text };
@@ -743,5 +756,6 @@
 }
 END_TEST
 
-TEST_MAIN("ctl", test_apply, test_slow_connect, test_local_refusals,
-	  test_commands, test_lost_answers, test_diff, test_user_and_keygen)
+TEST_MAIN_WITH_FIXTURE("ctl", NULL, clean_up, test_apply, test_slow_connect,
+		       test_local_refusals, test_commands, test_lost_answers,
+		       test_diff, test_user_and_keygen)
