Say why progress of a settled primary ends the doubt about its term

Cause: read as a newcomer, the branch of succession_note_position() does not tell why a longer log lowers the term that ended.

Change: one line of comment.

--- a/coordination/succession.c
+++ b/coordination/succession.c
@@ -43,6 +43,7 @@
 	s->position = position_max(s->position, position);
 	if (position.term > s->ended_term)
 		return;
+	/* It commits in this term, which so did not end before it led. */
 	if (s->settled_position.term == position.term &&
 	    position.lsn > s->settled_position.lsn) {
 		s->ended_term = position.term - 1;
