Wait for killed daemons before path tests start them again

Cause, from its logs: the test kills all three daemons and starts them at once. kill does not wait, and all three new ones ended with "bus: cannot listen on 127.0.0.1:27031: Address already in use", as the killed ones still held their sockets. The test then asked a deployment without daemons for its status until its time was up.

Evidence: the logs of that run; the new processes 12283, 12285 and 12287 each logged that line and no other. Not reproduced at will.

Change: kill_and_wait() kills and waits for the end of the processes, which frees their ports. path_budget has the same pattern and uses it too. No check changes.

--- a/tests/path/lib.sh
+++ b/tests/path/lib.sh
@@ -29,6 +29,16 @@
 	PIDS=
 }
 
+# kill_and_wait PID...: kills processes of this script; their ports are free then
+kill_and_wait () {
+	kill -9 "$@"
+	for pid in "$@"
+	do
+		wait "$pid" 2>/dev/null
+		PIDS=$(echo " $PIDS " | sed "s/ $pid / /")
+	done
+}
+
 # wait_for TRIES COMMAND...: repeats the command every 0.1 s until it succeeds
 wait_for () {
 	tries=$1
--- a/tests/path/path_budget.sh
+++ b/tests/path/path_budget.sh
@@ -42,7 +42,7 @@
 use_each 1
 use_each 2
 check_peaks "all alive"
-kill -9 "$DAEMON_PID_7" "$DAEMON_PID_8"
+kill_and_wait "$DAEMON_PID_7" "$DAEMON_PID_8"
 start_daemon 7
 start_daemon 8
 wait_ready 7 west || die "vm-7 does not serve"
--- a/tests/path/path_tables.sh
+++ b/tests/path/path_tables.sh
@@ -27,10 +27,7 @@
 test "$(version)" = "$second" || die "a resend was applied twice"
 
 # All daemons restart; the change and the audit trail survive.
-for n in 1 2 3
-do
-	eval "kill -9 \$DAEMON_PID_$n"
-done
+kill_and_wait "$DAEMON_PID_1" "$DAEMON_PID_2" "$DAEMON_PID_3"
 for n in 1 2 3
 do
 	start_daemon "$n"
