--- a/review/1/case.c
+++ b/review/1/case.c
@@ -25,8 +25,8 @@
 	char name[32];
 
 	snprintf(name, sizeof(name), "core-%d", next_machine + 1);
-	core[at] = lab_start(name, next_machine++, true, bootstrap, seeds,
-			     LOSSES);
+	core[at] =
+		lab_start(name, next_machine++, true, bootstrap, seeds, LOSSES);
 }
 
 int main(int argc, char **argv)
@@ -63,7 +63,8 @@
 			version++;
 	}
 	lab_record("no machine is replaced any more; version %ld is the newest "
-		   "that was acknowledged", version);
+		   "that was acknowledged",
+		   version);
 	lab_sleep_ms(SITE_CONTACT_MS);
 	read = lab_get(2 * SITE_CONTACT_MS);
 	lab_copy_events("\"member_change\"");
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -27,8 +27,8 @@
 	char name[32];
 
 	snprintf(name, sizeof(name), "core-%d", next_machine + 1);
-	core[at] = lab_start(name, next_machine++, true, bootstrap, seeds,
-			     LOSSES);
+	core[at] =
+		lab_start(name, next_machine++, true, bootstrap, seeds, LOSSES);
 }
 
 /* Return: whether a read through @database at the front is served. */
@@ -66,8 +66,8 @@
 		start_core(i, true, seeds);
 	for (i = 0; i < FRONTS; i++) {
 		snprintf(name, sizeof(name), "front-%d", i + 1);
-		fronts[i] = lab_start(name, 100 + i, false, true, seeds,
-				      LOSSES);
+		fronts[i] =
+			lab_start(name, 100 + i, false, true, seeds, LOSSES);
 	}
 	lab_databases_start(&config);
 	lab_sleep_ms(1000);
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -62,8 +62,8 @@
 
 /* One request; follows 307 twice. Return: the status, 0 without an answer. */
 int lab_http(const char *ip, int port, const char *method, const char *path,
-	     const char *headers, const char *body, int timeout_ms, char *answer,
-	     size_t answer_size);
+	     const char *headers, const char *body, int timeout_ms,
+	     char *answer, size_t answer_size);
 int lab_control_port(void);
 /* Whether the front tells the balancer that it is ready. */
 bool lab_is_ready(const struct lab_process *front);
