Show that planned replacements cost the core its majority

A machine that asks to join is taken in only once a voter was silent for 2.5 s, counted anew by each new leader, and a voter that is stopped doesn't leave the group. So successors that have been up for longer than the catch-up time are no members when the machines that they replace are stopped.

--- a/review/standin/lab.c
+++ b/review/standin/lab.c
@@ -440,6 +440,20 @@
 			sizeof(answer)) == 200;
 }
 
+struct lab_process *lab_leader(void)
+{
+	static char answer[1 << 16];
+	struct lab_process *p[16];
+	int i, nr = lab_controls(p, 16);
+
+	for (i = 0; i < nr; i++)
+		if (one_request(p[i]->ip, lab_control_port(), "GET",
+				"/comfreywheel/config/get", NULL, NULL, 1000,
+				answer, sizeof(answer)) == 200)
+			return p[i];
+	return NULL;
+}
+
 bool lab_put(long version, const char *body, int64_t ms)
 {
 	int64_t end = lab_now_ms() + ms;
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -67,6 +67,8 @@
 int lab_control_port(void);
 /* Whether the front tells the balancer that it is ready. */
 bool lab_is_ready(const struct lab_process *front);
+/* The control machine that answers reads itself, NULL if there is none. */
+struct lab_process *lab_leader(void);
 /* The operator: sends until acknowledged or @ms have passed. */
 bool lab_put(long version, const char *body, int64_t ms);
 /* Asks all control machines for the configuration until one returns it.
