--- a/review/1/case.c
+++ b/review/1/case.c
@@ -34,13 +34,15 @@
 static void stop_old_machines(void)
 {
 	int64_t first_ms = lab_now_ms();
-	int i, status;
+	int i, status, tries;
 
 	for (i = 0; i < REPLACED; i++) {
 		struct lab_process *p;
 
 		lab_sleep_ms(first_ms + stop_at_ms[i] - lab_now_ms());
-		p = lab_leader();
+		/* An election may be under way. */
+		for (tries = 0; !(p = lab_leader()) && tries < 20; tries++)
+			lab_sleep_ms(20);
 		if (!p)
 			lab_exit(LAB_CANNOT_RUN, "no machine leads");
 		lab_record("%s leads", p->name);
