--- a/common/statement.c
+++ b/common/statement.c
@@ -12,6 +12,7 @@
 		[REFUSAL_TOO_MANY_CONNECTIONS] = "too many connections",
 		[REFUSAL_NO_STATEMENT] = "no such statement",
 		[REFUSAL_NO_DATABASE] = "no such database",
+		[REFUSAL_UNKNOWN_KEY] = "unknown key",
 		[REFUSAL_MALFORMED] = "malformed",
 		[REFUSAL_FAILED] = "failed",
 		[REFUSAL_TIMEOUT] = "timed out",
--- a/control/internal.h
+++ b/control/internal.h
@@ -5,8 +5,10 @@
 #include "node.h"
 #include "position.h"
 #include "promotion_policy.h"
+#include "quota_shares.h"
 #include "raft_disk.h"
 #include "succession.h"
+#include "token_bucket.h"
 
 #include <ev.h>
 
@@ -39,6 +41,8 @@
 	CONTROL_COUNT_PROMOTIONS_REFUSED,
 	CONTROL_COUNT_PROMOTIONS_UNCLEAR,
 	CONTROL_COUNT_VIEWS,
+	CONTROL_COUNT_QUOTA_TOKENS,
+	CONTROL_COUNT_QUOTA_REFUSED,
 	CONTROL_COUNT_STORE_FAILURES,
 	CONTROL_COUNT_TERM,
 	CONTROL_COUNT_VERSION,
@@ -230,6 +234,14 @@
  * @saved_roster_revision: revision of @roster in the sightings file
  * @earliest_save_us: earliest time of the next save
  * @refresh_save_us: time of the next save if nothing changes
+ * @quotas: shares of the limits of client accounts
+ * @quota_buckets: account to the struct token_bucket of this VM as the leader
+ * @quota_since_us: since when they have been filled, 0 before the first election
+ *                  of this VM
+ * @quota_has_initial: whether they begin with struct quota_limit.initial
+ * @quota_initial_us: when this VM began with that last
+ * @other_leader_us: when another VM was first heard to lead in its term, 0 if
+ *                   none was heard since the start of this process
  * @last_handover: lower 32 bits of the last handover number
  * @last_order: lower 32 bits of the last fencing token
  * @views_due: whether a view is to be sent to all watchers
@@ -272,6 +284,12 @@
 	int64_t earliest_save_us;
 	int64_t refresh_save_us;
 	int64_t started_us;
+	struct quota_shares quotas;
+	GHashTable *quota_buckets;
+	int64_t quota_since_us;
+	bool quota_has_initial;
+	int64_t quota_initial_us;
+	int64_t other_leader_us;
 	uint64_t last_handover;
 	uint64_t last_order;
 	bool views_due;
@@ -389,6 +407,9 @@
  */
 unsigned control_roster_count_unreachable(const struct control_node *node,
 					  const char *id, int64_t now_us);
+/** control_roster_count_restored() - count the daemons known from the sightings
+ * file that have not reported since */
+unsigned control_roster_count_restored(const struct control_node *node);
 /** control_roster_expire() - mark lost daemons gone, forget old entries */
 void control_roster_expire(struct control_node *node, int64_t now_us);
 /** control_roster_restore() - restore an entry from the sightings file */
@@ -438,6 +459,22 @@
 /** control_promotions_review() - decide about one service now */
 void control_promotions_review(struct control_node *node, const char *service);
 
+/* quota.c */
+void control_quota_init(struct control_node *node);
+void control_quota_finish(struct control_node *node);
+/** control_quota_update() - take note of whether this VM leads with a lease */
+void control_quota_update(struct control_node *node, bool has_lease);
+void control_quota_expire(struct control_node *node, int64_t now_us);
+/** control_quota_report() - a daemon reported what it holds and wants */
+void control_quota_report(struct control_node *node, const Wire__Watch *watch);
+/** control_quota_fill() - as the leader, add what the daemon holds from now on
+ *                      to the answer to @watch, NULL if it is none */
+void control_quota_fill(struct control_node *node, const Wire__Watch *watch,
+			Wire__View *view);
+/** control_quota_request() - a daemon asks for operations beyond its shares */
+void control_quota_request(struct control_node *node, struct channel *from,
+			   const Wire__QuotaRequest *in);
+
 /* surveys.c */
 void control_survey_init(struct control_survey *survey);
 void control_survey_finish(struct control_survey *survey);
--- a/control/node.c
+++ b/control/node.c
@@ -21,6 +21,9 @@
 	{ "control_promotions_refused_total", "Orders refused" },
 	{ "control_promotions_unclear_total", "Orders without an answer" },
 	{ "control_views_total", "Views sent to entry daemons" },
+	{ "control_quota_tokens_total",
+	  "Operations allowed beyond the daemons' shares of limits" },
+	{ "control_quota_refused_total", "The same refused" },
 	{ "control_store_failures_total", "Failures of the store" },
 	{ "control_term", "Raft term", true },
 	{ "control_config_version", "Version held", true },
@@ -46,6 +49,7 @@
 
 	if (has_lease && !node->had_lease)
 		node->views_due = true;
+	control_quota_update(node, has_lease);
 	node->had_lease = has_lease;
 }
 
@@ -101,6 +105,7 @@
 
 	control_peers_tick(node, now_us);
 	control_watchers_tick(node, now_us);
+	control_quota_expire(node, now_us);
 	control_group_tick(node, now_us);
 	control_promotions_tick(node, now_us);
 	sightings_expire(&node->sightings, now_us, keep_sighting, node);
@@ -156,6 +161,7 @@
 	node->watchers = g_ptr_array_new();
 	node->puts = g_ptr_array_new();
 	node->roster = control_roster_new();
+	control_quota_init(node);
 	node->promotion_states = g_hash_table_new_full(
 		g_str_hash, g_str_equal, NULL, control_promotion_state_free);
 	node->successions = g_hash_table_new_full(
@@ -198,6 +204,7 @@
 	g_hash_table_destroy(node->promotion_states);
 	g_hash_table_destroy(node->successions);
 	g_hash_table_destroy(node->roster);
+	control_quota_finish(node);
 	sightings_finish(&node->sightings);
 	config_register_finish(&node->reg);
 	counter_set_finish(&node->counters);
--- a/control/node.h
+++ b/control/node.h
@@ -4,6 +4,7 @@
 #include "channel.h"
 #include "config_register.h"
 #include "counters.h"
+#include "quota_shares.h"
 #include "raft.h"
 #include "sightings.h"
 #include "store.h"
@@ -28,6 +29,7 @@
  * @bootstrap: whether to create a new group out of the seeds
  * @seeds: uint32_t IPv4 addresses of control VMs, host order
  * @voters: number of voters, once enough VMs have joined
+ * @quota: by how much the limits of accounts may be exceeded
  * @file_ops: file operations of the store, NULL for those of the system
  * @file_data: passed to @file_ops
  */
@@ -39,6 +41,7 @@
 	bool bootstrap;
 	GArray *seeds;
 	unsigned voters;
+	struct quota_tolerance quota;
 	const struct store_file_ops *file_ops;
 	void *file_data;
 };
@@ -61,6 +64,8 @@
  * @has_service: whether the configuration in @document has @service
  * @sync_replicas: number of replicas that must hold a commit before it is
  *                 acknowledged, according to the configuration in @document
+ * @account_limit: limit of a client account, operations per second and at once;
+ *                 may be NULL. Return: false if it has none
  */
 struct control_ops {
 	void (*promote)(const char *service, const char *id, uint64_t token,
@@ -68,6 +73,8 @@
 	bool (*has_service)(GBytes *document, const char *service, void *data);
 	unsigned (*sync_replicas)(GBytes *document, const char *service,
 				  void *data);
+	bool (*account_limit)(GBytes *document, const char *account,
+			      double *rate_per_s, double *burst, void *data);
 };
 
 enum config_put_outcome {
--- a/control/roster.c
+++ b/control/roster.c
@@ -137,6 +137,18 @@
 	return nr;
 }
 
+unsigned control_roster_count_restored(const struct control_node *node)
+{
+	struct control_roster_entry *entry;
+	GHashTableIter it;
+	unsigned nr = 0;
+
+	g_hash_table_iter_init(&it, node->roster);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&entry))
+		nr += entry->is_restored && !entry->gone;
+	return nr;
+}
+
 /* Names of the connected daemons that accept work. */
 static GHashTable *present_daemons(const struct control_node *node,
 				   int64_t now_us)
--- a/control/storage.c
+++ b/control/storage.c
@@ -271,6 +271,8 @@
 		become_leader(node);
 	if (node->raft && raft_leader(node->raft) != node->last_leader) {
 		node->last_leader = raft_leader(node->raft);
+		if (node->last_leader && node->last_leader != node->id)
+			node->other_leader_us = clock_now_us();
 		node->views_due = true;
 		event_log("leader_changed", "{s:I, s:I}", "leader",
 			  (json_int_t)node->last_leader, "term",
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -135,9 +135,14 @@
 	for (i = 0; i < view->n_surveys; i++)
 		g_free(view->surveys[i]);
 	g_free(view->surveys);
+	for (i = 0; i < view->n_quotas; i++)
+		g_free(view->quotas[i]);
+	g_free(view->quotas);
 }
 
-static void send_view(struct control_watcher *watcher, bool is_reply)
+/* @answered: report that the view answers, NULL if it is sent unasked */
+static void send_view(struct control_watcher *watcher,
+		      const Wire__Watch *answered)
 {
 	struct control_node *node = watcher->node;
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
@@ -155,7 +160,7 @@
 		for (i = 0; i < m->nr; i++)
 			member_ids[view.n_control++] = m->member[i].id;
 	}
-	add_config(watcher, &view, is_reply);
+	add_config(watcher, &view, answered != NULL);
 	control_view_fill(node, watcher->sent_revision, &view);
 	/* Every control VM keeps the roster; a daemon needs it from one. */
 	if (node->lead_term || watcher->roster_wanted) {
@@ -164,6 +169,7 @@
 	}
 	control_handovers_fill(node, watcher->name, &view);
 	control_surveys_fill(node, watcher->name, &view);
+	control_quota_fill(node, answered, &view);
 	watcher->sent_revision = node->sightings.revision;
 	envelope.body_case = WIRE__ENVELOPE__BODY_VIEW;
 	envelope.view = &view;
@@ -220,7 +226,8 @@
 		control_handover_finished(node, watch->handovers[i]);
 	for (i = 0; i < watch->n_surveys; i++)
 		control_survey_finished(node, watch->surveys[i]);
-	send_view(watcher, true);
+	control_quota_report(node, watch);
+	send_view(watcher, watch);
 }
 
 static void on_message(struct channel *ch, const Wire__Envelope *envelope)
@@ -230,6 +237,9 @@
 	watcher->heard_us = clock_now_us();
 	if (envelope->body_case == WIRE__ENVELOPE__BODY_WATCH)
 		handle_watch(watcher, envelope->watch);
+	else if (envelope->body_case == WIRE__ENVELOPE__BODY_QUOTA_REQUEST)
+		control_quota_request(watcher->node, ch,
+				      envelope->quota_request);
 	else
 		control_handle_message(watcher->node, ch, envelope);
 }
@@ -297,7 +307,7 @@
 		struct control_watcher *watcher = node->watchers->pdata[i];
 
 		if (watcher->name && channel_is_open(&watcher->channel))
-			send_view(watcher, false);
+			send_view(watcher, NULL);
 	}
 }
 
--- a/coordination/home_policy.c
+++ b/coordination/home_policy.c
@@ -25,6 +25,11 @@
 		     XXH64(service, strlen(service), 0));
 }
 
+uint64_t home_account_rank(const char *account, const char *daemon)
+{
+	return rank_of(account, daemon);
+}
+
 static int compare_rank(const void *a, const void *b)
 {
 	const struct candidate *x = a;
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -13,6 +13,8 @@
 #define MIN_LATENCY_US (2 * 1000ll)
 /* Failed placements of replica reads after which a dispatch tries no more. */
 #define MAX_FAILED_PLACEMENTS 3
+/* Sessions of accounts without a connection that a dispatch passes over. */
+#define MAX_UNCONNECTED 16
 
 /* Whether the upstream has probably reached the position by now. */
 static bool probably_holds(const struct upstream *upstream,
@@ -51,10 +53,10 @@
 				 probably_holds(upstream, &s->need, now_us)) &&
 				(!upstream->failing_us ||
 				 upstream->connect_after_us <= now_us),
-			.idle = upstream_idle_link(upstream, NULL) != NULL,
+			.idle = upstream_has_idle_link(upstream, s->account),
 			.busy = upstream_nr_busy_links(upstream),
-			.openable =
-				upstream_nr_openable_links(upstream, now_us),
+			.openable = upstream_nr_openable_for(
+				upstream, s->account, now_us),
 			.latency_us = MAX(upstream->window.latency_us,
 					  MIN_LATENCY_US),
 		};
@@ -85,8 +87,25 @@
 	return false;
 }
 
-/* Return: whether the request was assigned a link. */
-static bool try_place(struct session *s, int64_t now_us)
+enum placement_result {
+	PLACED,
+	/* no upstream takes more work of its kind */
+	PLACEMENT_FAILED,
+	/* its account has to wait for a connection */
+	PLACEMENT_UNCONNECTED,
+};
+
+/* Closes an idle link of another account if there is no room otherwise. */
+static void open_link_for(struct upstream *upstream, const char *account,
+			  int64_t now_us)
+{
+	if (!upstream_nr_openable_links(upstream, now_us))
+		upstream_evict(upstream, account);
+	link_open_for(upstream, account);
+}
+
+/* Assigns the request a link if an upstream takes it. */
+static enum placement_result try_place(struct session *s, int64_t now_us)
 {
 	struct placement_option options[MAX_OPTIONS];
 	struct upstream *candidates[MAX_OPTIONS];
@@ -102,7 +121,7 @@
 		return try_place(s, now_us);
 	}
 	if (chosen < 0)
-		return false;
+		return PLACEMENT_FAILED;
 	link = upstream_idle_link(candidates[chosen], s);
 	if (!link) {
 		/*
@@ -112,8 +131,8 @@
 		 * statements while the next is opened.
 		 */
 		if (!has_opening_link(candidates[chosen]))
-			link_open(candidates[chosen]);
-		return false;
+			open_link_for(candidates[chosen], s->account, now_us);
+		return s->account ? PLACEMENT_UNCONNECTED : PLACEMENT_FAILED;
 	}
 	g_queue_unlink(&s->service->waiting, &s->waiting);
 	histogram_add(&s->entry->wait_times, now_us - s->arrived_us);
@@ -122,7 +141,7 @@
 	s->last_upstream = g_strdup(candidates[chosen]->id);
 	link_bind(link, s);
 	request_run_on_link(s);
-	return true;
+	return PLACED;
 }
 
 static struct urgency urgency_of(const struct session *s, int64_t now_us)
@@ -184,6 +203,8 @@
 	int64_t now_us = clock_now_us();
 	bool try_primary = true;
 	unsigned failed_placements = 0;
+	unsigned nr_unconnected = 0;
+	enum placement_result result;
 	struct session *s;
 
 	if (svc->dispatching)
@@ -200,7 +221,9 @@
 		bool needs_primary = s->needs_primary;
 
 		s->last_dispatch = svc->dispatch_number;
-		if (try_place(s, now_us))
+		result = try_place(s, now_us);
+		if (result == PLACED || (result == PLACEMENT_UNCONNECTED &&
+					 nr_unconnected++ < MAX_UNCONNECTED))
 			continue;
 		if (needs_primary)
 			try_primary = false;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -28,6 +28,12 @@
 	{ "entry_relayed_total", "Statements sent to a home daemon" },
 	{ "entry_relays_lost_total", "Sessions whose home daemon was lost" },
 	{ "entry_guests_total", "Statements taken for other daemons" },
+	{ "entry_unknown_keys_total", "Refusals of a key of no account" },
+	{ "entry_quota_requests_total", "Requests for more of a limit" },
+	{ "entry_quota_refused_total", "Operations beyond a limit" },
+	{ "entry_sessions_revoked_total", "Sessions whose key was dropped" },
+	{ "entry_links_evicted_total",
+	  "Connections closed for those of other accounts" },
 	{ "entry_waiting", "Statements that wait for a connection", true },
 	{ "entry_open_sessions", "Callers connected", true },
 	{ "entry_config_version", "Version in force", true },
@@ -57,6 +63,7 @@
 	upstreams_tick(entry, now_us);
 	sessions_tick(entry, now_us);
 	services_log_summaries(entry, now_us);
+	quotas_log(entry, now_us);
 	sightings_expire(&entry->sightings, now_us, keeps_sighting, NULL);
 	if (!entry->was_ready && entry_ready(entry)) {
 		entry->was_ready = true;
@@ -91,6 +98,7 @@
 	counter_register_all(&entry->counters, counter_specs, ENTRY_NR_COUNTERS,
 			     entry->counter);
 	homes_init(entry);
+	quotas_init(entry);
 	g_queue_init(&entry->relay_clients);
 	entry_add_seeds(entry, config->seeds);
 	if (!relay_clients_listen(entry, error)) {
@@ -115,6 +123,7 @@
 	relay_clients_close(entry);
 	watch_stop(entry);
 	homes_finish(entry);
+	quotas_finish(entry);
 	handover_finish(entry);
 	g_hash_table_destroy(entry->known_upstreams);
 	surveys_finish(entry);
@@ -177,6 +186,7 @@
 {
 	print_gauges(entry);
 	counter_set_print(&entry->counters, out);
+	quotas_print(entry, out);
 	histogram_print(&entry->wait_times, "entry_wait_seconds", "", out);
 	histogram_print(&entry->upstream_times, "entry_upstream_seconds", "",
 			out);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_H
 #define ENTRY_H
 
+#include "quota_shares.h"
 #include "sightings.h"
 #include "statement.h"
 #include "timer_service.h"
@@ -35,6 +36,7 @@
  * @priority: 0 is served first
  * @staleness_us: reads must see commits older than this, 0 sends every read
  *                to the primary
+ * @anonymous: whether callers without an account may use it
  */
 struct entry_route {
 	char *database;
@@ -44,6 +46,18 @@
 	int64_t target_us;
 	unsigned priority;
 	int64_t staleness_us;
+	bool anonymous;
+};
+
+/**
+ * struct entry_account - a client account
+ * @rate_per_s: operations per second over all daemons, 0 for no limit
+ * @burst: operations beyond @rate_per_s at once
+ */
+struct entry_account {
+	char *name;
+	double rate_per_s;
+	double burst;
 };
 
 /**
@@ -62,6 +76,9 @@
  * @refs: reference count; transactions keep the table that they began with
  * @routes: database to struct entry_route
  * @pools: service to struct entry_pool
+ * @accounts: name to struct entry_account
+ * @keys: key to the struct entry_account that holds it
+ * @has_accounts: whether callers are identified by their keys
  * @transaction_idle_us: idle time after which an open transaction is aborted,
  *                       0 for no limit
  */
@@ -70,6 +87,9 @@
 	uint64_t version;
 	GHashTable *routes;
 	GHashTable *pools;
+	GHashTable *accounts;
+	GHashTable *keys;
+	bool has_accounts;
 	int64_t transaction_idle_us;
 };
 
@@ -83,6 +103,23 @@
 void entry_table_add_pool(struct entry_table *table,
 			  const struct entry_pool *pool);
 
+/** entry_table_add_account() - takes ownership of @account's strings */
+struct entry_account *
+entry_table_add_account(struct entry_table *table,
+			const struct entry_account *account);
+/**
+ * entry_table_add_key() - record that @account holds @key
+ * Return: false if another account holds it
+ */
+bool entry_table_add_key(struct entry_table *table, const char *key,
+			 struct entry_account *account);
+/**
+ * entry_table_account() - the account that holds @key, NULL for none
+ * @key: as the caller sent it, may be NULL
+ */
+const struct entry_account *entry_table_account(const struct entry_table *table,
+						const char *key);
+
 /**
  * struct caller_ops - callbacks of a caller protocol
  * @started: the session may send statements
@@ -159,7 +196,8 @@
 
 /**
  * struct upstream_ops - operations of an upstream protocol
- * @open: connects and logs in, then calls link_opened() or link_closed().
+ * @open: connects and logs in as @account, NULL for the proxy itself, then
+ *        calls link_opened() or link_closed().
  *        Return: the connection's handle, NULL if no socket could be opened
  * @send: queues one command; each is answered by one link_replied()
  * @flush: writes the queued commands
@@ -170,7 +208,8 @@
  */
 struct upstream_ops {
 	void *(*open)(struct link *link, const char *address,
-		      const char *service, const char *id, void *data);
+		      const char *service, const char *account, const char *id,
+		      void *data);
 	void (*send)(void *handle, const struct link_command *command);
 	void (*flush)(void *handle);
 	void (*close)(void *handle);
@@ -196,6 +235,11 @@
  * @port: port for connections between daemons, the same on every VM
  * @seeds: uint32_t IPv4 addresses of control VMs
  * @grace_us: time between the request to stop and the kill
+ * @revoke_us: time in which sessions with a key that was dropped are closed,
+ *             0 for the default
+ * @strict_keys: whether a daemon without a fresh view for @revoke_us begins no
+ *               operation of an account
+ * @quota: by how much the limits of accounts may be exceeded
  * @decode: parses a configuration document; NULL if it is invalid
  * @data: passed to upstream_ops.open
  */
@@ -206,6 +250,9 @@
 	uint16_t port;
 	GArray *seeds;
 	int64_t grace_us;
+	int64_t revoke_us;
+	bool strict_keys;
+	struct quota_tolerance quota;
 	const struct upstream_ops *upstream_ops;
 	struct entry_table *(*decode)(GBytes *document);
 	void *data;
@@ -237,8 +284,11 @@
 /** entry_session_new() - a caller connected */
 struct session *entry_session_new(struct entry *entry,
 				  const struct caller_ops *ops, void *handle);
-/** session_start() - the caller chose its database */
-void session_start(struct session *s, const char *database);
+/**
+ * session_start() - the caller chose its database
+ * @key: identifies its account
+ */
+void session_start(struct session *s, const char *database, const char *key);
 /**
  * session_handle_statement() - handle one statement; none may be outstanding
  * @statement: its buffer changes owner, and it is cleared
--- a/entry/home.c
+++ b/entry/home.c
@@ -12,6 +12,8 @@
 #define MAX_PEERS 4
 /* Upper limit of a daemon's share of the connections to one upstream. */
 #define MAX_SHARE 6
+/* The same if each connection serves one account only. */
+#define MAX_ACCOUNTS_SHARE 24
 
 /* The link whose roster is used: the control leader's, else any fresh one. */
 static const struct control_link *roster_source(const struct entry *entry)
@@ -137,10 +139,12 @@
 	const struct home_set *set =
 		g_hash_table_lookup(entry->home_sets, pool->service);
 	unsigned homes = MAX(entry->home_set_daemons->len, 1);
+	bool accounts = entry->table && entry->table->has_accounts;
 
 	if (set && !set->all_daemons)
 		homes = MAX(set->daemons->len, 1);
-	return CLAMP(pool->max_connections / homes, 1, MAX_SHARE);
+	return CLAMP(pool->max_connections / homes, 1,
+		     accounts ? MAX_ACCOUNTS_SHARE : MAX_SHARE);
 }
 
 static void on_message(struct channel *ch, const Wire__Envelope *envelope)
@@ -275,7 +279,80 @@
 	return best;
 }
 
-struct home_link *home_choose(struct entry *entry, const char *service)
+/* Whether statements of an account go to one home of its own. */
+static bool is_divided_by_account(const struct home_set *set,
+				  const char *account)
+{
+	return account && set && !set->all_daemons && set->daemons->len;
+}
+
+/* Replaces *@best by @daemon's link if that can be used. Return: whether it
+ * did */
+static bool take_if_usable(struct entry *entry, const char *service,
+			   const struct roster_entry *daemon, int64_t now_us,
+			   struct home_link **best)
+{
+	struct home_link *home = get_home_link(entry, daemon->ip);
+
+	if (!channel_is_open(&home->channel)) {
+		connect_home(home);
+		return false;
+	}
+	if (has_declined(home, service, now_us))
+		return false;
+	*best = home;
+	return true;
+}
+
+/*
+ * The home with the lowest rank for the account among this daemon and those
+ * that are connected. Homes in other zones count as well: fewer homes need
+ * connections of the account then.
+ * Return: NULL if it is this daemon, or if there is none
+ */
+static struct home_link *
+home_of_account(struct entry *entry, const char *service, const char *account,
+		const struct home_set *set, bool with_this_daemon)
+{
+	uint64_t best_rank = UINT64_MAX;
+	int64_t now_us = clock_now_us();
+	struct home_link *best = NULL;
+	guint i;
+
+	for (i = 0; i < set->daemons->len; i++) {
+		const struct roster_entry *daemon =
+			home_daemon_at(entry, set, i);
+		uint64_t rank = home_account_rank(account, daemon->name);
+
+		if (rank >= best_rank)
+			continue;
+		if (daemon->ip == entry->config.ip) {
+			if (!with_this_daemon)
+				continue;
+			best = NULL;
+			best_rank = rank;
+		} else if (take_if_usable(entry, service, daemon, now_us,
+					  &best)) {
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+bool home_runs_account(struct entry *entry, const char *service,
+		       const char *account)
+{
+	const struct home_set *set =
+		g_hash_table_lookup(entry->home_sets, service);
+
+	if (!home_is_local(entry, service))
+		return false;
+	return !is_divided_by_account(set, account) ||
+	       !home_of_account(entry, service, account, set, true);
+}
+
+struct home_link *home_choose(struct entry *entry, const char *service,
+			      const char *account)
 {
 	const struct home_set *set =
 		g_hash_table_lookup(entry->home_sets, service);
@@ -284,6 +361,8 @@
 
 	if (!set || !set->daemons->len)
 		return NULL;
+	if (is_divided_by_account(set, account))
+		return home_of_account(entry, service, account, set, false);
 	home = least_used_home(entry, service, set, true, now_us);
 	return home ? home :
 		      least_used_home(entry, service, set, false, now_us);
@@ -317,7 +396,8 @@
 	return best;
 }
 
-struct home_link *home_choose_peer(struct entry *entry, const char *service)
+struct home_link *home_choose_peer(struct entry *entry, const char *service,
+				   const char *account)
 {
 	const struct home_set *set =
 		g_hash_table_lookup(entry->home_sets, service);
@@ -325,14 +405,16 @@
 	struct home_link *peer;
 
 	if (!set || !set->all_daemons)
-		return home_choose(entry, service);
+		return home_choose(entry, service, account);
 	peer = least_used_peer(entry, service, true, now_us);
 	return peer ? peer : least_used_peer(entry, service, false, now_us);
 }
 
-/* Keeps connections open to the homes in this daemon's availability zone. */
+/* Keeps connections open to the homes in this daemon's availability zone, and
+ * to all if each account has one home. */
 static void connect_own_zone(struct entry *entry)
 {
+	bool all = entry->table && entry->table->has_accounts;
 	struct home_set *set;
 	GHashTableIter it;
 
@@ -345,8 +427,7 @@
 				home_daemon_at(entry, set, i);
 
 			if (daemon->ip != entry->config.ip &&
-			    !strcmp(daemon->availability_zone,
-				    entry->config.availability_zone))
+			    (all || is_in_own_zone(entry, daemon)))
 				connect_home(get_home_link(entry, daemon->ip));
 		}
 	}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -26,6 +26,9 @@
 #define ENTRY_ABANDONED_TIMEOUT_US (2000 * 1000ll)
 /** Largest age of the newest sample before the primary is sampled again. */
 #define ENTRY_SAMPLE_INTERVAL_US (400 * 1000ll)
+/** Time in which the control leader answers for the limit of an account: several
+ * round trips within a region. */
+#define ENTRY_QUOTA_TIMEOUT_US (100 * 1000ll)
 /** Largest number of attempts of one statement, including the first. */
 #define ENTRY_MAX_ATTEMPTS 6
 
@@ -50,6 +53,11 @@
 	ENTRY_COUNT_RELAYED,
 	ENTRY_COUNT_RELAYS_LOST,
 	ENTRY_COUNT_RELAYS_RECEIVED,
+	ENTRY_COUNT_UNKNOWN_KEYS,
+	ENTRY_COUNT_QUOTA_REQUESTS,
+	ENTRY_COUNT_QUOTA_REFUSED,
+	ENTRY_COUNT_SESSIONS_REVOKED,
+	ENTRY_COUNT_LINKS_EVICTED,
 	ENTRY_COUNT_WAITING,
 	ENTRY_COUNT_OPEN_SESSIONS,
 	ENTRY_COUNT_CONFIG_VERSION,
@@ -199,6 +207,7 @@
 
 /**
  * struct link - one connection to an upstream
+ * @account: account that it was opened for, NULL for the proxy itself
  * @session: the session that holds it, NULL if none
  * @handle: the upstream protocol's handle, NULL once closed
  * @outstanding: enum link_purpose of each unanswered command, oldest first
@@ -210,6 +219,7 @@
  */
 struct link {
 	struct upstream *upstream;
+	char *account;
 	void *handle;
 	enum link_state state;
 	struct session *session;
@@ -232,6 +242,8 @@
 	REQUEST_WAITING,
 	REQUEST_SETUP,
 	REQUEST_RUNNING,
+	/** waits until the control leader answers for its account's limit */
+	REQUEST_AWAITING_QUOTA,
 	/** relayed to a home daemon */
 	REQUEST_RELAYED,
 	/** waits until a home daemon is connected */
@@ -248,6 +260,9 @@
  * @home: home daemon that runs its transaction or statement, NULL if none
  * @remote_caller: whether the caller is connected to another daemon,
  *         which relays its statements
+ * @key: identifies the caller's account, NULL if another daemon checks it
+ * @account: account of the operation, NULL for none; valid while @table is held
+ * @revoked_us: when @key was found to be no longer valid, 0 if it is
  * @values: acknowledged session values by name
  * @prepared: name to struct prepared
  * @own: position of its newest commit, term 0 for none
@@ -269,7 +284,9 @@
  * @statement_sent_us: when @statement was sent to the upstream
  * @last_dispatch: number of the dispatch that last examined it
  * @timer: time-out of the current phase
- * @waiting: node in service.waiting
+ * @waiting: node in service.waiting, or in the queue of a limit
+ * @quota: the limit in whose queue it waits, NULL for none
+ * @charged: whether its operation counts towards the account's limit
  * @classified: whether @needs_primary, @verify_primary and @need are set
  * @needs_primary: whether only the primary can run it
  * @verify_primary: whether a single read is wrapped in a transaction,
@@ -288,6 +305,9 @@
 	struct home_link *home;
 	bool remote_caller;
 	char *database;
+	char *key;
+	const char *account;
+	int64_t revoked_us;
 	GHashTable *values;
 	GHashTable *prepared;
 	struct read_requirement own;
@@ -315,6 +335,8 @@
 	int timer;
 	struct link *link;
 	GList waiting;
+	struct quota *quota;
+	bool charged;
 	bool classified;
 	bool needs_primary;
 	bool verify_primary;
@@ -431,6 +453,28 @@
 	GHashTable *roster;
 };
 
+/**
+ * struct quotas - limits of accounts at this daemon
+ * @accounts: account to struct quota
+ * @incarnation: differs for each start of the daemon
+ * @term: term of the leader whose shares were applied last
+ * @number: number of those shares
+ * @lease_until_us: end of the lease of the shares
+ * @last_request: number of the last request to the leader
+ * @reported_us: when demand was last reported
+ * @logged_us: when refusals were last logged
+ */
+struct quotas {
+	GHashTable *accounts;
+	uint64_t incarnation;
+	uint64_t term;
+	uint64_t number;
+	int64_t lease_until_us;
+	uint64_t last_request;
+	int64_t reported_us;
+	int64_t logged_us;
+};
+
 /**
  * struct entry - an entry daemon
  * @table: configuration in force, NULL until one was received
@@ -451,6 +495,7 @@
  * @sessions: all sessions, including those of callers of other daemons
  * @last_session_number: number of the session that was created last
  * @fresh: whether any fresh view was received
+ * @last_fresh_us: when the last one was received
  * @was_ready: whether readiness was logged
  * @surveys: struct survey, see survey.c
  * @survey_timer: next poll of the upstreams of @surveys
@@ -473,6 +518,7 @@
 	GPtrArray *home_set_daemons;
 	bool home_sets_outdated;
 	GHashTable *homes;
+	struct quotas quotas;
 	GQueue relay_clients;
 	struct handover handover;
 	GPtrArray *surveys;
@@ -483,6 +529,7 @@
 	GQueue sessions;
 	uint64_t last_session_number;
 	bool fresh;
+	int64_t last_fresh_us;
 	bool was_ready;
 	int64_t drain_started_us;
 	int64_t last_tick_us;
@@ -525,9 +572,21 @@
 /** upstream_nr_openable_links() - how many more links may be opened */
 unsigned upstream_nr_openable_links(const struct upstream *upstream,
 				    int64_t now_us);
-/** upstream_idle_link() - an idle link or NULL, preferably with @s's values */
+/**
+ * upstream_nr_openable_for() - the same for @account, for which an idle link of
+ *                              another account may be closed
+ */
+unsigned upstream_nr_openable_for(const struct upstream *upstream,
+				  const char *account, int64_t now_us);
+/** upstream_evict() - close an idle link that makes room for @account, if any */
+void upstream_evict(struct upstream *upstream, const char *account);
+/** upstream_idle_link() - an idle link, of @s's account if @s is not NULL, and
+ * preferably with its values; NULL for none */
 struct link *upstream_idle_link(const struct upstream *upstream,
 				const struct session *s);
+/** upstream_has_idle_link() - whether a link of @account is idle */
+bool upstream_has_idle_link(const struct upstream *upstream,
+			    const char *account);
 /** upstream_nr_busy_links() - number of links that are not idle */
 unsigned upstream_nr_busy_links(const struct upstream *upstream);
 void upstream_note_answer(struct upstream *upstream,
@@ -540,7 +599,12 @@
 void upstream_destroy(struct upstream *upstream);
 
 /* link.c */
+/** link_open() - open a link for the proxy itself */
 struct link *link_open(struct upstream *upstream);
+/** link_open_for() - open a link for @account, NULL for the proxy itself */
+struct link *link_open_for(struct upstream *upstream, const char *account);
+/** link_is_for() - whether statements of @account may run on it */
+bool link_is_for(const struct link *link, const char *account);
 void link_close(struct link *link);
 /** link_bind() - assign an idle link to a session */
 void link_bind(struct link *link, struct session *s);
@@ -595,6 +659,11 @@
 /** request_refuse_unreachable() - refuse a waiting statement and close its
  * session, so that the caller connects to another daemon */
 void request_refuse_unreachable(struct session *s);
+/** request_run_after_quota() - its account's limit allows the operation in
+ * @wait_us */
+void request_run_after_quota(struct session *s, int64_t wait_us);
+/** request_refuse_over_quota() - the limit does not, for another @wait_us */
+void request_refuse_over_quota(struct session *s, int64_t wait_us);
 /** request_run_on_link() - run the statement on the session's link */
 void request_run_on_link(struct session *s);
 /** request_can_run_elsewhere() - whether another upstream may run it */
@@ -612,16 +681,22 @@
 void roster_entry_free(void *data);
 /** home_is_local() - whether this daemon is a home of the service */
 bool home_is_local(struct entry *entry, const char *service);
+/** home_runs_account() - whether this daemon is the home of the service for
+ * @account, NULL for any account */
+bool home_runs_account(struct entry *entry, const char *service,
+		       const char *account);
 /** home_share() - this daemon's share of the connections to one upstream */
 unsigned home_share(struct entry *entry, const struct entry_pool *pool);
 void homes_tick(struct entry *entry);
 void homes_init(struct entry *entry);
 void homes_finish(struct entry *entry);
-/** home_choose() - a connected home of the service, or NULL */
-struct home_link *home_choose(struct entry *entry, const char *service);
+/** home_choose() - a connected home of the service for @account, or NULL */
+struct home_link *home_choose(struct entry *entry, const char *service,
+			      const char *account);
 /** home_choose_peer() - another connected daemon that may hold connections to
  * the service's upstreams, or NULL */
-struct home_link *home_choose_peer(struct entry *entry, const char *service);
+struct home_link *home_choose_peer(struct entry *entry, const char *service,
+				   const char *account);
 void home_note_declined(struct home_link *home, const char *service);
 
 /* peer_relay.c */
@@ -675,6 +750,46 @@
 /** services_dispatch() - the same for all services */
 void services_dispatch(struct entry *entry);
 
+/* account.c */
+/**
+ * account_resolve() - determine the account of the operation that begins
+ * Return: REFUSAL_NONE, or why the operation is refused
+ */
+enum refusal account_resolve(struct session *s, const struct entry_table *table,
+			     const struct entry_route *route);
+/** accounts_revoke() - find the sessions whose key is no longer valid */
+void accounts_revoke(struct entry *entry);
+/** account_must_close() - whether the session is closed now, as its key was
+ * revoked */
+bool account_must_close(const struct session *s, int64_t now_us);
+
+/* quota.c */
+enum quota_result {
+	QUOTA_ALLOWED,
+	/** request_run_after_quota() or request_refuse_over_quota() follows */
+	QUOTA_ASKED,
+	QUOTA_REFUSED,
+};
+void quotas_init(struct entry *entry);
+void quotas_finish(struct entry *entry);
+/**
+ * quota_charge() - count the session's operation towards its account's limit
+ * @wait_us: set to the time until another is allowed if it is refused
+ */
+enum quota_result quota_charge(struct session *s, int64_t *wait_us);
+/** quota_ask_again() - ask the leader again unless it may still answer */
+void quota_ask_again(struct session *s);
+/** quota_cancel() - the session no longer waits for an answer */
+void quota_cancel(struct session *s);
+/** quotas_update() - apply the limits of a new configuration */
+void quotas_update(struct entry *entry);
+void quotas_fill(struct entry *entry, Wire__Watch *watch);
+void quotas_clear(Wire__Watch *watch);
+void quotas_apply(struct entry *entry, const Wire__View *view);
+void quotas_granted(struct entry *entry, const Wire__QuotaGrant *grant);
+void quotas_log(struct entry *entry, int64_t now_us);
+void quotas_print(const struct entry *entry, GString *out);
+
 /* session.c */
 void session_answer(struct session *s, const struct statement_answer *answer);
 /** session_end_transaction() - set @tx to @to and roll back at the upstream */
--- a/entry/link.c
+++ b/entry/link.c
@@ -14,12 +14,23 @@
 /* Pause after a different upstream answered at the address. */
 #define REPLACED_PAUSE_US (1000 * 1000ll)
 
+bool link_is_for(const struct link *link, const char *account)
+{
+	return !g_strcmp0(link->account, account);
+}
+
 struct link *link_open(struct upstream *upstream)
+{
+	return link_open_for(upstream, NULL);
+}
+
+struct link *link_open_for(struct upstream *upstream, const char *account)
 {
 	struct entry *entry = upstream->entry;
 	struct link *link = g_new0(struct link, 1);
 
 	link->upstream = upstream;
+	link->account = g_strdup(account);
 	link->opened_or_released_us = clock_now_us();
 	link->outstanding =
 		g_array_new(FALSE, FALSE, sizeof(enum link_purpose));
@@ -30,7 +41,7 @@
 	g_ptr_array_add(upstream->links, link);
 	link->handle = entry->config.upstream_ops->open(link, upstream->address,
 							upstream->service->name,
-							upstream->id,
+							account, upstream->id,
 							entry->config.data);
 	entry_count(entry, ENTRY_COUNT_LINKS_OPENED, 1);
 	if (link->handle)
@@ -46,6 +57,7 @@
 	g_array_free(link->outstanding, TRUE);
 	g_hash_table_destroy(link->values);
 	g_hash_table_destroy(link->prepared);
+	g_free(link->account);
 	g_free(link);
 }
 
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -44,6 +44,7 @@
 
 	out->session = s->number;
 	out->service = s->route->service;
+	out->account = (char *)(s->account ? s->account : "");
 	out->rule = s->route->rule;
 	out->statement_us = (uint64_t)s->route->statement_us;
 	out->target_us = (uint64_t)s->route->target_us;
--- a/entry/relay_clients.c
+++ b/entry/relay_clients.c
@@ -12,12 +12,14 @@
  * struct remote_session - a session whose caller is connected to another daemon
  * @number: number of the session at that daemon
  * @route: its route according to that daemon
+ * @account: its account according to that daemon, "" for none
  */
 struct remote_session {
 	struct relay_client *link;
 	uint64_t number;
 	struct session *session;
 	struct entry_route route;
+	char *account;
 };
 
 static void send_answer(struct relay_client *link, Wire__RelayAnswer *answer)
@@ -37,6 +39,7 @@
 
 	session_closed(remote->session);
 	g_free(remote->route.service);
+	g_free(remote->account);
 	g_free(remote);
 }
 
@@ -139,6 +142,9 @@
 	entry_table_unref(s->table);
 	s->table = entry_table_ref(s->entry->table);
 	s->route = &remote->route;
+	g_free(remote->account);
+	remote->account = g_strdup(in->account);
+	s->account = *remote->account ? remote->account : NULL;
 	s->service = service_get(s->entry, in->service);
 }
 
--- a/entry/request.c
+++ b/entry/request.c
@@ -9,6 +9,9 @@
  * opens connections of its own, and the polling interval meanwhile. */
 #define HOME_WAIT_US (400 * 1000ll)
 #define HOME_POLL_INTERVAL_US (30 * 1000ll)
+/* Part of its target that a statement waits for the leader to answer for the
+ * limit of its account, percent. */
+#define QUOTA_WAIT_PERCENT 60
 /* Time added to a statement's time-out for the home daemon's answer. */
 #define RELAY_MARGIN_US (60 * 1000ll)
 /* Pause after an upstream refused a statement for lack of capacity. */
@@ -48,6 +51,8 @@
 {
 	if (s->phase == REQUEST_WAITING)
 		g_queue_unlink(&s->service->waiting, &s->waiting);
+	else if (s->phase == REQUEST_AWAITING_QUOTA)
+		quota_cancel(s);
 }
 
 void request_complete(struct session *s, const struct statement_answer *answer)
@@ -190,16 +195,92 @@
 	relay_start(s, home);
 }
 
+static void queue_request(struct session *s)
+{
+	struct wait_limit limit;
+
+	s->service->last_used_us = clock_now_us();
+	if (!s->classified)
+		classify(s);
+	limit = wait_limit_of(s);
+	start_timer(s, wait_limit_first_check_us(&limit));
+	enqueue(s);
+	service_dispatch(s->service);
+}
+
+void request_refuse_over_quota(struct session *s, int64_t wait_us)
+{
+	struct statement_answer answer = { .refusal = REFUSAL_BUSY };
+	g_autofree char *detail =
+		wait_us >= INT64_MAX / 2 ?
+			g_strdup("the limit of the account is not known here "
+				 "now") :
+			g_strdup_printf("the limit of the account is reached; "
+					"retry after %" G_GINT64_FORMAT " ms",
+					wait_us / 1000 + 1);
+
+	answer.detail = detail;
+	entry_count(s->entry, ENTRY_COUNT_QUOTA_REFUSED, 1);
+	if (s->tx == TX_OPEN)
+		session_end_transaction(s, TX_FAILED);
+	request_complete(s, &answer);
+}
+
+void request_run_after_quota(struct session *s, int64_t wait_us)
+{
+	s->charged = true;
+	if (!wait_us) {
+		queue_request(s);
+		return;
+	}
+	s->phase = REQUEST_AWAITING_QUOTA;
+	start_timer(s, clock_now_us() + wait_us);
+}
+
+/* While there is no leader, another daemon would have to wait as well. */
+static void await_quota(struct session *s, int64_t now_us)
+{
+	int64_t limit_us =
+		s->arrived_us + s->route->target_us * QUOTA_WAIT_PERCENT / 100;
+
+	if (now_us >= limit_us) {
+		request_refuse_over_quota(s, INT64_MAX);
+		return;
+	}
+	quota_ask_again(s);
+	start_timer(s, MIN(now_us + ENTRY_QUOTA_TIMEOUT_US, limit_us));
+}
+
+/* Runs the statement on a connection of this daemon, if the limit of its account
+ * allows its operation. */
+static void run_here(struct session *s)
+{
+	int64_t wait_us = 0;
+
+	switch (quota_charge(s, &wait_us)) {
+	case QUOTA_ALLOWED:
+		request_run_after_quota(s, 0);
+		return;
+	case QUOTA_ASKED:
+		s->phase = REQUEST_AWAITING_QUOTA;
+		await_quota(s, clock_now_us());
+		return;
+	case QUOTA_REFUSED:
+		request_refuse_over_quota(s, wait_us);
+		return;
+	}
+}
+
 /* Relays the statement to a home daemon or queues it for a local connection. */
 static void route_request(struct session *s)
 {
-	bool home_elsewhere = !s->remote_caller &&
-			      !home_is_local(s->entry, s->service->name);
+	bool home_elsewhere =
+		!s->remote_caller &&
+		!home_runs_account(s->entry, s->service->name, s->account);
 	struct home_link *home = NULL;
-	struct wait_limit limit;
 
 	if (home_elsewhere)
-		home = home_choose(s->entry, s->service->name);
+		home = home_choose(s->entry, s->service->name, s->account);
 	if (home) {
 		s->attempts++;
 		relay_to_home(s, home);
@@ -212,13 +293,7 @@
 		start_timer(s, clock_now_us() + HOME_POLL_INTERVAL_US);
 		return;
 	}
-	s->service->last_used_us = clock_now_us();
-	if (!s->classified)
-		classify(s);
-	limit = wait_limit_of(s);
-	start_timer(s, wait_limit_first_check_us(&limit));
-	enqueue(s);
-	service_dispatch(s->service);
+	run_here(s);
 }
 
 bool request_relay_to_peer(struct session *s)
@@ -230,7 +305,7 @@
 		s->ops->decline(s->handle);
 		return true;
 	}
-	peer = home_choose_peer(s->entry, s->service->name);
+	peer = home_choose_peer(s->entry, s->service->name, s->account);
 	if (!peer)
 		return false;
 	dequeue(s);
@@ -273,6 +348,12 @@
 		s->asked_us = now_us;
 }
 
+static void begin_operation(struct session *s)
+{
+	s->charged = false;
+	route_request(s);
+}
+
 void request_start(struct session *s)
 {
 	int64_t now_us = clock_now_us();
@@ -292,7 +373,7 @@
 	else if (s->home)
 		relay_to_home(s, s->home);
 	else
-		route_request(s);
+		begin_operation(s);
 }
 
 static void send_statement(struct session *s)
@@ -404,6 +485,12 @@
 	case REQUEST_WAITING:
 		check_waiting(s, now_us);
 		return;
+	case REQUEST_AWAITING_QUOTA:
+		if (s->charged)
+			queue_request(s);
+		else
+			await_quota(s, now_us);
+		return;
 	case REQUEST_SETUP:
 		end_setup(s, "the upstream did not answer");
 		return;
@@ -750,6 +837,7 @@
 		return;
 	case REQUEST_WAITING:
 	case REQUEST_AWAITING_HOME:
+	case REQUEST_AWAITING_QUOTA:
 		refuse_waiting(s, detail);
 		return;
 	case REQUEST_SETUP:
--- a/entry/session.c
+++ b/entry/session.c
@@ -52,6 +52,7 @@
 	g_hash_table_destroy(s->values);
 	g_hash_table_destroy(s->prepared);
 	g_free(s->database);
+	g_free(s->key);
 	g_free(s->last_upstream);
 	g_free(s);
 }
@@ -70,8 +71,38 @@
 				       entry->config.grace_us);
 }
 
+/* Why an operation or a session cannot begin. */
+static const char *refusal_detail(enum refusal refusal)
+{
+	switch (refusal) {
+	case REFUSAL_NO_DATABASE:
+		return "no route for this database";
+	case REFUSAL_UNKNOWN_KEY:
+		return "the key is not valid; use a key of a client account";
+	default:
+		return "this daemon has lost control; connect again";
+	}
+}
+
+static enum refusal check_route(struct session *s, struct entry_table *table,
+				const struct entry_route **route)
+{
+	enum refusal refusal;
+
+	*route = g_hash_table_lookup(table->routes, s->database);
+	if (!*route)
+		return REFUSAL_NO_DATABASE;
+	refusal = account_resolve(s, table, *route);
+	if (refusal == REFUSAL_UNKNOWN_KEY)
+		entry_count(s->entry, ENTRY_COUNT_UNKNOWN_KEYS, 1);
+	return refusal;
+}
+
 static void finish_start(struct session *s)
 {
+	const struct entry_route *route;
+	enum refusal refusal;
+
 	s->awaiting_routes = false;
 	if (!accepts_statements(s->entry)) {
 		refuse_start(s, REFUSAL_BUSY, STOPPING_TEXT);
@@ -79,17 +110,19 @@
 	}
 	s->asked_us = s->last_active_us;
 	s->may_ask_again_us = clock_now_us();
-	if (g_hash_table_contains(s->entry->table->routes, s->database))
-		s->ops->started(s->handle);
+	refusal = check_route(s, s->entry->table, &route);
+	s->account = NULL;
+	if (refusal)
+		refuse_start(s, refusal, refusal_detail(refusal));
 	else
-		refuse_start(s, REFUSAL_NO_DATABASE,
-			     "no route for this database");
+		s->ops->started(s->handle);
 }
 
-void session_start(struct session *s, const char *database)
+void session_start(struct session *s, const char *database, const char *key)
 {
 	s->last_active_us = clock_now_us();
 	s->database = g_strdup(database);
+	s->key = g_strdup(key);
 	/* A daemon that has just started receives its routes shortly. */
 	s->awaiting_routes = true;
 	if (s->entry->table)
@@ -114,6 +147,7 @@
 	g_clear_pointer(&s->table, entry_table_unref);
 	s->route = NULL;
 	s->service = NULL;
+	s->account = NULL;
 }
 
 void session_answer(struct session *s, const struct statement_answer *answer)
@@ -147,16 +181,25 @@
 	relay_end(s);
 }
 
-/* A transaction keeps its route even if the configuration changes. */
+/*
+ * A transaction keeps its route and account even if the configuration changes.
+ * Return: whether the statement may begin; otherwise it was answered
+ */
 static bool resolve_route(struct session *s)
 {
 	struct entry_table *table = s->entry->table;
+	enum refusal refusal;
 
 	if (s->tx != TX_NONE)
 		return true;
-	s->route = g_hash_table_lookup(table->routes, s->database);
-	if (!s->route)
+	refusal = check_route(s, table, &s->route);
+	if (refusal) {
+		s->route = NULL;
+		if (refusal != REFUSAL_NO_DATABASE)
+			sessions_close_soon(s);
+		answer_locally(s, refusal, refusal_detail(refusal));
 		return false;
+	}
 	s->table = entry_table_ref(table);
 	s->service = service_get(s->entry, s->route->service);
 	return true;
@@ -169,11 +212,8 @@
 			       "a transaction is already open");
 		return;
 	}
-	if (!resolve_route(s)) {
-		answer_locally(s, REFUSAL_NO_DATABASE,
-			       "no route for this database");
+	if (!resolve_route(s))
 		return;
-	}
 	s->tx = TX_OPEN;
 	s->tx_may_write = may_write;
 	s->tx_answered = false;
@@ -246,12 +286,8 @@
 			       "no such prepared statement");
 		return;
 	}
-	if (!resolve_route(s)) {
-		answer_locally(s, REFUSAL_NO_DATABASE,
-			       "no route for this database");
-		return;
-	}
-	request_start(s);
+	if (resolve_route(s))
+		request_start(s);
 }
 
 static void handle_commit(struct session *s)
@@ -466,7 +502,7 @@
 		if (s->awaiting_routes)
 			check_start(s, now_us);
 		end_idle_transaction(s, now_us);
-		if (can_close(s))
+		if (can_close(s) || account_must_close(s, now_us))
 			close_session(s);
 		if (entry->drain_started_us)
 			stop_session(s, now_us);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "event_log.h"
+#include "link_eviction.h"
 #include "promotion_policy.h"
 
 #include <jansson.h>
@@ -31,6 +32,8 @@
 /* A primary whose full send window delayed a statement within this time is
  * saturated. */
 #define STRAINED_WITHIN_US (100 * 1000ll)
+/* Largest number of links of one upstream considered for eviction. */
+#define MAX_EVICTION_OPTIONS 64
 /* Interval at which upstreams are probed for the primary. */
 #define PROBE_INTERVAL_US (100 * 1000ll)
 /* A service that was not used for this long is not sampled. */
@@ -171,27 +174,101 @@
 	return pool ? home_share(upstream->entry, pool) : 1;
 }
 
+static bool has_accounts(const struct upstream *upstream)
+{
+	const struct entry *entry = upstream->entry;
+
+	return entry->table && entry->table->has_accounts;
+}
+
 bool upstream_is_full(const struct upstream *upstream, int64_t now_us)
 {
 	return now_us - upstream->connections_full_at_us <
 	       CONNECTIONS_FULL_VALID_US;
 }
 
+static bool may_connect(const struct upstream *upstream, int64_t now_us)
+{
+	return !upstream->gone && !upstream->leaving &&
+	       now_us >= upstream->connect_after_us;
+}
+
 unsigned upstream_nr_openable_links(const struct upstream *upstream,
 				    int64_t now_us)
 {
-	unsigned factor =
-		upstream_is_full(upstream, now_us) ? 1 : SHARE_BURST_FACTOR;
+	/* With accounts every daemon keeps its whole share open. */
+	unsigned factor = upstream_is_full(upstream, now_us) ||
+					  has_accounts(upstream) ?
+				  1 :
+				  SHARE_BURST_FACTOR;
 	unsigned max_links = connection_share(upstream) * factor;
 
-	if (upstream->gone || upstream->leaving ||
-	    now_us < upstream->connect_after_us)
+	if (!may_connect(upstream, now_us))
 		return 0;
 	return upstream->links->len < max_links ?
 		       max_links - upstream->links->len :
 		       0;
 }
 
+/* Whether another idle link of the same account precedes it in the list. */
+static bool is_spare(const struct upstream *upstream, guint index)
+{
+	const struct link *link = upstream->links->pdata[index];
+	guint i;
+
+	for (i = 0; i < index; i++) {
+		const struct link *other = upstream->links->pdata[i];
+
+		if (link_is_idle(other) && link_is_for(other, link->account))
+			return true;
+	}
+	return false;
+}
+
+/* Return: an idle link that may be closed for one of @account, NULL if none */
+static struct link *eviction_victim(const struct upstream *upstream,
+				    const char *account)
+{
+	struct eviction_option options[MAX_EVICTION_OPTIONS];
+	unsigned nr = MIN(upstream->links->len, MAX_EVICTION_OPTIONS);
+	unsigned i;
+	int chosen;
+
+	for (i = 0; i < nr; i++) {
+		const struct link *link = upstream->links->pdata[i];
+
+		options[i] = (struct eviction_option){
+			.usable = link_is_idle(link) &&
+				  !link_is_for(link, account),
+			.own = !link->account,
+			.spare = is_spare(upstream, i),
+			.idle_since_us = link->opened_or_released_us,
+		};
+	}
+	chosen = link_eviction_choose(options, nr);
+	return chosen < 0 ? NULL : upstream->links->pdata[chosen];
+}
+
+unsigned upstream_nr_openable_for(const struct upstream *upstream,
+				  const char *account, int64_t now_us)
+{
+	unsigned nr = upstream_nr_openable_links(upstream, now_us);
+
+	if (nr || !has_accounts(upstream) || !may_connect(upstream, now_us))
+		return nr;
+	return eviction_victim(upstream, account) != NULL;
+}
+
+void upstream_evict(struct upstream *upstream, const char *account)
+{
+	struct link *link = eviction_victim(upstream, account);
+
+	if (!link)
+		return;
+	entry_count(upstream->entry, ENTRY_COUNT_LINKS_EVICTED, 1);
+	link_close(link);
+}
+
 static bool same_values(const struct link *link, const struct session *s)
 {
 	const char *name, *value;
@@ -215,7 +292,8 @@
 	for (i = 0; i < upstream->links->len; i++) {
 		struct link *link = upstream->links->pdata[i];
 
-		if (!link_is_idle(link))
+		if (!link_is_idle(link) ||
+		    (s && !link_is_for(link, s->account)))
 			continue;
 		if (!s || same_values(link, s))
 			return link;
@@ -226,6 +304,20 @@
 	return found;
 }
 
+bool upstream_has_idle_link(const struct upstream *upstream,
+			    const char *account)
+{
+	guint i;
+
+	for (i = 0; i < upstream->links->len; i++) {
+		const struct link *link = upstream->links->pdata[i];
+
+		if (link_is_idle(link) && link_is_for(link, account))
+			return true;
+	}
+	return false;
+}
+
 unsigned upstream_nr_busy_links(const struct upstream *upstream)
 {
 	unsigned nr = 0;
@@ -453,9 +545,14 @@
 static void check_upstream(struct upstream *upstream, int64_t now_us)
 {
 	bool local = home_is_local(upstream->entry, upstream->service->name);
-	guint nr_kept = local ? MAX(connection_share(upstream) / 2, 1) : 0;
+	unsigned share = connection_share(upstream);
+	guint nr_kept = 0;
 	guint i;
 
+	/* A connection of each account saves opening one. */
+	if (local)
+		nr_kept = has_accounts(upstream) ? share : MAX(share / 2, 1);
+
 	for (i = upstream->links->len; i-- > 0;) {
 		struct link *link;
 
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -55,6 +55,8 @@
 		  "routes", (int)g_hash_table_size(table->routes));
 	entry_table_unref(entry->table);
 	entry->table = table;
+	accounts_revoke(entry);
+	quotas_update(entry);
 	entry->home_sets_outdated = true;
 	counter_assign(&entry->counters,
 		       entry->counter[ENTRY_COUNT_CONFIG_VERSION],
@@ -120,11 +122,17 @@
 	for (i = 0; i < view->n_control; i++)
 		note_listed(entry, (uint32_t)(view->control[i] >> 32));
 	if (view->fresh) {
+		/* A new leader decides about limits once daemons reported. */
+		if (entry->leader_ip != (uint32_t)(view->leader >> 32) &&
+		    entry->table && entry->table->has_accounts)
+			watch_report_at(entry, now_us);
 		entry->fresh = true;
+		entry->last_fresh_us = now_us;
 		entry->leader_ip = (uint32_t)(view->leader >> 32);
 	}
 	apply_roster(link, view);
 	apply_config(entry, view);
+	quotas_apply(entry, view);
 	for (i = 0; i < view->n_sightings; i++)
 		apply_sighting(entry, view->sightings[i], now_us);
 	for (i = 0; i < view->n_primaries; i++)
@@ -153,6 +161,8 @@
 
 	if (envelope->body_case == WIRE__ENVELOPE__BODY_VIEW)
 		apply_view(link, envelope->view);
+	else if (envelope->body_case == WIRE__ENVELOPE__BODY_QUOTA_GRANT)
+		quotas_granted(link->entry, envelope->quota_grant);
 	else
 		ch->malformed++;
 }
@@ -322,10 +332,12 @@
 		watch.n_handovers = 1;
 	}
 	surveys_fill(entry, &watch);
+	quotas_fill(entry, &watch);
 	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
 	envelope.watch = &watch;
 	channel_send(&link->channel, &envelope);
 	surveys_clear(&watch);
+	quotas_clear(&watch);
 	for (i = 0; i < watch.n_upstreams; i++) {
 		g_free(watch.upstreams[i]->position);
 		g_free(watch.upstreams[i]);
--- a/fuzz/fuzz_line.c
+++ b/fuzz/fuzz_line.c
@@ -43,7 +43,7 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	struct pg_buffer in;
-	char *database = NULL;
+	char *database = NULL, *key = NULL;
 	size_t at = 0, len, whole;
 
 	pg_buffer_init(&in);
@@ -52,8 +52,10 @@
 		char *line =
 			g_strndup((const char *)pg_buffer_head(&in) + at, len);
 
-		if (line_parse_start(line, &database))
+		if (line_parse_start(line, &database, &key)) {
 			g_free(database);
+			g_free(key);
+		}
 		check_query(line);
 		g_free(line);
 		at += whole;
--- a/include/home_policy.h
+++ b/include/home_policy.h
@@ -64,4 +64,13 @@
 		      const struct home_service *services,
 		      unsigned nr_services);
 
+/**
+ * home_account_rank() - rank of a home daemon for an account
+ *
+ * Connections belong to one account each. The daemons send what an account asks
+ * of a service to its home with the lowest rank, so that few homes need
+ * connections for the account.
+ */
+uint64_t home_account_rank(const char *account, const char *daemon);
+
 #endif
--- a/include/statement.h
+++ b/include/statement.h
@@ -69,6 +69,8 @@
 	REFUSAL_TOO_MANY_CONNECTIONS,
 	REFUSAL_NO_STATEMENT,
 	REFUSAL_NO_DATABASE,
+	/** the caller's key belongs to no account */
+	REFUSAL_UNKNOWN_KEY,
 	REFUSAL_MALFORMED,
 	REFUSAL_LAST_NO_EFFECT = REFUSAL_MALFORMED,
 	/** execution failed */
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -1492,6 +1492,141 @@
   assert(message->base.descriptor == &wire__watch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__quota_share__init
+                     (Wire__QuotaShare         *message)
+{
+  static const Wire__QuotaShare init_value = WIRE__QUOTA_SHARE__INIT;
+  *message = init_value;
+}
+size_t wire__quota_share__get_packed_size
+                     (const Wire__QuotaShare *message)
+{
+  assert(message->base.descriptor == &wire__quota_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__quota_share__pack
+                     (const Wire__QuotaShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__quota_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__quota_share__pack_to_buffer
+                     (const Wire__QuotaShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__quota_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__QuotaShare *
+       wire__quota_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__QuotaShare *)
+     protobuf_c_message_unpack (&wire__quota_share__descriptor,
+                                allocator, len, data);
+}
+void   wire__quota_share__free_unpacked
+                     (Wire__QuotaShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__quota_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__quota_request__init
+                     (Wire__QuotaRequest         *message)
+{
+  static const Wire__QuotaRequest init_value = WIRE__QUOTA_REQUEST__INIT;
+  *message = init_value;
+}
+size_t wire__quota_request__get_packed_size
+                     (const Wire__QuotaRequest *message)
+{
+  assert(message->base.descriptor == &wire__quota_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__quota_request__pack
+                     (const Wire__QuotaRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__quota_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__quota_request__pack_to_buffer
+                     (const Wire__QuotaRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__quota_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__QuotaRequest *
+       wire__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__QuotaRequest *)
+     protobuf_c_message_unpack (&wire__quota_request__descriptor,
+                                allocator, len, data);
+}
+void   wire__quota_request__free_unpacked
+                     (Wire__QuotaRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__quota_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__quota_grant__init
+                     (Wire__QuotaGrant         *message)
+{
+  static const Wire__QuotaGrant init_value = WIRE__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t wire__quota_grant__get_packed_size
+                     (const Wire__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__quota_grant__pack
+                     (const Wire__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__quota_grant__pack_to_buffer
+                     (const Wire__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__QuotaGrant *
+       wire__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__QuotaGrant *)
+     protobuf_c_message_unpack (&wire__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   wire__quota_grant__free_unpacked
+                     (Wire__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__roster_entry__init
                      (Wire__RosterEntry         *message)
 {
@@ -4787,7 +4922,7 @@
   (ProtobufCMessageInit) wire__upstream_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[23] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[25] =
 {
   {
     "heartbeat",
@@ -5065,6 +5200,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_request",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, quota_request),
+    &wire__quota_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_grant",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, body_case),
+    offsetof(Wire__Envelope, quota_grant),
+    &wire__quota_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   6,   /* field[6] = apply_request */
@@ -5076,6 +5235,8 @@
   19,   /* field[19] = peers */
   8,   /* field[8] = query */
   9,   /* field[9] = query_reply */
+  24,   /* field[24] = quota_grant */
+  23,   /* field[23] = quota_request */
   5,   /* field[5] = raft */
   2,   /* field[2] = redirect */
   21,   /* field[21] = relay_answer */
@@ -5094,7 +5255,7 @@
 static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -5104,7 +5265,7 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  23,
+  25,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
   1,  wire__envelope__number_ranges,
@@ -5728,7 +5889,7 @@
   (ProtobufCMessageInit) wire__survey_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__watch__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__watch__field_descriptors[14] =
 {
   {
     "daemon",
@@ -5838,6 +5999,66 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quotas",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Watch, n_quotas),
+    offsetof(Wire__Watch, quotas),
+    &wire__quota_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_term",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, quota_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_number",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, quota_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Watch, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__watch__field_indices_by_name[] = {
   1,   /* field[1] = availability_zone */
@@ -5845,15 +6066,20 @@
   0,   /* field[0] = daemon */
   5,   /* field[5] = draining */
   6,   /* field[6] = handovers */
+  9,   /* field[9] = incarnation */
   4,   /* field[4] = ip */
+  12,   /* field[12] = quota_number */
+  11,   /* field[11] = quota_term */
+  10,   /* field[10] = quotas */
   7,   /* field[7] = roster_wanted */
+  13,   /* field[13] = sent_us */
   8,   /* field[8] = surveys */
   3,   /* field[3] = upstreams */
 };
 static const ProtobufCIntRange wire__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__watch__descriptor =
 {
@@ -5863,13 +6089,270 @@
   "Wire__Watch",
   "wire",
   sizeof(Wire__Watch),
-  9,
+  14,
   wire__watch__field_descriptors,
   wire__watch__field_indices_by_name,
   1,  wire__watch__number_ranges,
   (ProtobufCMessageInit) wire__watch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__quota_share__field_descriptors[3] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaShare, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaShare, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaShare, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__quota_share__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = share */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange wire__quota_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__quota_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.QuotaShare",
+  "QuotaShare",
+  "Wire__QuotaShare",
+  "wire",
+  sizeof(Wire__QuotaShare),
+  3,
+  wire__quota_share__field_descriptors,
+  wire__quota_share__field_indices_by_name,
+  1,  wire__quota_share__number_ranges,
+  (ProtobufCMessageInit) wire__quota_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__quota_request__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_wait_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, max_wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__quota_request__field_indices_by_name[] = {
+  1,   /* field[1] = account */
+  3,   /* field[3] = max_wait_us */
+  0,   /* field[0] = number */
+  2,   /* field[2] = tokens */
+};
+static const ProtobufCIntRange wire__quota_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__quota_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.QuotaRequest",
+  "QuotaRequest",
+  "Wire__QuotaRequest",
+  "wire",
+  sizeof(Wire__QuotaRequest),
+  4,
+  wire__quota_request__field_descriptors,
+  wire__quota_request__field_indices_by_name,
+  1,  wire__quota_request__number_ranges,
+  (ProtobufCMessageInit) wire__quota_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__quota_grant__field_descriptors[7] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unavailable",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, unavailable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "interval_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, interval_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaGrant, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__quota_grant__field_indices_by_name[] = {
+  4,   /* field[4] = account */
+  5,   /* field[5] = interval_us */
+  0,   /* field[0] = number */
+  6,   /* field[6] = ready */
+  1,   /* field[1] = tokens */
+  3,   /* field[3] = unavailable */
+  2,   /* field[2] = wait_us */
+};
+static const ProtobufCIntRange wire__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wire__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.QuotaGrant",
+  "QuotaGrant",
+  "Wire__QuotaGrant",
+  "wire",
+  sizeof(Wire__QuotaGrant),
+  7,
+  wire__quota_grant__field_descriptors,
+  wire__quota_grant__field_indices_by_name,
+  1,  wire__quota_grant__number_ranges,
+  (ProtobufCMessageInit) wire__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__roster_entry__field_descriptors[4] =
 {
   {
@@ -6101,7 +6584,7 @@
   (ProtobufCMessageInit) wire__succession__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__view__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wire__view__field_descriptors[16] =
 {
   {
     "fresh",
@@ -6247,8 +6730,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quotas",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__View, n_quotas),
+    offsetof(Wire__View, quotas),
+    &wire__quota_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_term",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, quota_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_number",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, quota_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_us",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__View, answered_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__view__field_indices_by_name[] = {
+  15,   /* field[15] = answered_us */
   2,   /* field[2] = config */
   3,   /* field[3] = config_len */
   1,   /* field[1] = config_version */
@@ -6257,6 +6789,9 @@
   9,   /* field[9] = handovers */
   7,   /* field[7] = leader */
   5,   /* field[5] = primaries */
+  14,   /* field[14] = quota_number */
+  13,   /* field[13] = quota_term */
+  12,   /* field[12] = quotas */
   8,   /* field[8] = roster */
   4,   /* field[4] = sightings */
   10,   /* field[10] = successions */
@@ -6265,7 +6800,7 @@
 static const ProtobufCIntRange wire__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wire__view__descriptor =
 {
@@ -6275,7 +6810,7 @@
   "Wire__View",
   "wire",
   sizeof(Wire__View),
-  12,
+  16,
   wire__view__field_descriptors,
   wire__view__field_indices_by_name,
   1,  wire__view__number_ranges,
@@ -6333,7 +6868,7 @@
   (ProtobufCMessageInit) wire__session_value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__relay_request__field_descriptors[23] =
+static const ProtobufCFieldDescriptor wire__relay_request__field_descriptors[24] =
 {
   {
     "session",
@@ -6611,8 +7146,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RelayRequest, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__relay_request__field_indices_by_name[] = {
+  23,   /* field[23] = account */
   19,   /* field[19] = arguments */
   6,   /* field[6] = arrived_age_us */
   22,   /* field[22] = asked_age_us */
@@ -6640,7 +7188,7 @@
 static const ProtobufCIntRange wire__relay_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor wire__relay_request__descriptor =
 {
@@ -6650,7 +7198,7 @@
   "Wire__RelayRequest",
   "wire",
   sizeof(Wire__RelayRequest),
-  23,
+  24,
   wire__relay_request__field_descriptors,
   wire__relay_request__field_indices_by_name,
   1,  wire__relay_request__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -48,6 +48,9 @@
 typedef struct Wire__ReceivedLog Wire__ReceivedLog;
 typedef struct Wire__SurveyResult Wire__SurveyResult;
 typedef struct Wire__Watch Wire__Watch;
+typedef struct Wire__QuotaShare Wire__QuotaShare;
+typedef struct Wire__QuotaRequest Wire__QuotaRequest;
+typedef struct Wire__QuotaGrant Wire__QuotaGrant;
 typedef struct Wire__RosterEntry Wire__RosterEntry;
 typedef struct Wire__ServicePrimary Wire__ServicePrimary;
 typedef struct Wire__Succession Wire__Succession;
@@ -542,7 +545,9 @@
   WIRE__ENVELOPE__BODY_PEERS = 20,
   WIRE__ENVELOPE__BODY_RELAY_REQUEST = 21,
   WIRE__ENVELOPE__BODY_RELAY_ANSWER = 22,
-  WIRE__ENVELOPE__BODY_RELAY_END = 23
+  WIRE__ENVELOPE__BODY_RELAY_END = 23,
+  WIRE__ENVELOPE__BODY_QUOTA_REQUEST = 24,
+  WIRE__ENVELOPE__BODY_QUOTA_GRANT = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__BODY__CASE)
 } Wire__Envelope__BodyCase;
 
@@ -574,6 +579,8 @@
     Wire__RelayRequest *relay_request;
     Wire__RelayAnswer *relay_answer;
     Wire__RelayEnd *relay_end;
+    Wire__QuotaRequest *quota_request;
+    Wire__QuotaGrant *quota_grant;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -752,10 +759,81 @@
   protobuf_c_boolean roster_wanted;
   size_t n_surveys;
   Wire__SurveyResult **surveys;
+  /*
+   * The rest only if the configuration has client accounts: incarnation of the
+   * daemon, shares that it holds and wants, term and number of the shares that
+   * it applied last, and its clock.
+   */
+  uint64_t incarnation;
+  size_t n_quotas;
+  Wire__QuotaShare **quotas;
+  uint64_t quota_term;
+  uint64_t quota_number;
+  uint64_t sent_us;
 };
 #define WIRE__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__watch__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0 }
+
+
+/*
+ * Share of the limit of a client account, parts per million.
+ */
+struct  Wire__QuotaShare
+{
+  ProtobufCMessage base;
+  char *account;
+  uint32_t share;
+  uint32_t wanted;
+};
+#define WIRE__QUOTA_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__quota_share__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * An entry daemon asks the control leader for operations beyond its share.
+ */
+struct  Wire__QuotaRequest
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *account;
+  uint32_t tokens;
+  /*
+   * How long the operations may wait for them.
+   */
+  uint64_t max_wait_us;
+};
+#define WIRE__QUOTA_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__quota_request__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Wire__QuotaGrant
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint32_t tokens;
+  /*
+   * Time until the first of them may be used, or the next one if there is none,
+   * and until each further one.
+   */
+  uint64_t wait_us;
+  uint64_t interval_us;
+  /*
+   * How many of them may be used at once.
+   */
+  uint32_t ready;
+  /*
+   * The sender does not lead.
+   */
+  protobuf_c_boolean unavailable;
+  char *account;
+};
+#define WIRE__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__quota_grant__descriptor) \
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -851,10 +929,19 @@
   Wire__Succession **successions;
   size_t n_surveys;
   Wire__Survey **surveys;
+  /*
+   * All shares that the daemon holds from now on, if the term is not 0, and the
+   * clock of the report that this answers.
+   */
+  size_t n_quotas;
+  Wire__QuotaShare **quotas;
+  uint64_t quota_term;
+  uint64_t quota_number;
+  uint64_t answered_us;
 };
 #define WIRE__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__view__descriptor) \
-    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Wire__SessionValue
@@ -913,10 +1000,14 @@
    * How long the caller has waited for this, with earlier attempts.
    */
   uint64_t asked_age_us;
+  /*
+   * Client account that the statement runs for, empty for none.
+   */
+  char *account;
 };
 #define WIRE__RELAY_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__relay_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Wire__RelayAnswer
@@ -1802,6 +1893,63 @@
 void   wire__watch__free_unpacked
                      (Wire__Watch *message,
                       ProtobufCAllocator *allocator);
+/* Wire__QuotaShare methods */
+void   wire__quota_share__init
+                     (Wire__QuotaShare         *message);
+size_t wire__quota_share__get_packed_size
+                     (const Wire__QuotaShare   *message);
+size_t wire__quota_share__pack
+                     (const Wire__QuotaShare   *message,
+                      uint8_t             *out);
+size_t wire__quota_share__pack_to_buffer
+                     (const Wire__QuotaShare   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__QuotaShare *
+       wire__quota_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__quota_share__free_unpacked
+                     (Wire__QuotaShare *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__QuotaRequest methods */
+void   wire__quota_request__init
+                     (Wire__QuotaRequest         *message);
+size_t wire__quota_request__get_packed_size
+                     (const Wire__QuotaRequest   *message);
+size_t wire__quota_request__pack
+                     (const Wire__QuotaRequest   *message,
+                      uint8_t             *out);
+size_t wire__quota_request__pack_to_buffer
+                     (const Wire__QuotaRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__QuotaRequest *
+       wire__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__quota_request__free_unpacked
+                     (Wire__QuotaRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__QuotaGrant methods */
+void   wire__quota_grant__init
+                     (Wire__QuotaGrant         *message);
+size_t wire__quota_grant__get_packed_size
+                     (const Wire__QuotaGrant   *message);
+size_t wire__quota_grant__pack
+                     (const Wire__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t wire__quota_grant__pack_to_buffer
+                     (const Wire__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__QuotaGrant *
+       wire__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__quota_grant__free_unpacked
+                     (Wire__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__RosterEntry methods */
 void   wire__roster_entry__init
                      (Wire__RosterEntry         *message);
@@ -2302,6 +2450,15 @@
 typedef void (*Wire__Watch_Closure)
                  (const Wire__Watch *message,
                   void *closure_data);
+typedef void (*Wire__QuotaShare_Closure)
+                 (const Wire__QuotaShare *message,
+                  void *closure_data);
+typedef void (*Wire__QuotaRequest_Closure)
+                 (const Wire__QuotaRequest *message,
+                  void *closure_data);
+typedef void (*Wire__QuotaGrant_Closure)
+                 (const Wire__QuotaGrant *message,
+                  void *closure_data);
 typedef void (*Wire__RosterEntry_Closure)
                  (const Wire__RosterEntry *message,
                   void *closure_data);
@@ -2405,6 +2562,9 @@
 extern const ProtobufCMessageDescriptor wire__received_log__descriptor;
 extern const ProtobufCMessageDescriptor wire__survey_result__descriptor;
 extern const ProtobufCMessageDescriptor wire__watch__descriptor;
+extern const ProtobufCMessageDescriptor wire__quota_share__descriptor;
+extern const ProtobufCMessageDescriptor wire__quota_request__descriptor;
+extern const ProtobufCMessageDescriptor wire__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_entry__descriptor;
 extern const ProtobufCMessageDescriptor wire__service_primary__descriptor;
 extern const ProtobufCMessageDescriptor wire__succession__descriptor;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -29,7 +29,8 @@
 static unsigned nr_answers, nr_ended, nr_started;
 
 static void *open_connection(struct link *link, const char *address,
-			     const char *service, const char *id, void *data)
+			     const char *service, const char *account,
+			     const char *id, void *data)
 {
 	nr_opened++;
 	return link;
@@ -155,7 +156,7 @@
 {
 	struct session *s = entry_session_new(entry, &caller_ops, NULL);
 
-	session_start(s, database);
+	session_start(s, database, "");
 	return s;
 }
 
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -124,17 +124,19 @@
 					     "QUERY  x",  "QUERY - READ 1",
 					     "START a b", "QUERYX 1 READ 1" };
 	struct statement st;
-	char *database;
+	char *database, *key;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(lines); i++)
 		ck_assert(!line_parse_query(lines[i], &st));
-	ck_assert(!line_parse_start("START", &database));
-	ck_assert(!line_parse_start("START ", &database));
-	ck_assert(!line_parse_start("QUERY 1 READ 2", &database));
-	ck_assert(line_parse_start("START lepu270 u3f1", &database));
+	ck_assert(!line_parse_start("START", &database, &key));
+	ck_assert(!line_parse_start("START ", &database, &key));
+	ck_assert(!line_parse_start("QUERY 1 READ 2", &database, &key));
+	ck_assert(line_parse_start("START lepu270 u3f1", &database, &key));
+	ck_assert_str_eq(key, "u3f1");
 	ck_assert_str_eq(database, "lepu270");
 	g_free(database);
+	g_free(key);
 }
 END_TEST
 
