Keep serving accounts while control is lost, and urgent routes first

Change: homes hold shares also without demand; a daemon that does not reach the leader asks the account's other homes; what less urgent routes leave in a bucket; limits nearer to what the window allows; no tokens far ahead; a refusal as soon as nobody has more.

--- a/control/quota.c
+++ b/control/quota.c
@@ -5,8 +5,9 @@
 
 #include <jansson.h>
 
-/* Longest time for which tokens are given ahead. */
-#define MAX_WAIT_US (1000 * 1000ll)
+/* Longest time for which tokens are given ahead. What waits longer would keep
+ * tokens from operations that cannot. */
+#define MAX_WAIT_US (50 * 1000ll)
 
 /* Whether no other VM grants anything now. */
 static bool may_grant(const struct control_node *node)
@@ -171,7 +172,8 @@
 {
 	int64_t now_us = clock_now_us();
 	struct quota_limit limit = find_limit(node, in->account);
-	int64_t wait_us, interval_us;
+	int64_t wait_us, interval_us = 0;
+	double depth;
 	struct token_bucket *b;
 
 	if (!may_grant(node) || !limit.depth) {
@@ -179,13 +181,20 @@
 		return;
 	}
 	b = own_bucket(node, in->account, &limit, now_us);
-	out->ready = (uint32_t)CLAMP(b->tokens, 0, in->tokens);
-	out->tokens = token_bucket_reserve(
-		b, in->tokens, (int64_t)MIN(in->max_wait_us, MAX_WAIT_US),
-		now_us, &wait_us, &interval_us);
+	depth = b->depth;
+	out->ready = out->tokens = token_bucket_take_above(
+		b, in->tokens, quota_kept(in->priority, depth), now_us);
+	wait_us = token_bucket_wait_us(b, now_us);
+	if (!out->tokens && !in->priority)
+		out->tokens = token_bucket_reserve(
+			b, in->tokens,
+			(int64_t)MIN(in->max_wait_us, MAX_WAIT_US), now_us,
+			&wait_us, &interval_us);
 	out->wait_us = (uint64_t)wait_us;
 	out->interval_us = (uint64_t)interval_us;
 	control_count(node, CONTROL_COUNT_QUOTA_TOKENS, out->tokens);
+	if (out->tokens < in->tokens)
+		quota_shares_refused(&node->quotas, in->account, now_us);
 	control_count(node, CONTROL_COUNT_QUOTA_REFUSED,
 		      in->tokens - out->tokens);
 }
--- a/coordination/quota_shares.c
+++ b/coordination/quota_shares.c
@@ -1,15 +1,25 @@
 #include "quota_shares.h"
 
-/* Parts of the tolerance that the buckets use at any time, and that a leader may
- * give in addition right after its election. */
-#define TOLERANCE_DEPTH 0.5
-#define TOLERANCE_INITIAL 0.2
+/* Parts of the tolerance: added to the rate over a window, depth of the buckets,
+ * and what a leader may give in addition right after its election. The rest is
+ * for operations that were sent twice. */
+#define TOLERANCE_RATE 0.4
+#define TOLERANCE_DEPTH 0.35
+#define TOLERANCE_INITIAL 0.15
+/* Part of the depth kept for each more urgent priority, and how many of these are
+ * told apart. */
+#define KEPT_PER_PRIORITY 0.25
+#define KEPT_PRIORITIES 2
+/* Least depth of a bucket of which a part is kept. */
+#define KEPT_DEPTH_MIN 16.0
 /* The leader's clock may run faster than a daemon's, percent. */
 #define LEASE_MARGIN_PERCENT 102
 /* A share is not reduced while at least this part of it is wanted, percent. */
 #define KEEP_PERCENT 70
 /* What a daemon wants counts for this long after its report. */
 #define SILENT_US (2500 * 1000ll)
+/* An account counts as saturated for this long after the leader refused it. */
+#define SATURATED_US (3000 * 1000ll)
 
 /**
  * struct holding - share of one account at one daemon
@@ -51,11 +61,19 @@
 	/* Without a tolerance the burst itself has to be the depth. */
 	if (tolerated < 1)
 		return (struct quota_limit){ rate_per_s, MAX(burst, 1), 0 };
-	return (struct quota_limit){ in_window / window_s,
+	return (struct quota_limit){ (in_window + TOLERANCE_RATE * tolerated) /
+					     window_s,
 				     MAX(TOLERANCE_DEPTH * tolerated, 1),
 				     initial };
 }
 
+double quota_kept(unsigned priority, double depth)
+{
+	if (depth < KEPT_DEPTH_MIN)
+		return 0;
+	return KEPT_PER_PRIORITY * MIN(priority, KEPT_PRIORITIES) * depth;
+}
+
 static void daemon_free(void *data)
 {
 	struct quota_daemon *daemon = data;
@@ -71,12 +89,22 @@
 					   daemon_free);
 	q->counted =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	q->refused_us =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void quota_shares_finish(struct quota_shares *q)
 {
 	g_hash_table_destroy(q->daemons);
 	g_hash_table_destroy(q->counted);
+	g_hash_table_destroy(q->refused_us);
+}
+
+void quota_shares_refused(struct quota_shares *q, const char *account,
+			  int64_t now_us)
+{
+	g_hash_table_replace(q->refused_us, g_strdup(account),
+			     g_memdup2(&now_us, sizeof(now_us)));
 }
 
 static uint32_t counted_of(const struct quota_shares *q, const char *account)
@@ -225,10 +253,21 @@
 	clear_unreported(q, daemon, report, settled);
 }
 
-static uint32_t held_max(double depth)
+static bool is_saturated(const struct quota_shares *q, const char *account,
+			 int64_t now_us)
+{
+	const int64_t *at_us = g_hash_table_lookup(q->refused_us, account);
+
+	return at_us && now_us - *at_us < SATURATED_US;
+}
+
+static uint32_t held_max(const struct quota_shares *q, const char *account,
+			 double depth, int64_t now_us)
 {
 	double part = depth / QUOTA_HELD_DEPTH * QUOTA_SHARE_ONE;
 
+	if (is_saturated(q, account, now_us))
+		return QUOTA_HELD_SATURATED;
 	return (uint32_t)CLAMP(part, QUOTA_HELD_MIN, QUOTA_HELD_MAX);
 }
 
@@ -255,7 +294,7 @@
 			  const struct holding *h, double depth, int64_t now_us)
 {
 	uint32_t sum = sum_wanted(q, account, now_us);
-	uint32_t max = held_max(depth);
+	uint32_t max = held_max(q, account, depth, now_us);
 	uint64_t target = h->wanted;
 
 	if (sum > max)
@@ -276,7 +315,7 @@
 	bool may_grow = now_us - q->led_us >= QUOTA_SETTLE_US;
 	uint32_t target = target_of(q, account, h, depth, now_us);
 	uint32_t counted = counted_of(q, account);
-	uint32_t max = held_max(depth);
+	uint32_t max = held_max(q, account, depth, now_us);
 	uint32_t free_share = counted < max ? max - counted : 0;
 
 	if (target <= h->sent)
--- a/coordination/token_bucket.c
+++ b/coordination/token_bucket.c
@@ -24,18 +24,26 @@
 	refill(b, now_us);
 }
 
-unsigned token_bucket_take(struct token_bucket *b, unsigned nr, int64_t now_us)
+unsigned token_bucket_take_above(struct token_bucket *b, unsigned nr,
+				 double kept, int64_t now_us)
 {
+	double usable;
 	unsigned taken;
 
 	refill(b, now_us);
-	if (b->tokens < 1)
+	usable = b->tokens - kept;
+	if (usable < 1)
 		return 0;
-	taken = b->tokens < (double)nr ? (unsigned)b->tokens : nr;
+	taken = usable < (double)nr ? (unsigned)usable : nr;
 	b->tokens -= (double)taken;
 	return taken;
 }
 
+unsigned token_bucket_take(struct token_bucket *b, unsigned nr, int64_t now_us)
+{
+	return token_bucket_take_above(b, nr, 0, now_us);
+}
+
 int64_t token_bucket_wait_us(struct token_bucket *b, int64_t now_us)
 {
 	refill(b, now_us);
--- a/entry/home.c
+++ b/entry/home.c
@@ -107,6 +107,7 @@
 		services[nr++] = (struct home_service){ pool->service,
 							pool->max_connections };
 	g_hash_table_destroy(entry->home_sets);
+	quotas_homes_changed(entry);
 	entry->home_sets =
 		home_plan(daemons, entry->home_set_daemons->len, services, nr);
 	g_free(daemons);
@@ -153,6 +154,8 @@
 
 	if (envelope->body_case == WIRE__ENVELOPE__BODY_RELAY_ANSWER)
 		relay_answered(home, envelope->relay_answer);
+	else if (envelope->body_case == WIRE__ENVELOPE__BODY_QUOTA_GRANT)
+		quotas_granted(home->entry, envelope->quota_grant);
 	else
 		ch->malformed++;
 }
@@ -304,39 +307,105 @@
 	return true;
 }
 
+struct ranked_home {
+	uint64_t rank;
+	/* NULL for this daemon */
+	struct home_link *link;
+};
+
 /*
- * The home with the lowest rank for the account among this daemon and those
- * that are connected. Homes in other zones count as well: fewer homes need
+ * The home of the account: the one with the lowest rank among this daemon and
+ * those that are connected. Homes in other zones count as well: fewer homes need
  * connections of the account then.
- * Return: NULL if it is this daemon, or if there is none
+ * Return: false if there is none
  */
-static struct home_link *
-home_of_account(struct entry *entry, const char *service, const char *account,
-		const struct home_set *set, bool with_this_daemon)
+static bool home_of_account(struct entry *entry, const char *service,
+			    const char *account, const struct home_set *set,
+			    bool with_this_daemon, struct ranked_home *out)
 {
-	uint64_t best_rank = UINT64_MAX;
 	int64_t now_us = clock_now_us();
-	struct home_link *best = NULL;
+	bool found = false;
 	guint i;
 
 	for (i = 0; i < set->daemons->len; i++) {
 		const struct roster_entry *daemon =
 			home_daemon_at(entry, set, i);
 		uint64_t rank = home_account_rank(account, daemon->name);
+		struct home_link *link = NULL;
+		bool usable = with_this_daemon;
 
-		if (rank >= best_rank)
+		if (found && rank >= out->rank)
 			continue;
-		if (daemon->ip == entry->config.ip) {
-			if (!with_this_daemon)
-				continue;
-			best = NULL;
-			best_rank = rank;
-		} else if (take_if_usable(entry, service, daemon, now_us,
-					  &best)) {
-			best_rank = rank;
+		if (daemon->ip != entry->config.ip)
+			usable = take_if_usable(entry, service, daemon, now_us,
+						&link);
+		if (!usable)
+			continue;
+		*out = (struct ranked_home){ rank, link };
+		found = true;
+	}
+	return found;
+}
+
+static const struct roster_entry *first_home(const struct entry *entry,
+					     const struct home_set *set,
+					     const char *account)
+{
+	const struct roster_entry *first = NULL;
+	uint64_t first_rank = UINT64_MAX;
+	guint i;
+
+	for (i = 0; i < set->daemons->len; i++) {
+		const struct roster_entry *daemon =
+			home_daemon_at(entry, set, i);
+		uint64_t rank = home_account_rank(account, daemon->name);
+
+		if (rank < first_rank) {
+			first_rank = rank;
+			first = daemon;
 		}
 	}
-	return best;
+	return first;
+}
+
+GPtrArray *home_holders(struct entry *entry, const char *account)
+{
+	GPtrArray *holders = g_ptr_array_new();
+	struct home_set *set;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, entry->home_sets);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&set)) {
+		const struct roster_entry *daemon =
+			set->all_daemons ? NULL :
+					   first_home(entry, set, account);
+		struct home_link *home =
+			daemon ? g_hash_table_lookup(
+					 entry->homes,
+					 GUINT_TO_POINTER(daemon->ip)) :
+				 NULL;
+
+		if (home && channel_is_open(&home->channel))
+			g_ptr_array_add(holders, home);
+	}
+	return holders;
+}
+
+unsigned home_nr_services(struct entry *entry, const char *account)
+{
+	struct home_set *set;
+	GHashTableIter it;
+	unsigned nr = 0;
+
+	g_hash_table_iter_init(&it, entry->home_sets);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&set)) {
+		const struct roster_entry *daemon =
+			set->all_daemons ? NULL :
+					   first_home(entry, set, account);
+
+		nr += daemon && daemon->ip == entry->config.ip;
+	}
+	return nr;
 }
 
 bool home_runs_account(struct entry *entry, const char *service,
@@ -344,11 +413,13 @@
 {
 	const struct home_set *set =
 		g_hash_table_lookup(entry->home_sets, service);
+	struct ranked_home home;
 
 	if (!home_is_local(entry, service))
 		return false;
 	return !is_divided_by_account(set, account) ||
-	       !home_of_account(entry, service, account, set, true);
+	       !home_of_account(entry, service, account, set, true, &home) ||
+	       !home.link;
 }
 
 struct home_link *home_choose(struct entry *entry, const char *service,
@@ -357,12 +428,16 @@
 	const struct home_set *set =
 		g_hash_table_lookup(entry->home_sets, service);
 	int64_t now_us = clock_now_us();
+	struct ranked_home ranked;
 	struct home_link *home;
 
 	if (!set || !set->daemons->len)
 		return NULL;
 	if (is_divided_by_account(set, account))
-		return home_of_account(entry, service, account, set, false);
+		return home_of_account(entry, service, account, set, false,
+				       &ranked) ?
+			       ranked.link :
+			       NULL;
 	home = least_used_home(entry, service, set, true, now_us);
 	return home ? home :
 		      least_used_home(entry, service, set, false, now_us);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -459,6 +459,9 @@
  * @incarnation: differs for each start of the daemon
  * @term: term of the leader whose shares were applied last
  * @number: number of those shares
+ * @unanswered_us: since when the leader has not answered a request, 0 if it has
+ * @forwards: own request number to the struct quota_forward that waits for it
+ * @homes_changed: whether struct quota.nr_services is outdated
  * @lease_until_us: end of the lease of the shares
  * @last_request: number of the last request to the leader
  * @reported_us: when demand was last reported
@@ -469,6 +472,9 @@
 	uint64_t incarnation;
 	uint64_t term;
 	uint64_t number;
+	int64_t unanswered_us;
+	GHashTable *forwards;
+	bool homes_changed;
 	int64_t lease_until_us;
 	uint64_t last_request;
 	int64_t reported_us;
@@ -693,6 +699,12 @@
 /** home_choose() - a connected home of the service for @account, or NULL */
 struct home_link *home_choose(struct entry *entry, const char *service,
 			      const char *account);
+/** home_nr_services() - number of services for which this daemon is the home of
+ * the account when all homes are connected */
+unsigned home_nr_services(struct entry *entry, const char *account);
+/** home_holders() - the connected struct home_link that run operations of the
+ * account for some service when all homes are connected */
+GPtrArray *home_holders(struct entry *entry, const char *account);
 /** home_choose_peer() - another connected daemon that may hold connections to
  * the service's upstreams, or NULL */
 struct home_link *home_choose_peer(struct entry *entry, const char *service,
@@ -777,16 +789,32 @@
  * @wait_us: set to the time until another is allowed if it is refused
  */
 enum quota_result quota_charge(struct session *s, int64_t *wait_us);
+/** quota_is_in_touch() - whether the control leader answers */
+bool quota_is_in_touch(const struct entry *entry);
+/** quota_wait_for_share() - have the session wait for its turn in the share of
+ * this daemon, if that comes in time. Return: time until then, -1 if not */
+int64_t quota_wait_for_share(struct session *s);
+/** quota_asked_enough() - whether no daemon that was asked gave anything, so
+ * that the caller had better come back */
+bool quota_asked_enough(const struct session *s);
 /** quota_ask_again() - ask the leader again unless it may still answer */
 void quota_ask_again(struct session *s);
 /** quota_cancel() - the session no longer waits for an answer */
 void quota_cancel(struct session *s);
 /** quotas_update() - apply the limits of a new configuration */
 void quotas_update(struct entry *entry);
+/** quotas_homes_changed() - other daemons may be the homes of accounts now */
+void quotas_homes_changed(struct entry *entry);
 void quotas_fill(struct entry *entry, Wire__Watch *watch);
 void quotas_clear(Wire__Watch *watch);
 void quotas_apply(struct entry *entry, const Wire__View *view);
+/** quotas_granted() - the leader, or a daemon that asked it, answered */
 void quotas_granted(struct entry *entry, const Wire__QuotaGrant *grant);
+/** quota_forward() - ask the leader for a daemon that does not reach it, or give
+ * it what this one does not need */
+void quota_forward(struct relay_client *client, const Wire__QuotaRequest *in);
+/** quotas_forget() - a daemon that may wait for an answer has left */
+void quotas_forget(struct relay_client *client);
 void quotas_log(struct entry *entry, int64_t now_us);
 void quotas_print(const struct entry *entry, GString *out);
 
--- a/entry/quota.c
+++ b/entry/quota.c
@@ -10,11 +10,18 @@
 #define WANTED_PERCENT 130
 /* Divisor: weight of the latest interval in the moving average of the demand. */
 #define DEMAND_DIVISOR 2
+/* Part of a limit that all homes of an account want together without demand. */
+#define LEAST_WANTED 0.5
 /* Part of its target that an operation waits until the limit allows it,
  * percent. The rest is left for its statements. */
 #define WAIT_PERCENT 50
 /* Least time between two log lines of one account. */
 #define LOG_INTERVAL_US (1000 * 1000ll)
+/* Daemons asked one after the other for one that reaches the leader, before
+ * there is a pause. */
+#define MAX_TRIED 8
+/* Most requests of other daemons under way. */
+#define MAX_FORWARDS 1024
 /* Largest number of accounts with counters of their own. */
 #define MAX_PRINTED 128
 
@@ -28,6 +35,9 @@
  * @request: number of the unanswered request, 0 if there is none
  * @asked: sessions at the head of @waiting that it is for
  * @asked_us: when it was sent
+ * @asked_proxy: whether it was sent to another daemon and not to the leader
+ * @nr_tried: daemons asked in vain since the last answer
+ * @nr_services: services for which this daemon is the home of the account
  * @attempted: operations since the last report, also refused ones
  * @demand_per_s: moving average of these
  * @allowed: operations allowed since the start
@@ -43,6 +53,9 @@
 	uint64_t request;
 	unsigned asked;
 	int64_t asked_us;
+	bool asked_proxy;
+	unsigned nr_tried;
+	unsigned nr_services;
 	unsigned attempted;
 	double demand_per_s;
 	uint64_t allowed;
@@ -64,12 +77,15 @@
 
 	q->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    quota_free);
+	q->forwards = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    g_free);
 	q->incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
 	q->reported_us = clock_now_us();
 }
 
 void quotas_finish(struct entry *entry)
 {
+	g_hash_table_destroy(entry->quotas.forwards);
 	g_hash_table_destroy(entry->quotas.accounts);
 }
 
@@ -127,6 +143,40 @@
 	return NULL;
 }
 
+bool quota_is_in_touch(const struct entry *entry)
+{
+	const struct quotas *q = &entry->quotas;
+
+	return leader_link(entry) &&
+	       (!q->unanswered_us ||
+		clock_now_us() - q->unanswered_us < ENTRY_QUOTA_TIMEOUT_US);
+}
+
+/*
+ * A connected daemon that may hold a share of the account, drawn at random: it
+ * gives what it does not need, or asks the leader if it reaches it.
+ */
+static struct home_link *choose_proxy(struct entry *entry, const char *account)
+{
+	g_autoptr(GPtrArray) holders = home_holders(entry, account);
+
+	if (!holders->len)
+		return NULL;
+	return holders->pdata[entry_random(entry) % holders->len];
+}
+
+/* Where to ask for more of a limit. */
+static struct channel *ask_channel(struct entry *entry, struct quota *quota)
+{
+	struct home_link *home;
+
+	quota->asked_proxy = !quota_is_in_touch(entry);
+	if (!quota->asked_proxy)
+		return &leader_link(entry)->channel;
+	home = choose_proxy(entry, quota->account);
+	return home ? &home->channel : NULL;
+}
+
 /* How long the session may still wait for its turn. */
 static int64_t wait_left_us(const struct session *s, int64_t now_us)
 {
@@ -134,41 +184,77 @@
 	       now_us;
 }
 
-static uint64_t longest_wait_us(const struct quota *quota, int64_t now_us)
+/* Sessions at the head of the queue whose routes have the same priority. */
+static unsigned first_of_a_priority(const struct quota *quota)
 {
-	int64_t longest_us = 0;
+	const struct session *first = quota->waiting.head->data;
+	unsigned nr = 0;
 	GList *node;
 
-	for (node = quota->waiting.head; node; node = node->next)
-		longest_us = MAX(longest_us, wait_left_us(node->data, now_us));
-	return (uint64_t)longest_us;
+	for (node = quota->waiting.head; node; node = node->next) {
+		const struct session *s = node->data;
+
+		if (s->route->priority != first->route->priority)
+			break;
+		nr++;
+	}
+	return nr;
 }
 
-/* Asks the leader for as many operations as sessions wait. */
+/* Asks for as many operations as the most urgent sessions that wait. */
 static void ask(struct entry *entry, struct quota *quota)
 {
-	struct control_link *leader = leader_link(entry);
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__QuotaRequest request = WIRE__QUOTA_REQUEST__INIT;
+	const struct session *first;
+	struct channel *channel;
 	int64_t now_us = clock_now_us();
 	bool pending = quota->request &&
 		       now_us - quota->asked_us < ENTRY_QUOTA_TIMEOUT_US;
 
-	if (!leader || pending || !quota->waiting.length)
+	if (pending || !quota->waiting.length)
 		return;
-	quota->asked = quota->waiting.length;
+	channel = ask_channel(entry, quota);
+	if (!channel)
+		return;
+	first = quota->waiting.head->data;
+	quota->asked = first_of_a_priority(quota);
 	quota->asked_us = now_us;
+	if (!entry->quotas.unanswered_us)
+		entry->quotas.unanswered_us = now_us;
 	quota->request = ++entry->quotas.last_request;
 	request.number = quota->request;
 	request.account = quota->account;
 	request.tokens = quota->asked;
-	request.max_wait_us = longest_wait_us(quota, now_us);
+	request.max_wait_us = (uint64_t)MAX(wait_left_us(first, now_us), 0);
+	request.priority = first->route->priority;
 	envelope.body_case = WIRE__ENVELOPE__BODY_QUOTA_REQUEST;
 	envelope.quota_request = &request;
-	channel_send(&leader->channel, &envelope);
+	channel_send(channel, &envelope);
 	entry_count(entry, ENTRY_COUNT_QUOTA_REQUESTS, 1);
 }
 
+/* While the leader answers, the last tokens here are for urgent routes. */
+static double kept(const struct session *s, const struct quota *quota)
+{
+	return quota_is_in_touch(s->entry) ?
+		       quota_kept(s->route->priority, quota->bucket.depth) :
+		       0;
+}
+
+static void insert_by_priority(struct quota *quota, struct session *s)
+{
+	GList *node = quota->waiting.tail;
+
+	while (node && ((struct session *)node->data)->route->priority >
+			       s->route->priority)
+		node = node->prev;
+	if (node)
+		g_queue_insert_after_link(&quota->waiting, node, &s->waiting);
+	else
+		g_queue_push_head_link(&quota->waiting, &s->waiting);
+}
+
 enum quota_result quota_charge(struct session *s, int64_t *wait_us)
 {
 	struct entry *entry = s->entry;
@@ -186,16 +272,40 @@
 	quota->attempted++;
 	set_bucket(entry, quota, now_us);
 	if (!quota->waiting.length &&
-	    token_bucket_take(&quota->bucket, 1, now_us)) {
+	    token_bucket_take_above(&quota->bucket, 1, kept(s, quota),
+				    now_us)) {
 		quota->allowed++;
 		return QUOTA_ALLOWED;
 	}
 	s->quota = quota;
-	g_queue_push_tail_link(&quota->waiting, &s->waiting);
+	insert_by_priority(quota, s);
 	ask(entry, quota);
 	return QUOTA_ASKED;
 }
 
+int64_t quota_wait_for_share(struct session *s)
+{
+	struct quota *quota = s->quota;
+	int64_t now_us = clock_now_us();
+	int64_t left_us = MAX(wait_left_us(s, now_us), 0);
+	int64_t wait_us, interval_us;
+
+	set_bucket(s->entry, quota, now_us);
+	if (!token_bucket_reserve(&quota->bucket, 1, left_us, now_us, &wait_us,
+				  &interval_us))
+		return -1;
+	quota_cancel(s);
+	quota->refused--;
+	quota->allowed++;
+	s->phase = REQUEST_NONE;
+	return wait_us;
+}
+
+bool quota_asked_enough(const struct session *s)
+{
+	return s->quota->nr_tried >= MAX_TRIED;
+}
+
 void quota_ask_again(struct session *s)
 {
 	ask(s->entry, s->quota);
@@ -230,6 +340,125 @@
 				 (index - grant->ready));
 }
 
+/**
+ * struct quota_forward - a request that another daemon waits for
+ * @client: connection to that daemon
+ * @number: number of the request there
+ * @sent_us: when it was passed on
+ */
+struct quota_forward {
+	struct relay_client *client;
+	uint64_t number;
+	int64_t sent_us;
+};
+
+static void send_grant(struct relay_client *client, uint64_t number,
+		       const Wire__QuotaGrant *grant)
+{
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__QuotaGrant out = *grant;
+
+	out.number = number;
+	envelope.body_case = WIRE__ENVELOPE__BODY_QUOTA_GRANT;
+	envelope.quota_grant = &out;
+	channel_send(&client->channel, &envelope);
+}
+
+/* Gives a daemon that reaches the leader no more than this one does what is left
+ * of the share here. */
+static void give_own(struct relay_client *client, const Wire__QuotaRequest *in)
+{
+	struct entry *entry = client->entry;
+	struct quota *quota =
+		g_hash_table_lookup(entry->quotas.accounts, in->account);
+	Wire__QuotaGrant grant = WIRE__QUOTA_GRANT__INIT;
+	int64_t now_us = clock_now_us();
+
+	if (quota) {
+		set_bucket(entry, quota, now_us);
+		grant.tokens =
+			token_bucket_take(&quota->bucket, in->tokens, now_us);
+	}
+	grant.account = in->account;
+	grant.ready = grant.tokens;
+	grant.unavailable = !grant.tokens;
+	send_grant(client, in->number, &grant);
+}
+
+void quota_forward(struct relay_client *client, const Wire__QuotaRequest *in)
+{
+	struct entry *entry = client->entry;
+	struct quotas *q = &entry->quotas;
+	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+	Wire__QuotaRequest request = *in;
+	struct quota_forward *forward;
+
+	if (!quota_is_in_touch(entry) ||
+	    g_hash_table_size(q->forwards) >= MAX_FORWARDS) {
+		give_own(client, in);
+		return;
+	}
+	request.number = ++q->last_request;
+	forward = g_new(struct quota_forward, 1);
+	*forward = (struct quota_forward){ client, in->number, clock_now_us() };
+	g_hash_table_insert(q->forwards,
+			    g_memdup2(&request.number, sizeof(request.number)),
+			    forward);
+	envelope.body_case = WIRE__ENVELOPE__BODY_QUOTA_REQUEST;
+	envelope.quota_request = &request;
+	channel_send(&leader_link(entry)->channel, &envelope);
+}
+
+/* Return: whether the answer was for another daemon */
+static bool answer_forward(struct entry *entry, const Wire__QuotaGrant *grant)
+{
+	struct quotas *q = &entry->quotas;
+	struct quota_forward *forward =
+		g_hash_table_lookup(q->forwards, &grant->number);
+
+	if (!forward)
+		return false;
+	send_grant(forward->client, forward->number, grant);
+	g_hash_table_remove(q->forwards, &grant->number);
+	return true;
+}
+
+void quotas_forget(struct relay_client *client)
+{
+	struct quota_forward *forward;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, client->entry->quotas.forwards);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&forward))
+		if (forward->client == client)
+			g_hash_table_iter_remove(&it);
+}
+
+static void expire_forwards(struct quotas *q, int64_t now_us)
+{
+	struct quota_forward *forward;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, q->forwards);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&forward))
+		if (now_us - forward->sent_us > LOG_INTERVAL_US)
+			g_hash_table_iter_remove(&it);
+}
+
+/* The daemon that was asked does not reach the leader, or none leads now. Those
+ * who wait do so until others were asked in vain. */
+static void try_another(struct entry *entry, struct quota *quota)
+{
+	struct quotas *q = &entry->quotas;
+
+	quota->request = 0;
+	quota->asked = 0;
+	if (!quota->asked_proxy)
+		q->unanswered_us = clock_now_us() - ENTRY_QUOTA_TIMEOUT_US;
+	if (++quota->nr_tried % MAX_TRIED)
+		ask(entry, quota);
+}
+
 void quotas_granted(struct entry *entry, const Wire__QuotaGrant *grant)
 {
 	struct quota *quota =
@@ -237,8 +466,17 @@
 	int64_t now_us = clock_now_us();
 	unsigned used = 0;
 
+	if (answer_forward(entry, grant))
+		return;
 	if (!quota || !quota->request || quota->request != grant->number)
 		return;
+	if (grant->unavailable) {
+		try_another(entry, quota);
+		return;
+	}
+	quota->nr_tried = 0;
+	if (!quota->asked_proxy)
+		entry->quotas.unanswered_us = 0;
 	/* No other request is sent before the end of the loop, as those who
 	 * are asked for stay at the head of the queue. */
 	quota->asked_us = now_us;
@@ -246,6 +484,9 @@
 		struct session *s = quota->waiting.head->data;
 		int64_t wait_us = token_wait_us(grant, used);
 
+		/* Another daemon may have more. */
+		if (quota->asked_proxy && used >= grant->tokens)
+			break;
 		quota->asked--;
 		leave_queue(s);
 		/* The phase must not make it leave the queue again. */
@@ -258,9 +499,12 @@
 			continue;
 		}
 		quota->refused++;
-		request_refuse_over_quota(s, grant->unavailable ? INT64_MAX :
-								  wait_us);
+		request_refuse_over_quota(s, wait_us);
 	}
+	/* Tokens that came too late for those who asked. */
+	quota->bucket.tokens =
+		MIN(quota->bucket.tokens + grant->tokens - used,
+		    MAX(quota->bucket.depth, quota->bucket.tokens));
 	quota->asked = 0;
 	quota->request = 0;
 	ask(entry, quota);
@@ -272,6 +516,7 @@
 	struct quota *quota;
 	GHashTableIter it;
 
+	entry->quotas.homes_changed = true;
 	g_hash_table_iter_init(&it, entry->quotas.accounts);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&quota)) {
 		set_limit(entry, quota, now_us);
@@ -293,6 +538,7 @@
 	if (!view->quota_term || view->quota_term < q->term ||
 	    (view->quota_term == q->term && view->quota_number <= q->number))
 		return;
+	q->unanswered_us = 0;
 	if (q->term != view->quota_term)
 		watch_report_at(entry, now_us);
 	q->term = view->quota_term;
@@ -319,7 +565,16 @@
 		quota->demand_per_s = 0;
 }
 
-static uint32_t wanted_share(const struct quota *quota)
+/* A home wants a part also without demand, for when the leader is lost. */
+static double least_part(const struct entry *entry, const struct quota *quota)
+{
+	guint nr = g_hash_table_size(entry->home_sets);
+
+	return nr ? LEAST_WANTED * quota->nr_services / nr : 0;
+}
+
+static uint32_t wanted_share(const struct entry *entry,
+			     const struct quota *quota)
 {
 	double part;
 
@@ -327,6 +582,7 @@
 		return 0;
 	part = quota->demand_per_s / quota->limit.rate_per_s * WANTED_PERCENT /
 	       100;
+	part = MAX(part, least_part(entry, quota));
 	return (uint32_t)(MIN(part, 1.0) * QUOTA_SHARE_ONE);
 }
 
@@ -346,6 +602,30 @@
 		note_demand(quota, seconds);
 }
 
+void quotas_homes_changed(struct entry *entry)
+{
+	entry->quotas.homes_changed = true;
+}
+
+/* Finds the accounts whose home this daemon is. */
+static void update_homes(struct entry *entry)
+{
+	const struct entry_account *account;
+	GHashTableIter it;
+
+	entry->quotas.homes_changed = false;
+	g_hash_table_iter_init(&it, entry->table->accounts);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&account)) {
+		unsigned nr = home_nr_services(entry, account->name);
+
+		if (nr && account->rate_per_s > 0)
+			get_quota(entry, account->name)->nr_services = nr;
+		else if (g_hash_table_contains(entry->quotas.accounts,
+					       account->name))
+			get_quota(entry, account->name)->nr_services = 0;
+	}
+}
+
 void quotas_fill(struct entry *entry, Wire__Watch *watch)
 {
 	struct quotas *q = &entry->quotas;
@@ -355,6 +635,8 @@
 
 	if (!entry->table || !entry->table->has_accounts)
 		return;
+	if (q->homes_changed)
+		update_homes(entry);
 	update_demand(entry, now_us);
 	watch->incarnation = q->incarnation;
 	watch->quota_term = q->term;
@@ -364,7 +646,7 @@
 		g_new(Wire__QuotaShare *, g_hash_table_size(q->accounts) + 1);
 	g_hash_table_iter_init(&it, q->accounts);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&quota)) {
-		uint32_t wanted = wanted_share(quota);
+		uint32_t wanted = wanted_share(entry, quota);
 		Wire__QuotaShare *out;
 
 		if (!quota->share && !wanted)
@@ -396,6 +678,7 @@
 	if (now_us - q->logged_us < LOG_INTERVAL_US)
 		return;
 	q->logged_us = now_us;
+	expire_forwards(q, now_us);
 	g_hash_table_iter_init(&it, q->accounts);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&quota)) {
 		uint64_t refused = quota->refused - quota->logged_refused;
--- a/entry/relay_clients.c
+++ b/entry/relay_clients.c
@@ -278,6 +278,9 @@
 	case WIRE__ENVELOPE__BODY_RELAY_END:
 		handle_end(link, envelope->relay_end);
 		return;
+	case WIRE__ENVELOPE__BODY_QUOTA_REQUEST:
+		quota_forward(link, envelope->quota_request);
+		return;
 	default:
 		ch->malformed++;
 		return;
@@ -290,6 +293,7 @@
 
 	/* The channel may still be in use; the next tick frees the link. */
 	link->closed = true;
+	quotas_forget(link);
 	g_hash_table_remove_all(link->relayed_sessions);
 }
 
@@ -301,6 +305,7 @@
 static void relay_client_free(struct relay_client *link)
 {
 	link->closed = true;
+	quotas_forget(link);
 	g_hash_table_destroy(link->relayed_sessions);
 	channel_close(&link->channel);
 	g_queue_unlink(&link->entry->relay_clients, &link->list_node);
--- a/entry/request.c
+++ b/entry/request.c
@@ -9,6 +9,8 @@
  * opens connections of its own, and the polling interval meanwhile. */
 #define HOME_WAIT_US (400 * 1000ll)
 #define HOME_POLL_INTERVAL_US (30 * 1000ll)
+/* Interval at which an operation asks again while the leader does not answer. */
+#define QUOTA_POLL_INTERVAL_US (30 * 1000ll)
 /* Part of its target that a statement waits for the leader to answer for the
  * limit of its account, percent. */
 #define QUOTA_WAIT_PERCENT 60
@@ -242,13 +244,25 @@
 {
 	int64_t limit_us =
 		s->arrived_us + s->route->target_us * QUOTA_WAIT_PERCENT / 100;
+	bool in_touch = quota_is_in_touch(s->entry);
+	int64_t wait_us;
 
-	if (now_us >= limit_us) {
+	/* Other daemons were asked in the meantime. */
+	wait_us = in_touch || now_us - s->arrived_us < QUOTA_POLL_INTERVAL_US ?
+			  -1 :
+			  quota_wait_for_share(s);
+	if (wait_us >= 0) {
+		request_run_after_quota(s, wait_us);
+		return;
+	}
+	if (now_us >= limit_us || (!in_touch && quota_asked_enough(s))) {
 		request_refuse_over_quota(s, INT64_MAX);
 		return;
 	}
 	quota_ask_again(s);
-	start_timer(s, MIN(now_us + ENTRY_QUOTA_TIMEOUT_US, limit_us));
+	start_timer(s, MIN(now_us + (in_touch ? ENTRY_QUOTA_TIMEOUT_US :
+						QUOTA_POLL_INTERVAL_US),
+			   limit_us));
 }
 
 /* Runs the statement on a connection of this daemon, if the limit of its account
--- a/include/quota_shares.h
+++ b/include/quota_shares.h
@@ -34,8 +34,10 @@
 #define QUOTA_SETTLE_US (1000 * 1000ll)
 /** Least and most part of a limit that daemons hold together, parts per million.
  * The more there is, the less of it goes unused where it is divided. */
-#define QUOTA_HELD_MIN (QUOTA_SHARE_ONE / 3)
+#define QUOTA_HELD_MIN (QUOTA_SHARE_ONE * 3 / 4)
 #define QUOTA_HELD_MAX (QUOTA_SHARE_ONE * 7 / 8)
+/** Most of a limit that daemons hold while there is not enough of it. */
+#define QUOTA_HELD_SATURATED (QUOTA_SHARE_ONE / 4)
 /** Depth of the bucket of a limit that daemons would hold as a whole. */
 #define QUOTA_HELD_DEPTH 128.0
 
@@ -74,6 +76,16 @@
 struct quota_limit quota_limit(double rate_per_s, double burst,
 			       const struct quota_tolerance *tolerance);
 
+/**
+ * quota_kept() - tokens that an operation leaves for more urgent ones
+ * @priority: of its route, 0 for the most urgent
+ * @depth: of the bucket
+ *
+ * Where an account asks for more than its limit, its urgent routes are served
+ * first. A small bucket is used to the last token.
+ */
+double quota_kept(unsigned priority, double depth);
+
 /** struct quota_item - share of one account, parts per million */
 struct quota_item {
 	const char *account;
@@ -103,6 +115,7 @@
  * @nr_unheard: daemons known to be there that have not reported yet
  * @daemons: name to struct quota_daemon
  * @counted: account to the sum of what daemons may hold
+ * @refused_us: account to int64_t, when the leader last refused an operation
  */
 struct quota_shares {
 	uint64_t term;
@@ -110,6 +123,7 @@
 	unsigned nr_unheard;
 	GHashTable *daemons;
 	GHashTable *counted;
+	GHashTable *refused_us;
 };
 
 void quota_shares_init(struct quota_shares *q);
@@ -131,6 +145,9 @@
 			     void *data, GArray *out, int64_t now_us);
 /** quota_shares_own() - what the leader itself may use of a limit */
 uint32_t quota_shares_own(const struct quota_shares *q, const char *account);
+/** quota_shares_refused() - the leader had too few tokens for the account */
+void quota_shares_refused(struct quota_shares *q, const char *account,
+			  int64_t now_us);
 /** quota_shares_expire() - forget daemons whose lease has ended */
 void quota_shares_expire(struct quota_shares *q, int64_t now_us);
 
--- a/include/token_bucket.h
+++ b/include/token_bucket.h
@@ -30,6 +30,9 @@
 		      int64_t now_us);
 /** token_bucket_take() - Return: tokens taken, at most @nr */
 unsigned token_bucket_take(struct token_bucket *b, unsigned nr, int64_t now_us);
+/** token_bucket_take_above() - the same, leaving @kept tokens */
+unsigned token_bucket_take_above(struct token_bucket *b, unsigned nr,
+				 double kept, int64_t now_us);
 /**
  * token_bucket_reserve() - take tokens that are there within @max_wait_us
  * @wait_us: set to the time until the first one is there, INT64_MAX for never
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -6160,7 +6160,7 @@
   (ProtobufCMessageInit) wire__quota_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__quota_request__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__quota_request__field_descriptors[5] =
 {
   {
     "number",
@@ -6210,17 +6210,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__QuotaRequest, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__quota_request__field_indices_by_name[] = {
   1,   /* field[1] = account */
   3,   /* field[3] = max_wait_us */
   0,   /* field[0] = number */
+  4,   /* field[4] = priority */
   2,   /* field[2] = tokens */
 };
 static const ProtobufCIntRange wire__quota_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__quota_request__descriptor =
 {
@@ -6230,7 +6243,7 @@
   "Wire__QuotaRequest",
   "wire",
   sizeof(Wire__QuotaRequest),
-  4,
+  5,
   wire__quota_request__field_descriptors,
   wire__quota_request__field_indices_by_name,
   1,  wire__quota_request__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -792,7 +792,8 @@
 
 
 /*
- * An entry daemon asks the control leader for operations beyond its share.
+ * An entry daemon asks the control leader for operations beyond its share, or
+ * another daemon to ask if it does not reach the leader.
  */
 struct  Wire__QuotaRequest
 {
@@ -801,13 +802,14 @@
   char *account;
   uint32_t tokens;
   /*
-   * How long the operations may wait for them.
+   * How long the operations may wait for them, and the priority of their route.
    */
   uint64_t max_wait_us;
+  uint32_t priority;
 };
 #define WIRE__QUOTA_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__quota_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__QuotaGrant
