--- a/coordination/send_window.c
+++ b/coordination/send_window.c
@@ -8,6 +8,7 @@
 void send_window_init(struct send_window *w)
 {
 	*w = (struct send_window){ .size = SEND_WINDOW_INITIAL,
+				   .answered_us = INT64_MIN / 2,
 				   .reduced_us = INT64_MIN / 2 };
 }
 
@@ -23,6 +24,7 @@
 
 void send_window_answered(struct send_window *w, int64_t us, int64_t now_us)
 {
+	w->answered_us = now_us;
 	if (!w->latency_us)
 		w->latency_us = us;
 	w->latency_us += (us - w->latency_us) / LATENCY_WEIGHT_DIVISOR;
--- a/include/send_window.h
+++ b/include/send_window.h
@@ -32,12 +32,14 @@
  * @size: statements that may be in flight at once
  * @latency_us: moving average of the statement latency
  * @base_latency_us: lowest recent value of @latency_us
+ * @answered_us: time of the last answer
  * @reduced_us: time of the last reduction
  */
 struct send_window {
 	double size;
 	int64_t latency_us;
 	int64_t base_latency_us;
+	int64_t answered_us;
 	int64_t reduced_us;
 };
 
