Balance reads in the entry daemon where configured

Cause: load_balance_choose() had no caller.

Change: entry_config.balance_reads, off by default, has dispatch use it for reads that several upstreams may run. Requests that need the primary, and daemons without the flag, are placed as before. A test runs the retry of a read at another replica with the flag set.

Measured: load_balance, placement, entry, relay, overload_queues and send_window pass. The flag was not measured under load in running processes.

--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include "clock.h"
+#include "load_balance.h"
 #include "placement.h"
 
 /* Largest number of upstreams considered for one placement. */
@@ -85,6 +86,60 @@
 	return false;
 }
 
+/* Time for which the oldest unanswered command has been in flight there. */
+static int64_t oldest_in_flight_us(const struct upstream *upstream,
+				   int64_t now_us)
+{
+	int64_t oldest_us = 0;
+	guint i;
+
+	for (i = 0; i < upstream->links->len; i++) {
+		const struct link *link = upstream->links->pdata[i];
+
+		if (link->state == LINK_READY && link->outstanding->len)
+			oldest_us = MAX(oldest_us, now_us - link->sent_us);
+	}
+	return oldest_us;
+}
+
+static int balance_read(struct entry *entry, struct upstream *const *candidates,
+			const struct placement_option *from, unsigned nr,
+			int64_t now_us)
+{
+	struct load_balance_option options[MAX_OPTIONS];
+	unsigned i;
+
+	for (i = 0; i < nr; i++) {
+		const struct send_window *window = &candidates[i]->window;
+
+		options[i] = (struct load_balance_option){
+			.primary = from[i].primary,
+			.other_zone = from[i].other_zone,
+			.usable = from[i].usable,
+			.idle = from[i].idle,
+			.busy = from[i].busy,
+			.openable = from[i].openable,
+			.latency_us = window->latency_us,
+			.base_latency_us = window->base_latency_us,
+			.age_us = now_us - window->answered_us,
+			.oldest_us = oldest_in_flight_us(candidates[i], now_us),
+		};
+	}
+	return load_balance_choose(options, nr, entry_random(entry));
+}
+
+static int choose_upstream(struct session *s,
+			   struct upstream *const *candidates,
+			   const struct placement_option *options, unsigned nr,
+			   int64_t now_us)
+{
+	if (!nr)
+		return -1;
+	if (s->entry->config.balance_reads && !s->needs_primary)
+		return balance_read(s->entry, candidates, options, nr, now_us);
+	return placement_choose(options, nr, entry_random(s->entry));
+}
+
 /* Return: whether the request was assigned a link. */
 static bool try_place(struct session *s, int64_t now_us)
 {
@@ -92,10 +147,8 @@
 	struct upstream *candidates[MAX_OPTIONS];
 	unsigned nr = fill_options(s, candidates, options, now_us);
 	struct link *link;
-	int chosen;
+	int chosen = choose_upstream(s, candidates, options, nr, now_us);
 
-	chosen = nr ? placement_choose(options, nr, entry_random(s->entry)) :
-		      -1;
 	/* Fall back to the upstream that failed it if no other is usable. */
 	if (chosen < 0 && s->avoid) {
 		s->avoid = NULL;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -196,6 +196,9 @@
  * @port: port for connections between daemons, the same on every VM
  * @seeds: uint32_t IPv4 addresses of control VMs
  * @grace_us: time between the request to stop and the kill
+ * @balance_reads: reads that several upstreams may run go to the cheaper of two
+ *                 drawn at random, not to the one with the lowest expected
+ *                 wait
  * @decode: parses a configuration document; NULL if it is invalid
  * @data: passed to upstream_ops.open
  */
@@ -206,6 +209,7 @@
 	uint16_t port;
 	GArray *seeds;
 	int64_t grace_us;
+	bool balance_reads;
 	const struct upstream_ops *upstream_ops;
 	struct entry_table *(*decode)(GBytes *document);
 	void *data;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -118,14 +118,13 @@
 }
 END_TEST
 
-/* Guards against a read that is refused because one of several replicas lags
- * while the primary is unavailable. */
-START_TEST(test_other_replica)
+static void check_other_replica(bool balance_reads)
 {
 	struct session *s;
 	struct link *first;
 
 	setup();
+	entry->config.balance_reads = balance_reads;
 	add_sighting("q", false, false, 1);
 	read_samples_add(&service_get(entry, "s")->samples, clock_now_us(),
 			 (struct position){ 1, 9 });
@@ -143,6 +142,20 @@
 	ck_assert_str_ne(sent[1].link->upstream->id, "p");
 	teardown();
 }
+
+/* Guards against a read that is refused because one of several replicas lags
+ * while the primary is unavailable. */
+START_TEST(test_other_replica)
+{
+	check_other_replica(false);
+}
+END_TEST
+
+/* Guards against balanced reads at an upstream that is gone or was behind. */
+START_TEST(test_balanced_other_replica)
+{
+	check_other_replica(true);
+}
 END_TEST
 
 /* Guards against reads that are sent to a replica known to lag, where they wait
@@ -1190,15 +1203,16 @@
 END_TEST
 
 TEST_MAIN("entry", test_primary_read, test_replaced_primary, test_own_commit,
-	  test_other_replica, test_known_lag, test_all_behind,
-	  test_refused_begin, test_bounded_needs_sample, test_old_sightings,
-	  test_leader_unreachable, test_lost_answers, test_lost_transaction,
-	  test_values_are_reset, test_prepared, test_caller_leaves,
-	  test_time_outs, test_one_log_in, test_leaving, test_route_removed,
-	  test_early_caller, test_handover, test_handover_before_first_commit,
-	  test_two_handovers, test_overloaded_handover, test_found_primary,
-	  test_outdated_handover, test_silent_primary, test_many_lost_upstreams,
-	  test_drain, test_lost_read, test_lost_answer_in_transaction,
-	  test_lost_write, test_slow_handover, test_broken_connection,
-	  test_silence_is_probed, test_cut_off, test_sample_without_position,
-	  test_expired_handover, test_restarted_without_log)
+	  test_other_replica, test_balanced_other_replica, test_known_lag,
+	  test_all_behind, test_refused_begin, test_bounded_needs_sample,
+	  test_old_sightings, test_leader_unreachable, test_lost_answers,
+	  test_lost_transaction, test_values_are_reset, test_prepared,
+	  test_caller_leaves, test_time_outs, test_one_log_in, test_leaving,
+	  test_route_removed, test_early_caller, test_handover,
+	  test_handover_before_first_commit, test_two_handovers,
+	  test_overloaded_handover, test_found_primary, test_outdated_handover,
+	  test_silent_primary, test_many_lost_upstreams, test_drain,
+	  test_lost_read, test_lost_answer_in_transaction, test_lost_write,
+	  test_slow_handover, test_broken_connection, test_silence_is_probed,
+	  test_cut_off, test_sample_without_position, test_expired_handover,
+	  test_restarted_without_log)
