--- a/entry/entry.h
+++ b/entry/entry.h
@@ -240,6 +240,9 @@
  * @strict_keys: whether a daemon without a fresh view for @revoke_us begins no
  *               operation of an account
  * @quota: by how much the limits of accounts may be exceeded
+ * @balance_reads: reads that several upstreams may run go to the cheaper of two
+ *                 drawn at random, not to the one with the lowest expected
+ *                 wait
  * @decode: parses a configuration document; NULL if it is invalid
  * @data: passed to upstream_ops.open
  */
@@ -253,6 +256,7 @@
 	int64_t revoke_us;
 	bool strict_keys;
 	struct quota_tolerance quota;
+	bool balance_reads;
 	const struct upstream_ops *upstream_ops;
 	struct entry_table *(*decode)(GBytes *document);
 	void *data;
