Limit what clients can take of the control daemon

Change: pure decisions in common/server_limits.c. http_server accepts connections itself; it pauses bodies, refuses with 503, and closes the connection that has held most for the longest; it also closes connections whose end libmicrohttpd misses with edge-triggered events. Accepted channels of the control daemon share a bound on half frames and unread output and a timeout of a half frame, and a message takes at most 16 MiB when decoded. Names, watchers, roster, sightings and reports have bounds; entries in use by a connected daemon stay. The configuration is answered without a copy. Counters, events and a table of limits in docs/OPERATIONS.md. struct control_config and control_http_set_limits() take each limit, 0 for the default.

Unit tests server_limits, event_table, transport, control_node, control_group, control_survey, watch, odd_entries, sightings, relay, entry, peer_table, promotion_faults, session_client, control_client, examples and survey pass; the rest of the suite was not run.

--- a/control/internal.h
+++ b/control/internal.h
@@ -28,6 +28,11 @@
 /** Minimum time between two saves of the sightings file, microseconds. */
 #define CONTROL_SAVE_INTERVAL_US (300 * 1000ll)
 
+/** Longest name of a daemon, an upstream, a service or a zone, bytes. */
+#define CONTROL_NAME_MAX_BYTES 128u
+/** Most reports of one entry daemon: one for each upstream. */
+#define CONTROL_WATCH_MAX_REPORTS 2000u
+
 enum control_counter {
 	CONTROL_COUNT_ELECTIONS,
 	CONTROL_COUNT_MEMBER_CHANGES,
@@ -40,6 +45,14 @@
 	CONTROL_COUNT_PROMOTIONS_UNCLEAR,
 	CONTROL_COUNT_VIEWS,
 	CONTROL_COUNT_STORE_FAILURES,
+	CONTROL_COUNT_LIMITED,
+	CONTROL_COUNT_WATCHERS_REFUSED,
+	CONTROL_COUNT_ROSTER_REFUSED,
+	CONTROL_COUNT_SIGHTINGS_REFUSED,
+	CONTROL_COUNT_REPORTS_REFUSED,
+	CONTROL_COUNT_CHANNELS_CLOSED,
+	CONTROL_COUNT_CHANNELS_PAUSED,
+	CONTROL_COUNT_CHANNEL_BYTES,
 	CONTROL_COUNT_TERM,
 	CONTROL_COUNT_VERSION,
 	CONTROL_COUNT_WATCHERS,
@@ -72,6 +85,8 @@
  * @draining: whether the daemon accepts no new work
  * @roster_wanted: whether the daemon requests the roster from this VM even if
  *                 it is not the leader
+ * @accepted_us: when the connection was accepted
+ * @has_sent: whether a whole message has come
  * @heard_us: time of the last message
  * @config_version: newest configuration that the daemon is known to have
  * @sent_revision: revision of the sightings in the last view sent
@@ -86,6 +101,8 @@
 	uint32_t ip;
 	bool draining;
 	bool roster_wanted;
+	int64_t accepted_us;
+	bool has_sent;
 	int64_t heard_us;
 	uint64_t config_version;
 	uint64_t sent_revision;
@@ -235,6 +252,10 @@
  * @views_due: whether a view is to be sent to all watchers
  * @had_lease: whether this VM was leader with a valid lease in the last
  *             iteration of the event loop
+ * @watcher_channels: limits of all accepted connections together
+ * @nr_reports: reports of all watchers
+ * @group_events: events of @watcher_channels that were counted
+ * @limit_logged_us: time of the last log line about a limit
  * @group_due: whether the membership is to be reviewed before the next tick
  * @stopping: whether the process is about to end
  * @stop_started_us: since when
@@ -257,6 +278,10 @@
 	struct config_register reg;
 	GBytes *deflated_document;
 	uint64_t deflated_version;
+	struct channel_group watcher_channels;
+	unsigned nr_reports;
+	uint64_t group_events;
+	int64_t limit_logged_us;
 	struct sightings sightings;
 	GPtrArray *peers;
 	GPtrArray *watchers;
@@ -324,6 +349,19 @@
 void control_handle_message(struct control_node *node, struct channel *from,
 			    const Wire__Envelope *envelope);
 
+/* limits.c */
+void control_limits_init(struct control_node *node);
+void control_limits_tick(struct control_node *node, int64_t now_us);
+bool control_name_is_valid(const char *name);
+/** control_note_limit() - count that a limit took effect, and log it at most
+ *                       once a second */
+void control_note_limit(struct control_node *node, enum control_counter counter,
+			const char *what);
+/** control_admit_sighting() - whether an announcement may be merged; removes the
+ *                           least useful upstream to make room */
+bool control_admit_sighting(struct control_node *node,
+			    const struct sighting *upstream);
+
 /* group.c */
 /** control_group_tick() - as the leader, make the next membership change */
 void control_group_tick(struct control_node *node, int64_t now_us);
--- a/control/node.c
+++ b/control/node.c
@@ -4,6 +4,7 @@
 #include "event_log.h"
 #include "net.h"
 
+#include <errno.h>
 #include <jansson.h>
 #include <unistd.h>
 
@@ -22,6 +23,16 @@
 	{ "control_promotions_unclear_total", "Orders without an answer" },
 	{ "control_views_total", "Views sent to entry daemons" },
 	{ "control_store_failures_total", "Failures of the store" },
+	{ "control_limited_total", "Times a limit on channels took effect" },
+	{ "control_watchers_refused_total", "Internal connections refused" },
+	{ "control_roster_refused_total", "Entry daemons not listed" },
+	{ "control_sightings_refused_total", "Announcements refused" },
+	{ "control_reports_refused_total", "Reports on upstreams dropped" },
+	{ "control_channels_closed_total",
+	  "Internal connections closed for others or for a half frame" },
+	{ "control_channels_paused_total",
+	  "Times an internal connection waited for memory" },
+	{ "control_channel_bytes", "Half frames and unread output", true },
 	{ "control_term", "Raft term", true },
 	{ "control_config_version", "Version held", true },
 	{ "control_watchers", "Entry daemons heard of late", true },
@@ -34,6 +45,10 @@
 
 	while ((fd = net_accept(w->fd)) >= 0)
 		control_watchers_accept(node, fd);
+	/* The listener is readable for as long as descriptors lack, so it waits
+	 * for the next tick. */
+	if (errno == EMFILE || errno == ENFILE)
+		ev_io_stop(loop, w);
 }
 
 /*
@@ -99,6 +114,8 @@
 {
 	struct control_node *node = data;
 
+	ev_io_start(node->loop, &node->listener);
+	control_limits_tick(node, now_us);
 	control_peers_tick(node, now_us);
 	control_watchers_tick(node, now_us);
 	control_group_tick(node, now_us);
@@ -155,6 +172,7 @@
 	node->peers = g_ptr_array_new();
 	node->watchers = g_ptr_array_new();
 	node->puts = g_ptr_array_new();
+	control_limits_init(node);
 	node->roster = control_roster_new();
 	node->promotion_states = g_hash_table_new_full(
 		g_str_hash, g_str_equal, NULL, control_promotion_state_free);
@@ -207,26 +225,29 @@
 	g_free(node);
 }
 
-void control_add_announcement(struct control_node *node,
+bool control_add_announcement(struct control_node *node,
 			      const struct sighting *upstream)
 {
-	enum sighting_merge_result result =
-		sightings_merge(&node->sightings, upstream);
-	const struct sighting *stored =
-		sightings_find(&node->sightings, upstream->id);
+	enum sighting_merge_result result;
+	const struct sighting *stored;
 
+	if (!control_admit_sighting(node, upstream))
+		return false;
+	result = sightings_merge(&node->sightings, upstream);
+	stored = sightings_find(&node->sightings, upstream->id);
 	control_count(node, CONTROL_COUNT_SIGHTINGS, 1);
 	if (result == SIGHTING_STALE)
-		return;
+		return true;
 	control_broadcast_sighting(node, stored);
 	if (result != SIGHTING_CHANGED)
-		return;
+		return true;
 	node->views_due = true;
 	event_log("upstream_changed", "{s:s, s:s, s:s, s:b, s:b, s:b, s:I}",
 		  "upstream", stored->id, "service", stored->service, "address",
 		  stored->address, "primary", (int)stored->primary, "leaving",
 		  (int)stored->leaving, "gone", (int)stored->gone, "sequence",
 		  (json_int_t)stored->sequence);
+	return true;
 }
 
 const struct sightings *control_sightings(const struct control_node *node)
--- a/control/node.h
+++ b/control/node.h
@@ -28,6 +28,14 @@
  * @bootstrap: whether to create a new group out of the seeds
  * @seeds: uint32_t IPv4 addresses of control VMs, host order
  * @voters: number of voters, once enough VMs have joined
+ * @max_watchers: most accepted connections, 0 for the default, which follows
+ *                from the descriptors of the process
+ * @max_roster: most entry daemons in the roster, 0 for the default
+ * @max_sightings: most upstreams, 0 for the default
+ * @max_reports: most reports on upstreams of all entry daemons together, 0 for
+ *               the default
+ * @max_channel_bytes: bytes of half frames and unread output of all accepted
+ *                     connections together, 0 for the default
  * @file_ops: file operations of the store, NULL for those of the system
  * @file_data: passed to @file_ops
  */
@@ -39,6 +47,11 @@
 	bool bootstrap;
 	GArray *seeds;
 	unsigned voters;
+	unsigned max_watchers;
+	unsigned max_roster;
+	unsigned max_sightings;
+	unsigned max_reports;
+	size_t max_channel_bytes;
 	const struct store_file_ops *file_ops;
 	void *file_data;
 };
@@ -92,8 +105,11 @@
 /** control_add_seeds() - add addresses of possible control VMs as peers */
 void control_add_seeds(struct control_node *node, const GArray *seeds);
 
-/** control_add_announcement() - an upstream sent an announcement to this VM */
-void control_add_announcement(struct control_node *node,
+/**
+ * control_add_announcement() - an upstream sent an announcement to this VM
+ * Return: false if it is a further upstream and there are too many
+ */
+bool control_add_announcement(struct control_node *node,
 			      const struct sighting *upstream);
 
 /** control_sightings() - the latest announcement of each upstream */
--- a/control/roster.c
+++ b/control/roster.c
@@ -42,6 +42,57 @@
 		  (int)gone);
 }
 
+static struct table_use entry_use(const struct control_roster_entry *entry,
+				  int64_t now_us)
+{
+	return (struct table_use){
+		.gone = entry->gone,
+		.used_us = entry->changed_us,
+		/* The fence of a service waits for daemons lost lately. */
+		.in_use = !entry->gone ||
+			  (!entry->drained &&
+			   now_us - entry->changed_us < MAYBE_SERVED_US),
+	};
+}
+
+/* A node whose limits were not set has none. */
+static bool is_full(const struct control_node *node)
+{
+	return node->config.max_roster &&
+	       g_hash_table_size(node->roster) >= node->config.max_roster;
+}
+
+/* Return: false if the roster is full of daemons that are present or were lost
+ * lately. */
+static bool make_room(struct control_node *node, int64_t now_us)
+{
+	guint nr = g_hash_table_size(node->roster);
+	struct control_roster_entry **list;
+	struct table_use *uses;
+	GHashTableIter it;
+	guint i = 0;
+	int victim;
+
+	if (!is_full(node))
+		return true;
+	list = g_new(struct control_roster_entry *, nr);
+	uses = g_new(struct table_use, nr);
+	g_hash_table_iter_init(&it, node->roster);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&list[i])) {
+		uses[i] = entry_use(list[i], now_us);
+		i++;
+	}
+	victim = table_limits_victim(uses, nr);
+	if (victim >= 0)
+		g_hash_table_remove(node->roster, list[victim]->name);
+	else
+		control_note_limit(node, CONTROL_COUNT_ROSTER_REFUSED,
+				   "roster");
+	g_free(list);
+	g_free(uses);
+	return victim >= 0;
+}
+
 static void mark_present(struct control_node *node,
 			 const struct control_watcher *watcher, int64_t now_us)
 {
@@ -52,6 +103,8 @@
 		entry->is_restored = false;
 		return;
 	}
+	if (!entry && !make_room(node, now_us))
+		return;
 	if (!entry) {
 		entry = g_new0(struct control_roster_entry, 1);
 		entry->name = g_strdup(watcher->name);
@@ -69,7 +122,8 @@
 {
 	struct control_roster_entry *entry;
 
-	if (in->gone || g_hash_table_contains(node->roster, in->daemon))
+	if (in->gone || g_hash_table_contains(node->roster, in->daemon) ||
+	    is_full(node))
 		return;
 	entry = g_new0(struct control_roster_entry, 1);
 	entry->name = g_strdup(in->daemon);
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -6,11 +6,13 @@
 
 #include <jansson.h>
 #include <string.h>
+#include <unistd.h>
 #include <zlib.h>
 
 static void watcher_free(struct control_watcher *watcher)
 {
 	channel_close(&watcher->channel);
+	watcher->node->nr_reports -= g_hash_table_size(watcher->reports);
 	g_hash_table_destroy(watcher->reports);
 	g_free(watcher->name);
 	g_free(watcher->availability_zone);
@@ -72,6 +74,9 @@
 	    watcher->config_version >= node->reg.version ||
 	    (!is_reply && !node->lead_term))
 		return;
+	/* Back-pressure: the daemon gets it with the reply to a later report. */
+	if (node->watcher_channels.bytes > node->config.max_channel_bytes / 2)
+		return;
 	deflated_document = deflated_config(node);
 	view->config.data = (uint8_t *)g_bytes_get_data(deflated_document,
 							&view->config.len);
@@ -175,15 +180,25 @@
 static void store_reports(struct control_watcher *watcher,
 			  const Wire__Watch *watch)
 {
+	struct control_node *node = watcher->node;
 	int64_t now_us = clock_now_us();
 	size_t i;
 
+	node->nr_reports -= g_hash_table_size(watcher->reports);
 	g_hash_table_remove_all(watcher->reports);
 	for (i = 0; i < watch->n_upstreams; i++) {
 		const Wire__UpstreamHealth *in = watch->upstreams[i];
-		struct control_report *report =
-			g_new0(struct control_report, 1);
-
+		struct control_report *report;
+
+		if (i >= CONTROL_WATCH_MAX_REPORTS ||
+		    !control_name_is_valid(in->id) ||
+		    node->nr_reports + g_hash_table_size(watcher->reports) >=
+			    node->config.max_reports) {
+			control_note_limit(node, CONTROL_COUNT_REPORTS_REFUSED,
+					   "reports");
+			break;
+		}
+		report = g_new0(struct control_report, 1);
 		report->failing_us = (int64_t)in->failing_us;
 		report->lag_us = (int64_t)in->lag_us;
 		report->saturated = in->saturated;
@@ -194,6 +209,7 @@
 						   in->position->lsn };
 		g_hash_table_insert(watcher->reports, g_strdup(in->id), report);
 	}
+	node->nr_reports += g_hash_table_size(watcher->reports);
 }
 
 static void handle_watch(struct control_watcher *watcher,
@@ -202,6 +218,12 @@
 	struct control_node *node = watcher->node;
 	size_t i;
 
+	if (!control_name_is_valid(watch->daemon) ||
+	    !control_name_is_valid(watch->availability_zone)) {
+		control_note_limit(node, CONTROL_COUNT_WATCHERS_REFUSED,
+				   "length of a name");
+		return;
+	}
 	if (!watcher->name) {
 		watcher->name = g_strdup(watch->daemon);
 		watcher->availability_zone = g_strdup(watch->availability_zone);
@@ -220,7 +242,9 @@
 		control_handover_finished(node, watch->handovers[i]);
 	for (i = 0; i < watch->n_surveys; i++)
 		control_survey_finished(node, watch->surveys[i]);
-	send_view(watcher, true);
+	/* A daemon that does not read gets its next view once it has. */
+	if (!stream_above_high_water(&watcher->channel.stream))
+		send_view(watcher, true);
 }
 
 static void on_message(struct channel *ch, const Wire__Envelope *envelope)
@@ -228,6 +252,7 @@
 	struct control_watcher *watcher = ch->data;
 
 	watcher->heard_us = clock_now_us();
+	watcher->has_sent = true;
 	if (envelope->body_case == WIRE__ENVELOPE__BODY_WATCH)
 		handle_watch(watcher, envelope->watch);
 	else
@@ -250,17 +275,72 @@
 	.closed = on_closed,
 };
 
+static void remove_watcher(struct control_node *node, guint index)
+{
+	struct control_watcher *watcher =
+		g_ptr_array_remove_index_fast(node->watchers, index);
+
+	if (watcher->name)
+		control_roster_set_answering(node, watcher->name,
+					     watcher->reports);
+	watcher_free(watcher);
+}
+
+/*
+ * Closes the connection that has sent no whole message for the longest, or one
+ * that has ended already. Entry daemons send their first message at once, and
+ * control VMs connect again when they have something to say.
+ */
+static bool make_room(struct control_node *node)
+{
+	guint nr = node->watchers->len;
+	struct server_holder *holders;
+	guint i;
+	int victim;
+
+	if (nr < node->config.max_watchers)
+		return true;
+	holders = g_new(struct server_holder, nr);
+	for (i = 0; i < nr; i++) {
+		const struct control_watcher *w = node->watchers->pdata[i];
+		bool open = channel_is_open(&w->channel);
+
+		holders[i] = (struct server_holder){
+			.phase = w->has_sent && open ? SERVER_HANDLER :
+						       SERVER_HEADER,
+			.bytes = w->channel.holder.bytes,
+			.since_us = open ? w->accepted_us : INT32_MIN,
+		};
+	}
+	victim = server_limits_victim(holders, nr, clock_now_us());
+	g_free(holders);
+	if (victim < 0)
+		return false;
+	remove_watcher(node, (guint)victim);
+	return true;
+}
+
 void control_watchers_accept(struct control_node *node, int fd)
 {
-	struct control_watcher *watcher = g_new0(struct control_watcher, 1);
+	struct control_watcher *watcher;
 
+	if (node->watchers->len >= node->config.max_watchers)
+		control_note_limit(node, CONTROL_COUNT_WATCHERS_REFUSED,
+				   "watchers");
+	if (!make_room(node)) {
+		close(fd);
+		return;
+	}
+	watcher = g_new0(struct control_watcher, 1);
 	watcher->node = node;
 	watcher->heard_us = clock_now_us();
+	watcher->accepted_us = watcher->heard_us;
 	watcher->reports =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_ptr_array_add(node->watchers, watcher);
 	channel_accept(&watcher->channel, node->loop, fd, &watcher_events,
 		       watcher);
+	channel_join_group(&watcher->channel, &node->watcher_channels);
 }
 
 void control_watchers_tick(struct control_node *node, int64_t now_us)
@@ -277,11 +357,7 @@
 			i++;
 			continue;
 		}
-		if (is_daemon)
-			control_roster_set_answering(node, watcher->name,
-						     watcher->reports);
-		g_ptr_array_remove_index_fast(node->watchers, i);
-		watcher_free(watcher);
+		remove_watcher(node, i);
 	}
 	control_roster_expire(node, now_us);
 	counter_assign(&node->counters, node->counter[CONTROL_COUNT_WATCHERS],
@@ -296,7 +372,8 @@
 	for (i = 0; i < node->watchers->len; i++) {
 		struct control_watcher *watcher = node->watchers->pdata[i];
 
-		if (watcher->name && channel_is_open(&watcher->channel))
+		if (watcher->name && channel_is_open(&watcher->channel) &&
+		    !stream_above_high_water(&watcher->channel.stream))
 			send_view(watcher, false);
 	}
 }
@@ -308,4 +385,5 @@
 	for (i = 0; i < node->watchers->len; i++)
 		watcher_free(node->watchers->pdata[i]);
 	g_ptr_array_free(node->watchers, TRUE);
+	channel_group_finish(&node->watcher_channels);
 }
--- a/include/channel.h
+++ b/include/channel.h
@@ -2,8 +2,11 @@
 #define CHANNEL_H
 
 #include "messages.pb-c.h"
+#include "server_limits.h"
 #include "stream.h"
 
+#include <glib.h>
+
 /**
  * DOC: Messages between processes of a deployment over one TCP connection.
  *
@@ -36,8 +39,31 @@
 #define CHANNEL_CONNECT_LONG_TIMEOUT_US (400 * 1000ll)
 #define CHANNEL_CONNECT_LONG_EVERY 8
 
+/** Most memory that one envelope takes when decoded, bytes: empty submessages
+ * of two bytes each would take 40 times the size of their frame. */
+#define CHANNEL_DECODED_MAX_BYTES (8u * CHANNEL_FRAME_MAX_BYTES)
+
 struct channel;
 
+/**
+ * struct channel_group - accepted channels that share limits
+ * @limits: @max_bytes applies to half frames and unread output of all channels,
+ *          @body_us to a half frame; the others are not used
+ * @channels: the open channels
+ * @bytes: what they held at the last check
+ * @paused: how often a channel had to wait for memory
+ * @closed: channels closed for others
+ * @timed_out: channels closed because of a half frame
+ */
+struct channel_group {
+	struct server_limits limits;
+	GPtrArray *channels;
+	size_t bytes;
+	uint64_t paused;
+	uint64_t closed;
+	uint64_t timed_out;
+};
+
 /**
  * struct channel_events - callbacks of a channel
  * @opened: the connection was established; may be NULL
@@ -56,6 +82,8 @@
  * @attempts: connection attempts since the last successful one
  * @dropped: messages not queued: closed, too large or queue full
  * @malformed: frames that could not be decoded
+ * @group: NULL if it has no common limits
+ * @holder: what it holds, for @group
  */
 struct channel {
 	struct stream stream;
@@ -64,6 +92,8 @@
 	unsigned attempts;
 	uint64_t dropped;
 	uint64_t malformed;
+	struct channel_group *group;
+	struct server_holder holder;
 };
 
 /**
@@ -81,6 +111,21 @@
 /** channel_accept() - open a channel on an accepted socket */
 void channel_accept(struct channel *ch, struct ev_loop *loop, int fd,
 		    const struct channel_events *events, void *data);
+void channel_group_init(struct channel_group *group,
+			const struct server_limits *limits);
+/** channel_group_finish() - to be called after its channels were closed */
+void channel_group_finish(struct channel_group *group);
+/** channel_join_group() - apply the limits of @group to an accepted channel */
+void channel_join_group(struct channel *ch, struct channel_group *group);
+/**
+ * channel_group_check() - close channels whose half frame is overdue, and the
+ *                         one that has held most for the longest if all
+ *                         together hold too much
+ *
+ * To be called ten times a second. Calls @closed of the channels it closes,
+ * which must not free them.
+ */
+void channel_group_check(struct channel_group *group, int64_t now_us);
 /** channel_send() - send or queue a message; dropped if closed or queue full */
 void channel_send(struct channel *ch, const Wire__Envelope *envelope);
 /** channel_close() - close without calling @closed; idempotent */
--- a/include/http_server.h
+++ b/include/http_server.h
@@ -1,6 +1,8 @@
 #ifndef HTTP_SERVER_H
 #define HTTP_SERVER_H
 
+#include "server_limits.h"
+
 #include <ev.h>
 #include <glib.h>
 #include <stdbool.h>
@@ -55,6 +57,46 @@
 				    void *data, GError **error);
 void http_server_free(struct http_server *server);
 
+/**
+ * struct http_server_stats - what the limits of a server have cost, since its
+ *                            start
+ * @paused: bodies that waited for memory
+ * @refused: requests and connections answered with 503
+ * @closed: connections closed for others
+ * @timed_out: connections closed because a header, a body or the reading of an
+ *             answer took too long
+ * @bytes: bytes held now
+ */
+struct http_server_stats {
+	uint64_t paused;
+	uint64_t refused;
+	uint64_t closed;
+	uint64_t timed_out;
+	size_t bytes;
+};
+
+/**
+ * http_limited_callback - a limit took effect
+ *
+ * Called at most once a second.
+ */
+typedef void (*http_limited_callback)(const struct http_server_stats *stats,
+				      void *data);
+
+/**
+ * http_server_set_limits() - replace the limits of a server
+ *
+ * Without it, a server has limits that follow from the descriptors of the
+ * process. @max_bytes is at least the largest body.
+ */
+void http_server_set_limits(struct http_server *server,
+			    const struct server_limits *limits);
+/** http_server_on_limited() - have @on_limited called when limits take effect */
+void http_server_on_limited(struct http_server *server,
+			    http_limited_callback on_limited, void *data);
+const struct http_server_stats *
+http_server_stats(const struct http_server *server);
+
 /**
  * http_respond() - send the response; @ex must not be used afterwards
  * @type: Content-Type, NULL for none
@@ -63,6 +105,13 @@
 void http_respond(struct http_exchange *ex, unsigned status, const char *type,
 		  const char *body, size_t len, const char *location);
 
+/**
+ * http_respond_bytes() - send a response whose body is shared, not copied
+ * @type: Content-Type
+ */
+void http_respond_bytes(struct http_exchange *ex, unsigned status,
+			const char *type, GBytes *body);
+
 /** http_respond_text() - send a plain text response */
 void http_respond_text(struct http_exchange *ex, unsigned status,
 		       const char *text);
--- a/transport/channel.c
+++ b/transport/channel.c
@@ -11,8 +11,18 @@
 /* Length of the envelope, bytes, in network byte order. */
 #define FRAME_HEADER_LEN 4u
 
+static void leave_group(struct channel *ch)
+{
+	if (!stream_is_open(&ch->stream) || !ch->group)
+		return;
+	g_ptr_array_remove_fast(ch->group->channels, ch);
+	ch->group->bytes -= MIN(ch->group->bytes, ch->holder.bytes);
+	ch->group = NULL;
+}
+
 static void close_and_notify(struct channel *ch)
 {
+	leave_group(ch);
 	stream_close(&ch->stream);
 	ch->events->closed(ch);
 }
@@ -27,6 +37,26 @@
 		ch->events->opened(ch);
 }
 
+/* Memory that one envelope may still take. */
+struct decode_budget {
+	size_t left;
+};
+
+static void *budget_alloc(void *data, size_t size)
+{
+	struct decode_budget *budget = data;
+
+	if (size > budget->left)
+		return NULL;
+	budget->left -= size;
+	return g_try_malloc(size);
+}
+
+static void budget_free(void *data, void *pointer)
+{
+	g_free(pointer);
+}
+
 /*
  * Reads one frame from the input buffer and reports its envelope.
  * Return: false if the frame is incomplete or the channel was closed
@@ -34,6 +64,8 @@
 static bool process_frame(struct channel *ch)
 {
 	struct pg_buffer *in = &ch->stream.in;
+	struct decode_budget budget = { CHANNEL_DECODED_MAX_BYTES };
+	ProtobufCAllocator allocator = { budget_alloc, budget_free, &budget };
 	Wire__Envelope *envelope;
 	uint32_t len;
 
@@ -49,23 +81,60 @@
 	if (pg_buffer_length(in) < FRAME_HEADER_LEN + len)
 		return false;
 	envelope = wire__envelope__unpack(
-		NULL, len, pg_buffer_head(in) + FRAME_HEADER_LEN);
+		&allocator, len, pg_buffer_head(in) + FRAME_HEADER_LEN);
 	pg_buffer_consume(in, FRAME_HEADER_LEN + len);
 	if (!envelope) {
 		ch->malformed++;
 		return true;
 	}
 	ch->events->message(ch, envelope);
-	wire__envelope__free_unpacked(envelope, NULL);
+	wire__envelope__free_unpacked(envelope, &allocator);
+	ch->holder.since_us = 0;
 	return stream_is_open(&ch->stream);
 }
 
+/* Determines anew what the channel holds; the output is written later without
+ * a notice. */
+static void update_holder(struct channel *ch, int64_t now_us)
+{
+	struct server_holder *holder = &ch->holder;
+	bool half = pg_buffer_length(&ch->stream.in);
+	bool unread = pg_buffer_length(&ch->stream.out);
+	size_t bytes = (half ? ch->stream.in.size : 0) +
+		       (unread ? ch->stream.out.size : 0);
+
+	ch->group->bytes += bytes - holder->bytes;
+	holder->bytes = bytes;
+	if (!half && !unread)
+		holder->since_us = 0;
+	else if (!holder->since_us)
+		holder->since_us = now_us;
+	/* Idle channels hold nothing worth closing them for. */
+	holder->phase = half   ? SERVER_BODY :
+			unread ? SERVER_ANSWER :
+				 SERVER_HANDLER;
+}
+
+static void limit_input(struct channel *ch)
+{
+	update_holder(ch, clock_now_us());
+	if (ch->holder.phase != SERVER_BODY || ch->stream.paused ||
+	    server_limits_read(&ch->group->limits, ch->group->bytes, 0) ==
+		    SERVER_READ)
+		return;
+	ch->group->paused++;
+	stream_pause(&ch->stream, true);
+}
+
 static void on_input(void *data)
 {
 	struct channel *ch = data;
 
 	while (process_frame(ch))
 		;
+	/* The owner frees no channel of a group in its callbacks. */
+	if (ch->group)
+		limit_input(ch);
 }
 
 static void on_closed(int err, void *data)
@@ -88,6 +157,8 @@
 	ch->data = data;
 	ch->dropped = 0;
 	ch->malformed = 0;
+	ch->group = NULL;
+	memset(&ch->holder, 0, sizeof(ch->holder));
 	stream_init(&ch->stream, loop, fd, connecting, &stream_events, ch);
 }
 
@@ -129,6 +200,80 @@
 	attach_socket(ch, loop, fd, false, events, data);
 }
 
+void channel_group_init(struct channel_group *group,
+			const struct server_limits *limits)
+{
+	memset(group, 0, sizeof(*group));
+	group->limits = *limits;
+	group->channels = g_ptr_array_new();
+}
+
+void channel_group_finish(struct channel_group *group)
+{
+	g_ptr_array_free(group->channels, TRUE);
+}
+
+void channel_join_group(struct channel *ch, struct channel_group *group)
+{
+	ch->group = group;
+	ch->holder.phase = SERVER_HANDLER;
+	g_ptr_array_add(group->channels, ch);
+}
+
+static void close_overdue(struct channel_group *group, int64_t now_us)
+{
+	guint i = group->channels->len;
+
+	/* From the last one on, as the last one takes the place of each. */
+	while (i-- > 0) {
+		struct channel *ch = group->channels->pdata[i];
+
+		update_holder(ch, now_us);
+		if (ch->holder.phase != SERVER_BODY ||
+		    !server_limits_is_overdue(&group->limits, &ch->holder,
+					      now_us))
+			continue;
+		group->timed_out++;
+		close_and_notify(ch);
+	}
+}
+
+/* Return: false if no channel may be closed. */
+static bool close_largest(struct channel_group *group, int64_t now_us)
+{
+	guint nr = group->channels->len;
+	struct server_holder *holders = g_new(struct server_holder, nr + 1);
+	int victim;
+	guint i;
+
+	for (i = 0; i < nr; i++)
+		holders[i] =
+			((struct channel *)group->channels->pdata[i])->holder;
+	victim = server_limits_victim(holders, nr, now_us);
+	g_free(holders);
+	if (victim < 0)
+		return false;
+	group->closed++;
+	close_and_notify(group->channels->pdata[victim]);
+	return true;
+}
+
+void channel_group_check(struct channel_group *group, int64_t now_us)
+{
+	guint i;
+
+	close_overdue(group, now_us);
+	while (group->bytes > group->limits.max_bytes &&
+	       close_largest(group, now_us))
+		;
+	if (group->bytes > group->limits.max_bytes)
+		return;
+	for (i = 0; i < group->channels->len; i++)
+		stream_pause(
+			&((struct channel *)group->channels->pdata[i])->stream,
+			false);
+}
+
 void channel_send(struct channel *ch, const Wire__Envelope *envelope)
 {
 	size_t len = wire__envelope__get_packed_size(envelope);
@@ -146,9 +291,12 @@
 	wire__envelope__pack(envelope, dest);
 	pg_buffer_commit(out, len);
 	stream_flush(&ch->stream);
+	if (ch->group)
+		update_holder(ch, clock_now_us());
 }
 
 void channel_close(struct channel *ch)
 {
+	leave_group(ch);
 	stream_close(&ch->stream);
 }
