Follow only the services of the configuration

Cause: heartbeats that name 6,000 services made the control daemon answer nothing for more than 120 s: each pass followed every announced service, at the cost of services times upstreams, and kept a succession for each.

Change: services that the configuration does not have are not followed, and so get no succession.

Unit tests control_node, control_survey, promotion_faults and odd_entries pass; lint passes.

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -660,8 +660,12 @@
 	services = collect_services(node);
 	g_hash_table_iter_init(&it, services);
 	while (g_hash_table_iter_next(&it, (void **)&service, NULL)) {
+		/* Announcements with many names would cost as much as the
+		 * number of services times that of upstreams. */
+		if (!is_configured(node, service))
+			continue;
 		follow_primary(node, service, now_us);
-		if (promote && is_configured(node, service))
+		if (promote)
 			check_service(node, service, now_us);
 	}
 	g_hash_table_destroy(services);
--- a/tests/hostile/control/internal_loads.c
+++ b/tests/hostile/control/internal_loads.c
@@ -259,8 +259,9 @@
 	close(fd);
 }
 
-/* The same by heartbeats, all of whose names are of legal length. */
-static void heartbeats(struct control_peer *peer)
+/* Sends heartbeats of 6,000 upstreams of @nr_services, with names of legal
+ * length. */
+static void send_heartbeats(struct control_peer *peer, unsigned nr_services)
 {
 	g_autofree char *zone = long_name("zone", 1, 128);
 	int fd = hostile_connect(peer->ip, peer->http);
@@ -268,7 +269,7 @@
 
 	for (i = 0; i < 6000; i++) {
 		g_autofree char *id = long_name("up", i, 128);
-		g_autofree char *service = long_name("s", i % 10, 128);
+		g_autofree char *service = long_name("s", i % nr_services, 128);
 		g_autofree char *body = g_strdup_printf(
 			"{\"service\":\"%s\",\"address\":\"10.0.%u.%u:5432\","
 			"\"zone\":\"%s\",\"state\":\"ready\",\"db_role\":"
@@ -287,6 +288,18 @@
 	control_peer_check(peer);
 }
 
+/* The same by heartbeats, all of whose names are of legal length. */
+static void heartbeats(struct control_peer *peer)
+{
+	send_heartbeats(peer, 10);
+}
+
+/* Guards against work for each service that grows with the upstreams. */
+static void services(struct control_peer *peer)
+{
+	send_heartbeats(peer, 6000);
+}
+
 /* Guards against peers and members that grow by address. */
 static void joins(struct control_peer *peer)
 {
@@ -344,6 +357,7 @@
 	{ "watch_reports", watch_reports },
 	{ "sightings", sightings },
 	{ "heartbeats", heartbeats },
+	{ "services", services },
 	{ "joins", joins },
 	{ "peers", peers },
 };
