--- a/include/stream.h
+++ b/include/stream.h
@@ -65,6 +65,8 @@
  * @shutdown_requested: whether to shut down the output once @out is written
  * @stalled_since_us: time since which pending output makes no progress, 0 if
  *                    no output is pending
+ * @account: total to which the size of the buffers is added, NULL for none
+ * @accounted: what this stream has added to it, bytes
  */
 struct stream {
 	struct ev_loop *loop;
@@ -82,6 +84,8 @@
 	bool above_high_water;
 	bool shutdown_requested;
 	int64_t stalled_since_us;
+	size_t *account;
+	size_t accounted;
 };
 
 void stream_init(struct stream *s, struct ev_loop *loop, int fd,
@@ -108,6 +112,14 @@
  */
 void stream_shutdown_output(struct stream *s);
 
+/** stream_set_account() - count the buffers in @account until the stream is
+ * closed */
+void stream_set_account(struct stream *s, size_t *account);
+
+/** stream_update_account() - count the buffers again; the stream does so itself
+ * when it reads, writes, pauses and closes */
+void stream_update_account(struct stream *s);
+
 /** stream_close() - close the socket and free the buffers; idempotent */
 void stream_close(struct stream *s);
 
--- a/transport/stream.c
+++ b/transport/stream.c
@@ -9,6 +9,22 @@
 /* Size of one read from the socket. */
 #define READ_SIZE_BYTES (16u * 1024)
 
+void stream_update_account(struct stream *s)
+{
+	size_t now = s->in.size + s->out.size;
+
+	if (!s->account)
+		return;
+	*s->account += now - s->accounted;
+	s->accounted = now;
+}
+
+void stream_set_account(struct stream *s, size_t *account)
+{
+	s->account = account;
+	stream_update_account(s);
+}
+
 static ssize_t receive_input(struct stream *s)
 {
 	uint8_t *dest = pg_buffer_reserve(&s->in, READ_SIZE_BYTES);
@@ -52,6 +68,7 @@
 		return;
 	}
 	pg_buffer_commit(&s->in, n);
+	stream_update_account(s);
 	layered = s->layer;
 	s->events->input(s->data);
 	/* The owner of a stream without a layer may have freed it in @input. */
@@ -85,6 +102,7 @@
 		pg_buffer_consume(&s->out, n);
 		s->stalled_since_us = 0;
 	}
+	stream_update_account(s);
 	if (!pg_buffer_length(&s->out) && s->shutdown_requested)
 		shutdown_output(s);
 	if (!pg_buffer_length(&s->out))
@@ -155,6 +173,8 @@
 	s->above_high_water = false;
 	s->shutdown_requested = false;
 	s->stalled_since_us = 0;
+	s->account = NULL;
+	s->accounted = 0;
 	pg_buffer_init(&s->in);
 	pg_buffer_init(&s->out);
 	ev_io_init(&s->reader, on_readable, fd, EV_READ);
@@ -175,6 +195,7 @@
 
 void stream_pause(struct stream *s, bool paused)
 {
+	stream_update_account(s);
 	if (!stream_is_open(s) || s->paused == paused)
 		return;
 	s->paused = paused;
@@ -222,4 +243,5 @@
 	s->fd = -1;
 	pg_buffer_finish(&s->in);
 	pg_buffer_finish(&s->out);
+	stream_update_account(s);
 }
