Bound what clients of the entry daemon take together

Input, statements, session values, prepared statements and output of all connections had no common bound, connections took every descriptor, and a client that stopped half-way was kept for good.

With memory_mb, all of these count against one budget: clients that hold much are not read, then connections and statements are refused with BUSY, then those that have held most for the longest are closed. A caller that does not read its answers gets no further statement run; an answer that is too large is dropped row by row; a connection to an upstream forgets large session values once it is released. With max_fds, callers and relaying daemons leave descriptors to the rest of the process. Startups, half messages and unread answers have time limits. A relayed statement for a service outside the configuration is declined, as it created a table entry for good. Without these settings only the last of these, and a pause of accepting when descriptors run out, apply.

The load "alone" is new: one message of the largest size after the other, nothing else.

--- a/coordination/client_limits.c
+++ b/coordination/client_limits.c
@@ -8,6 +8,9 @@
 /* The other half of the VM's memory is for the program, allocator overhead and
  * the kernel. */
 #define BUDGET_DIVISOR 2
+/* One message of 1 MiB and its copies fit on any VM, bytes. */
+#define BUDGET_MIN_BYTES (8u * 1024 * 1024)
+#define CONNECTIONS_MIN 16
 /* One session or answer cannot take the budget alone. */
 #define SESSION_DIVISOR 16
 #define ANSWER_DIVISOR 8
@@ -44,10 +47,13 @@
 	if (!memory_mb && !max_fds)
 		return;
 	limits->budget_bytes = memory / BUDGET_DIVISOR;
-	limits->session_bytes =
-		share_of(limits->budget_bytes, SESSION_DIVISOR);
+	if (memory && limits->budget_bytes < BUDGET_MIN_BYTES)
+		limits->budget_bytes = BUDGET_MIN_BYTES;
+	limits->session_bytes = share_of(limits->budget_bytes, SESSION_DIVISOR);
 	limits->answer_bytes = share_of(limits->budget_bytes, ANSWER_DIVISOR);
 	limits->connections = max_fds - max_fds * RESERVED_SIXTEENTHS / 16;
+	if (max_fds && limits->connections < CONNECTIONS_MIN)
+		limits->connections = CONNECTIONS_MIN;
 	limits->relays = max_fds / RELAYS_DIVISOR;
 	if (limits->relays < RELAYS_MIN)
 		limits->relays = RELAYS_MIN;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -28,6 +28,26 @@
 	{ "entry_relayed_total", "Statements sent to a home daemon" },
 	{ "entry_relays_lost_total", "Sessions whose home daemon was lost" },
 	{ "entry_guests_total", "Statements taken for other daemons" },
+	{ "entry_clients_paused_total", "Clients not read for lack of memory" },
+	{ "entry_connections_no_memory_total",
+	  "Connections refused for lack of memory" },
+	{ "entry_statements_no_memory_total",
+	  "Statements refused for lack of memory" },
+	{ "entry_closed_no_memory_total",
+	  "Connections closed that held most for the longest" },
+	{ "entry_session_state_refused_total",
+	  "Values and prepared statements above session_kb" },
+	{ "entry_answers_too_large_total", "Answers above answer_kb" },
+	{ "entry_connections_refused_total", "Callers above connections" },
+	{ "entry_starting_refused_total",
+	  "Callers above connections_starting" },
+	{ "entry_per_address_refused_total",
+	  "Callers above connections_per_address" },
+	{ "entry_relays_refused_total", "Daemons above connections_relay" },
+	{ "entry_startup_overdue_total", "Callers closed after startup_ms" },
+	{ "entry_message_overdue_total", "Clients closed after message_ms" },
+	{ "entry_answer_overdue_total", "Callers closed after answer_ms" },
+	{ "entry_held_bytes", "Memory that clients take", true },
 	{ "entry_waiting", "Statements that wait for a connection", true },
 	{ "entry_open_sessions", "Callers connected", true },
 	{ "entry_config_version", "Version in force", true },
@@ -53,10 +73,11 @@
 	watch_connect(entry);
 	homes_tick(entry);
 	handover_tick(entry, now_us);
-	relay_clients_tick(entry);
+	relay_clients_tick(entry, now_us);
 	upstreams_tick(entry, now_us);
 	sessions_tick(entry, now_us);
 	services_log_summaries(entry, now_us);
+	limits_log(entry, now_us);
 	sightings_expire(&entry->sightings, now_us, keeps_sighting, NULL);
 	if (!entry->was_ready && entry_ready(entry)) {
 		entry->was_ready = true;
@@ -168,6 +189,8 @@
 		waiting += svc->waiting.length;
 	counter_assign(&entry->counters, entry->counter[ENTRY_COUNT_WAITING],
 		       waiting);
+	counter_assign(&entry->counters, entry->counter[ENTRY_COUNT_HELD_BYTES],
+		       (int64_t)entry->usage.held_bytes);
 	counter_assign(&entry->counters,
 		       entry->counter[ENTRY_COUNT_OPEN_SESSIONS],
 		       entry->sessions.length);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_H
 #define ENTRY_H
 
+#include "client_limits.h"
 #include "sightings.h"
 #include "statement.h"
 #include "timer_service.h"
@@ -197,6 +198,7 @@
  * @seeds: uint32_t IPv4 addresses of control VMs
  * @grace_us: time between the request to stop and the kill
  * @decode: parses a configuration document; NULL if it is invalid
+ * @limits: limits on clients
  * @data: passed to upstream_ops.open
  */
 struct entry_config {
@@ -208,6 +210,7 @@
 	int64_t grace_us;
 	const struct upstream_ops *upstream_ops;
 	struct entry_table *(*decode)(GBytes *document);
+	struct client_limits limits;
 	void *data;
 };
 
@@ -232,6 +235,22 @@
 /** entry_listens() - whether new connections are still accepted */
 bool entry_listens(const struct entry *entry);
 
+/** entry_limits() - limits on clients */
+const struct client_limits *entry_limits(const struct entry *entry);
+/** entry_usage() - what clients take; protocols add what their buffers hold */
+struct client_usage *entry_usage(struct entry *entry);
+/** entry_note_limit() - count and log that a limit was applied */
+void entry_note_limit(struct entry *entry, enum client_limit limit);
+/** link_entry() - the daemon that a link belongs to */
+struct entry *link_entry(const struct link *link);
+/**
+ * entry_close_relay() - close the relaying daemon's connection that has held
+ *                       most for the longest
+ * @weight: least weight, see client_limits_weight()
+ * Return: false if none weighs more
+ */
+bool entry_close_relay(struct entry *entry, uint64_t weight);
+
 void entry_print_metrics(struct entry *entry, GString *out);
 
 /** entry_session_new() - a caller connected */
@@ -244,6 +263,12 @@
  * @statement: its buffer changes owner, and it is cleared
  */
 void session_handle_statement(struct session *s, struct statement *statement);
+/** session_refuse_statement() - answer BUSY to a statement that is not handled
+ * for lack of memory; none may be outstanding */
+void session_refuse_statement(struct session *s);
+/** session_held_bytes() - values, prepared statements and the statement that is
+ * under way */
+size_t session_held_bytes(const struct session *s);
 /** session_closed() - the caller's connection closed; frees the session */
 void session_closed(struct session *s);
 
--- a/entry/home.c
+++ b/entry/home.c
@@ -179,6 +179,9 @@
 	channel_connect(&home->channel, home->entry->loop, home->ip,
 			home->entry->config.port, &home_events, home,
 			&home->next_connect_us);
+	if (stream_is_open(&home->channel.stream))
+		stream_set_account(&home->channel.stream,
+				   &home->entry->usage.held_bytes);
 }
 
 static struct home_link *get_home_link(struct entry *entry, uint32_t ip)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -50,6 +50,20 @@
 	ENTRY_COUNT_RELAYED,
 	ENTRY_COUNT_RELAYS_LOST,
 	ENTRY_COUNT_RELAYS_RECEIVED,
+	ENTRY_COUNT_CLIENTS_PAUSED,
+	ENTRY_COUNT_CONNECTIONS_NO_MEMORY,
+	ENTRY_COUNT_STATEMENTS_NO_MEMORY,
+	ENTRY_COUNT_CLOSED_NO_MEMORY,
+	ENTRY_COUNT_SESSION_STATE_REFUSED,
+	ENTRY_COUNT_ANSWERS_TOO_LARGE,
+	ENTRY_COUNT_CONNECTIONS_REFUSED,
+	ENTRY_COUNT_STARTING_REFUSED,
+	ENTRY_COUNT_PER_ADDRESS_REFUSED,
+	ENTRY_COUNT_RELAYS_REFUSED,
+	ENTRY_COUNT_STARTUP_OVERDUE,
+	ENTRY_COUNT_MESSAGE_OVERDUE,
+	ENTRY_COUNT_ANSWER_OVERDUE,
+	ENTRY_COUNT_HELD_BYTES,
 	ENTRY_COUNT_WAITING,
 	ENTRY_COUNT_OPEN_SESSIONS,
 	ENTRY_COUNT_CONFIG_VERSION,
@@ -205,6 +219,7 @@
  * @values: session values that are set on the connection
  * @prepared: names of the statements that are prepared on it
  * @in_transaction: whether a transaction is open on it
+ * @state_bytes: what @values and @prepared hold, as counted in entry.usage
  * @sent_us: when a command was last sent while none was unanswered
  * @opened_or_released_us: when it was opened or last released
  */
@@ -216,6 +231,7 @@
 	GArray *outstanding;
 	GHashTable *values;
 	GHashTable *prepared;
+	size_t state_bytes;
 	bool in_transaction;
 	int64_t sent_us;
 	int64_t opened_or_released_us;
@@ -250,6 +266,8 @@
  *         which relays its statements
  * @values: acknowledged session values by name
  * @prepared: name to struct prepared
+ * @state_bytes: what @values and @prepared hold, as counted in entry.usage
+ * @statement_bytes: what @statement holds, as counted there
  * @own: position of its newest commit, term 0 for none
  * @last_active_us: when a statement last arrived or was answered
  * @awaiting_routes: whether it waits until the routes are known
@@ -290,6 +308,8 @@
 	char *database;
 	GHashTable *values;
 	GHashTable *prepared;
+	size_t state_bytes;
+	size_t statement_bytes;
 	struct read_requirement own;
 	int64_t last_active_us;
 	bool awaiting_routes;
@@ -361,6 +381,9 @@
  * struct relay_client - a connection on which another daemon relays statements
  * @relayed_sessions: the other daemon's session number to struct remote_session
  * @list_node: node in entry.relay_clients
+ * @served: whether a message of the other daemon was valid
+ * @partial_us: since when an incomplete frame is held, 0 if none
+ * @large_us: since when it holds more than CLIENT_SMALL_BYTES
  * @closed: whether it is to be freed by the next tick
  */
 struct relay_client {
@@ -368,6 +391,9 @@
 	struct channel channel;
 	GHashTable *relayed_sessions;
 	GList list_node;
+	bool served;
+	int64_t partial_us;
+	int64_t large_us;
 	bool closed;
 };
 
@@ -457,6 +483,9 @@
  * @drain_started_us: when it was asked to stop, 0 if it was not
  * @last_tick_us: when links, upstreams and sessions were last checked
  * @random: state of entry_random()
+ * @usage: what the clients take
+ * @limit_hits: applications of each limit since the last log line
+ * @limits_logged_us: when they were logged
  * @counter: handles in @counters, by enum entry_counter
  * @answer_times: from a statement's arrival to its answer, by read rule
  */
@@ -491,6 +520,9 @@
 	int report_timer;
 	int close_timer;
 	uint32_t random;
+	struct client_usage usage;
+	uint64_t limit_hits[CLIENT_LIMIT_NR];
+	int64_t limits_logged_us;
 	struct counter_set counters;
 	int counter[ENTRY_NR_COUNTERS];
 	struct histogram wait_times;
@@ -639,7 +671,7 @@
 
 /* relay_clients.c */
 bool relay_clients_listen(struct entry *entry, GError **error);
-void relay_clients_tick(struct entry *entry);
+void relay_clients_tick(struct entry *entry, int64_t now_us);
 void relay_clients_close(struct entry *entry);
 
 /* handover.c */
@@ -695,6 +727,20 @@
  * statement of it succeeds first */
 void sessions_close_soon(struct session *s);
 
+/* limits.c */
+/** limits_log() - log the limits that were applied, once a second */
+void limits_log(struct entry *entry, int64_t now_us);
+/** limits_item_bytes() - memory of a session value or prepared statement */
+size_t limits_item_bytes(const char *name, const char *value);
+/** session_count_state() - count @bytes of values and prepared statements */
+void session_count_state(struct session *s, size_t bytes);
+/** session_count_statement() - count the outstanding statement */
+void session_count_statement(struct session *s);
+/** session_takes_state() - whether the session may hold @bytes more */
+bool session_takes_state(struct session *s, size_t bytes);
+/** link_count_state() - count @bytes of values and prepared statements */
+void link_count_state(struct link *link, size_t bytes);
+
 /* watch.c */
 void watch_tick(int64_t now_us, void *data);
 /** watch_connect() - connect to control VMs that are not connected */
--- a/entry/link.c
+++ b/entry/link.c
@@ -8,6 +8,9 @@
 
 /* Number of prepared statements above which a connection is reset. */
 #define MAX_PREPARED 256
+/* A connection that holds more values and statements of a session is reset once
+ * the session no longer uses it, bytes. */
+#define MAX_IDLE_STATE_BYTES (64u * 1024)
 /* Pause after an upstream refused a connection because its connection
  * limit was reached. */
 #define CONNECTIONS_FULL_PAUSE_US (150 * 1000ll)
@@ -44,6 +47,7 @@
 {
 	g_ptr_array_remove(link->upstream->links, link);
 	g_array_free(link->outstanding, TRUE);
+	link_count_state(link, 0);
 	g_hash_table_destroy(link->values);
 	g_hash_table_destroy(link->prepared);
 	g_free(link);
@@ -107,6 +111,7 @@
 
 	g_hash_table_remove_all(link->values);
 	g_hash_table_remove_all(link->prepared);
+	link_count_state(link, 0);
 	link_send(link, LINK_PURPOSE_SETUP, &reset);
 	return 1;
 }
@@ -124,6 +129,13 @@
 	return false;
 }
 
+static size_t value_bytes(const struct link *link, const char *name)
+{
+	const char *value = g_hash_table_lookup(link->values, name);
+
+	return value ? limits_item_bytes(name, value) : 0;
+}
+
 static unsigned send_values(struct link *link, const struct session *s)
 {
 	const char *name, *value;
@@ -139,6 +151,9 @@
 		if (!g_strcmp0(g_hash_table_lookup(link->values, name), value))
 			continue;
 		link_send(link, LINK_PURPOSE_SETUP, &set);
+		link_count_state(link, link->state_bytes -
+					       value_bytes(link, name) +
+					       limits_item_bytes(name, value));
 		g_hash_table_replace(link->values, g_strdup(name),
 				     g_strdup(value));
 		nr++;
@@ -158,6 +173,8 @@
 	command.value = p->shape;
 	command.writes = p->writes;
 	link_send(link, LINK_PURPOSE_SETUP, &command);
+	link_count_state(link,
+			 link->state_bytes + limits_item_bytes(p->alias, ""));
 	g_hash_table_add(link->prepared, g_strdup(p->alias));
 	return 1;
 }
@@ -184,12 +201,25 @@
 	link_flush(link);
 }
 
+/* Session values of callers that no longer use the connection would otherwise
+ * be held once for each connection. */
+static void drop_large_state(struct link *link)
+{
+	if (link->state_bytes <= MAX_IDLE_STATE_BYTES || link->in_transaction ||
+	    link->outstanding->len || link->state != LINK_READY)
+		return;
+	reset_link(link);
+	link_flush(link);
+}
+
 void link_release(struct link *link)
 {
 	link->session = NULL;
 	link->opened_or_released_us = clock_now_us();
 	if (link->in_transaction)
 		send_rollback(link);
+	else
+		drop_large_state(link);
 }
 
 void link_abandon(struct link *link)
@@ -304,10 +334,13 @@
 	}
 	if (link->outstanding->len)
 		return;
-	if (link->in_transaction)
+	if (link->in_transaction) {
 		send_rollback(link);
-	else
-		service_dispatch(svc);
+		return;
+	}
+	if (!link->session)
+		drop_large_state(link);
+	service_dispatch(svc);
 }
 
 static bool has_other_ready_link(const struct link *link)
--- a/entry/relay_clients.c
+++ b/entry/relay_clients.c
@@ -146,12 +146,17 @@
 			  const Wire__RelayRequest *in, int64_t now_us)
 {
 	struct session *s = remote->session;
-	size_t i;
+	size_t bytes = 0, i;
 
 	g_hash_table_remove_all(s->values);
-	for (i = 0; i < in->n_values; i++)
+	g_hash_table_remove_all(s->prepared);
+	for (i = 0; i < in->n_values; i++) {
 		g_hash_table_replace(s->values, g_strdup(in->values[i]->name),
 				     g_strdup(in->values[i]->value));
+		bytes += limits_item_bytes(in->values[i]->name,
+					   in->values[i]->value);
+	}
+	session_count_state(s, bytes);
 	if (in->own)
 		s->own = (struct read_requirement){
 			{ in->own->term, in->own->lsn },
@@ -186,6 +191,7 @@
 	st->text = st->buffer + text_at;
 	st->name = st->buffer + name_at;
 	st->value = st->buffer + value_at;
+	session_count_statement(s);
 	if (st->verb == STATEMENT_EXECUTE)
 		session_add_prepared(s, in->name, in->name, in->shape,
 				     in->writes);
@@ -210,6 +216,32 @@
 	       verb == STATEMENT_EXECUTE || verb == STATEMENT_COMMIT;
 }
 
+static size_t request_bytes(const Wire__RelayRequest *in)
+{
+	size_t i, bytes = strlen(in->text) + strlen(in->arguments) +
+			  strlen(in->shape) + strlen(in->id);
+
+	for (i = 0; i < in->n_values; i++)
+		bytes += strlen(in->values[i]->name) +
+			 strlen(in->values[i]->value);
+	return bytes;
+}
+
+/*
+ * Whether this daemon begins a statement: it does so only for a service of the
+ * configuration, as each name that is used takes memory for good.
+ */
+static bool takes_request(struct entry *entry, const Wire__RelayRequest *in)
+{
+	if (!g_hash_table_contains(entry->table->pools, in->service))
+		return false;
+	if (client_limits_takes_message(&entry->config.limits, &entry->usage,
+					request_bytes(in)))
+		return true;
+	entry_note_limit(entry, CLIENT_LIMIT_STATEMENT_MEMORY);
+	return false;
+}
+
 static void handle_request(struct relay_client *link,
 			   const Wire__RelayRequest *in)
 {
@@ -238,6 +270,12 @@
 		decline_request(link, in->session);
 		return;
 	}
+	if ((!remote || remote->session->tx != TX_OPEN) &&
+	    !takes_request(entry, in)) {
+		decline_request(link, in->session);
+		return;
+	}
+	link->served = true;
 	if (!remote)
 		remote = remote_new(link, in->session);
 	s = remote->session;
@@ -265,6 +303,7 @@
 {
 	struct relay_client *link = ch->data;
 
+	link->partial_us = 0;
 	switch (envelope->body_case) {
 	case WIRE__ENVELOPE__BODY_RELAY_REQUEST:
 		handle_request(link, envelope->relay_request);
@@ -301,20 +340,83 @@
 	g_free(link);
 }
 
+static uint64_t weight_of(const struct relay_client *link, int64_t now_us)
+{
+	if (link->closed)
+		return 0;
+	return client_limits_weight(link->channel.stream.accounted,
+				    link->large_us ? now_us - link->large_us :
+						     0);
+}
+
+bool entry_close_relay(struct entry *entry, uint64_t weight)
+{
+	struct relay_client *heaviest = NULL;
+	int64_t now_us = clock_now_us();
+	GList *node;
+
+	for (node = entry->relay_clients.head; node; node = node->next) {
+		if (weight_of(node->data, now_us) <= weight)
+			continue;
+		heaviest = node->data;
+		weight = weight_of(heaviest, now_us);
+	}
+	if (!heaviest)
+		return false;
+	entry_note_limit(entry, CLIENT_LIMIT_CLOSED_MEMORY);
+	relay_client_free(heaviest);
+	return true;
+}
+
+/* Closes the oldest connection on which no daemon has relayed anything, as it
+ * may belong to none. Return: whether there was one */
+static bool close_unused(struct entry *entry)
+{
+	GList *node;
+
+	for (node = entry->relay_clients.head; node; node = node->next) {
+		struct relay_client *link = node->data;
+
+		if (link->served && !link->closed)
+			continue;
+		relay_client_free(link);
+		return true;
+	}
+	return false;
+}
+
+/* Return: whether there is room for one more connection */
+static bool make_room(struct entry *entry)
+{
+	unsigned max = entry->config.limits.relays;
+
+	if (!max || entry->relay_clients.length < max)
+		return true;
+	entry_note_limit(entry, CLIENT_LIMIT_RELAYS);
+	return close_unused(entry);
+}
+
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
 {
 	struct entry *entry = w->data;
 	int fd;
 
 	while ((fd = net_accept(w->fd)) >= 0) {
-		struct relay_client *link = g_new0(struct relay_client, 1);
+		struct relay_client *link;
 
+		if (!make_room(entry)) {
+			close(fd);
+			continue;
+		}
+		link = g_new0(struct relay_client, 1);
 		link->entry = entry;
 		link->list_node.data = link;
 		link->relayed_sessions = g_hash_table_new_full(
 			g_int64_hash, g_int64_equal, NULL, remote_free);
 		g_queue_push_tail_link(&entry->relay_clients, &link->list_node);
 		channel_accept(&link->channel, loop, fd, &link_events, link);
+		stream_set_account(&link->channel.stream,
+				   &entry->usage.held_bytes);
 	}
 }
 
@@ -330,7 +432,31 @@
 	return true;
 }
 
-void relay_clients_tick(struct entry *entry)
+/* Return: whether the connection owes the rest of a frame for too long */
+static bool is_overdue(struct relay_client *link, int64_t now_us)
+{
+	const struct client_limits *limits = &link->entry->config.limits;
+	struct stream *stream = &link->channel.stream;
+	struct client_ages ages = { 0 };
+	enum client_limit limit;
+
+	stream_update_account(stream);
+	if (!pg_buffer_length(&stream->in))
+		link->partial_us = 0;
+	else if (!link->partial_us)
+		link->partial_us = now_us;
+	if (stream->accounted <= CLIENT_SMALL_BYTES)
+		link->large_us = 0;
+	else if (!link->large_us)
+		link->large_us = now_us;
+	ages.message_us = link->partial_us;
+	limit = client_limits_overdue(limits, &ages, now_us);
+	if (limit)
+		entry_note_limit(link->entry, limit);
+	return limit != CLIENT_LIMIT_NONE;
+}
+
+void relay_clients_tick(struct entry *entry, int64_t now_us)
 {
 	GList *node, *next;
 
@@ -338,7 +464,7 @@
 		struct relay_client *link = node->data;
 
 		next = node->next;
-		if (link->closed)
+		if (link->closed || is_overdue(link, now_us))
 			relay_client_free(link);
 	}
 }
--- a/entry/request.c
+++ b/entry/request.c
@@ -535,6 +535,10 @@
 	if (refusal == REFUSAL_BEHIND)
 		note_behind(s, s->link->upstream);
 	release_link(s);
+	if (answer->oversized) {
+		refuse(s, refusal, answer->detail);
+		return;
+	}
 	if (refusal_had_no_effect(refusal) && refusal != REFUSAL_MALFORMED)
 		request_retry(s, refusal);
 	else if (!write && refusal != REFUSAL_MALFORMED)
--- a/entry/session.c
+++ b/entry/session.c
@@ -49,6 +49,8 @@
 	entry_table_unref(s->table);
 	g_queue_unlink(&s->entry->sessions, &s->list_node);
 	statement_clear(&s->statement);
+	session_count_statement(s);
+	session_count_state(s, 0);
 	g_hash_table_destroy(s->values);
 	g_hash_table_destroy(s->prepared);
 	g_free(s->database);
@@ -124,6 +126,7 @@
 	s->last_active_us = clock_now_us();
 	release_route(s);
 	statement_clear(&s->statement);
+	session_count_statement(s);
 	s->ops->answer(s->handle, &out);
 }
 
@@ -192,8 +195,42 @@
 	answer_locally(s, REFUSAL_NONE, NULL);
 }
 
+#define NO_MEMORY_TEXT "this daemon is short of memory; try again"
+#define SESSION_FULL_TEXT                                    \
+	"the session holds too many values and statements; " \
+	"deallocate some or connect again"
+
+void session_refuse_statement(struct session *s)
+{
+	entry_note_limit(s->entry, CLIENT_LIMIT_STATEMENT_MEMORY);
+	answer_locally(s, REFUSAL_BUSY, NO_MEMORY_TEXT);
+}
+
+static size_t value_bytes(const struct session *s, const char *name)
+{
+	const char *value = g_hash_table_lookup(s->values, name);
+
+	return value ? limits_item_bytes(name, value) : 0;
+}
+
+static size_t prepared_bytes(const struct session *s, const char *name)
+{
+	const struct prepared *p = g_hash_table_lookup(s->prepared, name);
+
+	return p ? limits_item_bytes(name, p->shape) : 0;
+}
+
 static void handle_set(struct session *s)
 {
+	const struct statement *st = &s->statement;
+	size_t old = value_bytes(s, st->name);
+	size_t bytes = limits_item_bytes(st->name, st->value);
+
+	if (bytes > old && !session_takes_state(s, bytes - old)) {
+		answer_locally(s, REFUSAL_BUSY, SESSION_FULL_TEXT);
+		return;
+	}
+	session_count_state(s, s->state_bytes - old + bytes);
 	g_hash_table_replace(s->values, g_strdup(s->statement.name),
 			     g_strdup(s->statement.value));
 	answer_locally(s, REFUSAL_NONE, NULL);
@@ -214,6 +251,8 @@
 {
 	struct prepared *p = g_new0(struct prepared, 1);
 
+	session_count_state(s, s->state_bytes - prepared_bytes(s, name) +
+				       limits_item_bytes(name, shape));
 	p->writes = writes;
 	p->shape = g_strdup(shape);
 	p->alias = g_strdup(alias);
@@ -224,13 +263,21 @@
 {
 	const struct statement *st = &s->statement;
 	g_autofree char *alias = shared_alias(st->writes, st->value);
+	size_t old = prepared_bytes(s, st->name);
+	size_t bytes = limits_item_bytes(st->name, st->value);
 
+	if (bytes > old && !session_takes_state(s, bytes - old)) {
+		answer_locally(s, REFUSAL_BUSY, SESSION_FULL_TEXT);
+		return;
+	}
 	session_add_prepared(s, st->name, alias, st->value, st->writes);
 	answer_locally(s, REFUSAL_NONE, NULL);
 }
 
 static void handle_deallocate(struct session *s)
 {
+	session_count_state(s, s->state_bytes -
+				       prepared_bytes(s, s->statement.name));
 	if (g_hash_table_remove(s->prepared, s->statement.name))
 		answer_locally(s, REFUSAL_NONE, NULL);
 	else
@@ -327,6 +374,7 @@
 {
 	s->statement = *statement;
 	*statement = (struct statement){ 0 };
+	session_count_statement(s);
 	s->last_active_us = clock_now_us();
 	if (refuse_if_stopping(s))
 		return;
--- a/include/statement.h
+++ b/include/statement.h
@@ -101,6 +101,8 @@
  * @result: rows and signature as sent by the upstream; NULL for the empty
  *          result of a statement that the proxy answers itself
  * @len: size of @result in bytes
+ * @oversized: whether the result was dropped as it was too large; @refusal is
+ *             REFUSAL_FAILED then, and another attempt would end the same way
  * @state: session state after the statement
  * @position: log position of the upstream, term 0 if unknown
  */
@@ -109,6 +111,7 @@
 	const char *detail;
 	const uint8_t *result;
 	size_t len;
+	bool oversized;
 	enum session_state state;
 	struct position position;
 };
--- a/tests/hostile/entry/callers.c
+++ b/tests/hostile/entry/callers.c
@@ -194,3 +194,44 @@
 			lines, "QUERY 1 PREPARE name-%u READ item $1\r\n", i);
 	send_lines(crowd, lines);
 }
+
+static void expect_answer(struct crowd *crowd, const char *line, size_t len,
+			  const char *answer)
+{
+	g_autofree char *text = NULL;
+	int fd = crowd->fds[0];
+	size_t sent = 0;
+
+	while (sent < len) {
+		ssize_t n = hostile_send(fd, line + sent, len - sent);
+
+		g_assert(n >= 0);
+		sent += (size_t)n;
+		hostile_sleep_ms(1);
+	}
+	text = hostile_read_until(fd, answer);
+	g_assert(text);
+}
+
+/* Messages of the largest size, one at a time and nothing else: each is served. */
+void load_alone(struct crowd *crowd)
+{
+	static const char rows[] = "QUERY 1 READ rows 16\r\n";
+	static const char set[] = "QUERY 1 SET n";
+	g_autofree char *line = crowd_statement(CROWD_LINE_BYTES);
+	unsigned i;
+
+	crowd_connect_started(crowd, 1);
+	for (i = 0; i < 8; i++) {
+		expect_answer(crowd, line, CROWD_LINE_BYTES,
+			      "DONE done\r\nREADY I");
+		expect_answer(crowd, rows, sizeof(rows) - 1,
+			      "DONE rows\r\nREADY I");
+	}
+	memcpy(line, set, sizeof(set) - 1);
+	line[strlen("QUERY 1 SET n")] = ' ';
+	for (i = 0; i < 4; i++)
+		expect_answer(crowd, line, CROWD_LINE_BYTES,
+			      "DONE -\r\nREADY I");
+	expect_answer(crowd, rows, sizeof(rows) - 1, "DONE rows\r\nREADY I");
+}
--- a/tests/hostile/entry/crowd.h
+++ b/tests/hostile/entry/crowd.h
@@ -69,6 +69,7 @@
 void load_values(struct crowd *crowd);
 void load_names(struct crowd *crowd);
 void load_prepared(struct crowd *crowd);
+void load_alone(struct crowd *crowd);
 void load_relay_halves(struct crowd *crowd);
 void load_relay_lengths(struct crowd *crowd);
 void load_relay_services(struct crowd *crowd);
--- a/tests/hostile/entry/main.c
+++ b/tests/hostile/entry/main.c
@@ -20,6 +20,7 @@
 	{ "values", load_values },
 	{ "names", load_names },
 	{ "prepared", load_prepared },
+	{ "alone", load_alone },
 	{ "relay_halves", load_relay_halves },
 	{ "relay_lengths", load_relay_lengths },
 	{ "relay_services", load_relay_services },
