Add a load of relayed sessions, and check that counted memory is released

One connection of a daemon may open any number of sessions. The load sends 60,000, each with a statement that is not answered. Memory that is counted for clients that are gone would refuse all others in the end, so each load now also checks the metric entry_held_bytes after its clients are gone.

--- a/tests/hostile/entry/crowd.c
+++ b/tests/hostile/entry/crowd.c
@@ -2,7 +2,9 @@
 
 #include "peers.h"
 
+#include <limits.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -11,6 +13,9 @@
 /* Attempts of an ordinary request: the daemon may refuse while it is busy. */
 #define REQUEST_US (2 * HOSTILE_PATIENCE_US)
 
+/* What the daemon may count without clients: upstream connections, bytes. */
+#define RELEASED_BYTES (256 * 1024ul)
+
 static char *settings_of(const struct crowd *crowd)
 {
 	return g_strdup_printf(
@@ -48,18 +53,21 @@
 	return ok;
 }
 
+static void fail(struct crowd *crowd, const char *why)
+{
+	fprintf(stderr, "failed: %s\n", why);
+	hostile_stop(&crowd->process);
+	_exit(1);
+}
+
 static void check_request(struct crowd *crowd)
 {
 	int64_t end_us = g_get_monotonic_time() + REQUEST_US;
 
 	while (!request_once(crowd)) {
 		hostile_check_alive(&crowd->process);
-		if (g_get_monotonic_time() > end_us) {
-			fprintf(stderr, "failed: an ordinary request was not "
-					"answered\n");
-			hostile_stop(&crowd->process);
-			_exit(1);
-		}
+		if (g_get_monotonic_time() > end_us)
+			fail(crowd, "an ordinary request was not answered");
 		hostile_sleep_ms(50);
 	}
 }
@@ -144,6 +152,37 @@
 	hostile_check_bounds(&crowd->process, CROWD_MAX_KB, CROWD_FDS_BOUND);
 }
 
+static unsigned long counted_bytes(void)
+{
+	static const char request[] = "GET /metrics HTTP/1.0\r\n\r\n";
+	static const char metric[] = "\nentry_held_bytes ";
+	int fd = hostile_connect(PEERS_ENTRY_IP, CROWD_METRICS_PORT);
+	g_autofree char *text = NULL;
+	const char *line;
+
+	if (fd < 0)
+		return ULONG_MAX;
+	hostile_send(fd, request, sizeof(request) - 1);
+	text = hostile_read_until(fd, "lines_left_out_total");
+	close(fd);
+	if (!text)
+		return ULONG_MAX;
+	line = strstr(text, metric);
+	return line ? strtoul(line + strlen(metric), NULL, 10) : 0;
+}
+
+void crowd_check_released(struct crowd *crowd)
+{
+	int64_t end_us = g_get_monotonic_time() + REQUEST_US;
+
+	while (counted_bytes() > RELEASED_BYTES) {
+		hostile_check_alive(&crowd->process);
+		if (g_get_monotonic_time() > end_us)
+			fail(crowd, "memory of clients that are gone counts");
+		hostile_sleep_ms(100);
+	}
+}
+
 char *crowd_statement(size_t len)
 {
 	static const char head[] = "QUERY 1 READ ";
--- a/tests/hostile/entry/crowd.h
+++ b/tests/hostile/entry/crowd.h
@@ -16,6 +16,8 @@
 /** Descriptor limit of the process, and the bound of those in use. */
 #define CROWD_MAX_FDS 96
 #define CROWD_FDS_BOUND 88
+/** Port of the metrics of each daemon. */
+#define CROWD_METRICS_PORT 9190
 /** Longest line with CR LF, bytes. */
 #define CROWD_LINE_BYTES (1024u * 1024)
 
@@ -52,6 +54,10 @@
 /** crowd_check() - check the bounds and one ordinary request */
 void crowd_check(struct crowd *crowd);
 
+/** crowd_check_released() - check that the daemon counts no memory for clients
+ * that are gone; a daemon without the metric passes */
+void crowd_check_released(struct crowd *crowd);
+
 /** crowd_statement() - a QUERY line of @len bytes that an upstream answers */
 char *crowd_statement(size_t len);
 
@@ -73,6 +79,7 @@
 void load_relay_halves(struct crowd *crowd);
 void load_relay_lengths(struct crowd *crowd);
 void load_relay_services(struct crowd *crowd);
+void load_relay_sessions(struct crowd *crowd);
 void load_http_halves(struct crowd *crowd);
 
 #endif
--- a/tests/hostile/entry/main.c
+++ b/tests/hostile/entry/main.c
@@ -24,6 +24,7 @@
 	{ "relay_halves", load_relay_halves },
 	{ "relay_lengths", load_relay_lengths },
 	{ "relay_services", load_relay_services },
+	{ "relay_sessions", load_relay_sessions },
 	{ "http_halves", load_http_halves },
 };
 
@@ -46,6 +47,7 @@
 	loads[i].run(&crowd);
 	crowd_check(&crowd);
 	crowd_close(&crowd);
+	crowd_check_released(&crowd);
 	hostile_stop(&crowd.process);
 	return 0;
 }
--- a/tests/hostile/entry/ports.c
+++ b/tests/hostile/entry/ports.c
@@ -37,7 +37,8 @@
 	hostile_sleep_ms(500);
 }
 
-static char *pack_request(unsigned number, char *service, size_t *len)
+static char *pack_request(unsigned number, char *service, char *text,
+			  size_t *len)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__RelayRequest request = WIRE__RELAY_REQUEST__INIT;
@@ -50,7 +51,7 @@
 	request.target_us = 5000000;
 	request.verb = STATEMENT_READ;
 	request.id = "1";
-	request.text = "READ one";
+	request.text = text;
 	envelope.body_case = WIRE__ENVELOPE__BODY_RELAY_REQUEST;
 	envelope.relay_request = &request;
 	*len = 4 + wire__envelope__get_packed_size(&envelope);
@@ -73,7 +74,26 @@
 		size_t len;
 
 		memcpy(name, &(char[]){ 'a' + i / 26, 'a' + i % 26 }, 2);
-		frame = pack_request(i + 1, name, &len);
+		frame = pack_request(i + 1, name, "READ one", &len);
+		g_string_append_len(frames, frame, (gssize)len);
+	}
+	crowd_connect(crowd, crowd->internal_port, 1);
+	crowd_send(crowd, frames->str, frames->len, 64000);
+	g_string_free(frames, TRUE);
+}
+
+/* Very many sessions on one connection, each with a statement that is not
+ * answered. */
+void load_relay_sessions(struct crowd *crowd)
+{
+	GString *frames = g_string_new(NULL);
+	unsigned i;
+
+	for (i = 0; i < 60000; i++) {
+		g_autofree char *frame = NULL;
+		size_t len;
+
+		frame = pack_request(i + 1, "svc", "READ never", &len);
 		g_string_append_len(frames, frame, (gssize)len);
 	}
 	crowd_connect(crowd, crowd->internal_port, 1);
@@ -87,6 +107,6 @@
 	static const char text[] = "GET /metrics HTTP/1.1\r\nHost: ";
 
 	crowd_connect(crowd, crowd->ready_port, 60);
-	crowd_connect(crowd, 9190, 60);
+	crowd_connect(crowd, CROWD_METRICS_PORT, 60);
 	crowd_send(crowd, text, sizeof(text) - 1, sizeof(text) - 1);
 }
