Lower what counts as a small client when there are very many

A client that holds up to 64 KiB was neither paused nor closed. 2,888 of them, which 4,200 descriptors allow, could hold 180 MB of a VM of 160 MB. The bound is now the share of one connection in half of the budget, if that is less. Relayed sessions and a database name that waits for the routes count too, and log lines have at most 128 bytes of an id.

--- a/coordination/client_limits.c
+++ b/coordination/client_limits.c
@@ -27,7 +27,7 @@
 /* At 2 Mbit/s a message of 1 MiB takes 4 s, and others share the line. */
 #define MESSAGE_US (60 * 1000000ll)
 #define ANSWER_US (60 * 1000000ll)
-/* Weight of a client that has just exceeded CLIENT_SMALL_BYTES, as time. */
+/* Weight of a client that has just ceased to be small, as time. */
 #define WEIGHT_MIN_US (100 * 1000ll)
 
 static size_t share_of(size_t budget_bytes, size_t divisor)
@@ -89,10 +89,23 @@
 	return CLIENT_LIMIT_NONE;
 }
 
+size_t client_limits_small_bytes(const struct client_limits *limits,
+				 const struct client_usage *usage)
+{
+	size_t share = CLIENT_SMALL_BYTES;
+
+	if (limits->budget_bytes && usage->connections)
+		share = limits->budget_bytes / 100 * PAUSE_PERCENT /
+			usage->connections;
+	if (share < CLIENT_SMALL_MIN_BYTES)
+		return CLIENT_SMALL_MIN_BYTES;
+	return share < CLIENT_SMALL_BYTES ? share : CLIENT_SMALL_BYTES;
+}
+
 bool client_limits_may_read(const struct client_limits *limits,
 			    const struct client_usage *usage, size_t held_bytes)
 {
-	return held_bytes <= CLIENT_SMALL_BYTES ||
+	return held_bytes <= client_limits_small_bytes(limits, usage) ||
 	       fits(limits, usage, 0, PAUSE_PERCENT);
 }
 
@@ -137,9 +150,11 @@
 	       !fits(limits, usage, 0, RESUME_PERCENT);
 }
 
-uint64_t client_limits_weight(size_t held_bytes, int64_t held_us)
+uint64_t client_limits_weight(const struct client_limits *limits,
+			      const struct client_usage *usage,
+			      size_t held_bytes, int64_t held_us)
 {
-	if (held_bytes <= CLIENT_SMALL_BYTES)
+	if (held_bytes <= client_limits_small_bytes(limits, usage))
 		return 0;
 	if (held_us < 0)
 		held_us = 0;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -383,7 +383,7 @@
  * @list_node: node in entry.relay_clients
  * @served: whether a message of the other daemon was valid
  * @partial_us: since when an incomplete frame is held, 0 if none
- * @large_us: since when it holds more than CLIENT_SMALL_BYTES
+ * @large_us: since when it holds more than client_limits_small_bytes()
  * @closed: whether it is to be freed by the next tick
  */
 struct relay_client {
@@ -732,6 +732,8 @@
 void limits_log(struct entry *entry, int64_t now_us);
 /** limits_item_bytes() - memory of a session value or prepared statement */
 size_t limits_item_bytes(const char *name, const char *value);
+/** limits_log_length() - length of the part of an id that is logged */
+size_t limits_log_length(const char *id);
 /** session_count_state() - count @bytes of values and prepared statements */
 void session_count_state(struct session *s, size_t bytes);
 /** session_count_statement() - count the outstanding statement */
--- a/entry/limits.c
+++ b/entry/limits.c
@@ -8,6 +8,8 @@
 
 /* Interval of the log lines of each limit. */
 #define LIMIT_LOG_INTERVAL_US (1000 * 1000ll)
+/* An id may be as long as a message; a log line has this much of it, bytes. */
+#define LOGGED_ID_BYTES 128
 /* Allocations of a session value or prepared statement other than its texts,
  * with the share of the table, bytes: measured with many small ones. */
 #define ITEM_BYTES 160u
@@ -90,6 +92,16 @@
 	return ITEM_BYTES + strlen(name) + strlen(value);
 }
 
+size_t limits_log_length(const char *id)
+{
+	size_t len = strnlen(id, LOGGED_ID_BYTES);
+
+	/* A character is logged whole or not at all. */
+	while (len && id[len] && ((unsigned char)id[len] & 0xc0) == 0x80)
+		len--;
+	return len;
+}
+
 void session_count_state(struct session *s, size_t bytes)
 {
 	recount(s->entry, &s->state_bytes, bytes);
--- a/entry/relay_clients.c
+++ b/entry/relay_clients.c
@@ -216,10 +216,12 @@
 	       verb == STATEMENT_EXECUTE || verb == STATEMENT_COMMIT;
 }
 
+/* Includes the session that a request may create. */
 static size_t request_bytes(const Wire__RelayRequest *in)
 {
-	size_t i, bytes = strlen(in->text) + strlen(in->arguments) +
-			  strlen(in->shape) + strlen(in->id);
+	size_t i, bytes = CLIENT_CONNECTION_BYTES + strlen(in->text) +
+			  strlen(in->arguments) + strlen(in->shape) +
+			  strlen(in->id);
 
 	for (i = 0; i < in->n_values; i++)
 		bytes += strlen(in->values[i]->name) +
@@ -340,13 +342,27 @@
 	g_free(link);
 }
 
+/* Memory of the connection and of the sessions that are relayed on it. */
+static size_t held_bytes(const struct relay_client *link)
+{
+	size_t bytes = link->channel.stream.accounted;
+	struct remote_session *remote;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, link->relayed_sessions);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&remote))
+		bytes += CLIENT_CONNECTION_BYTES +
+			 session_held_bytes(remote->session);
+	return bytes;
+}
+
 static uint64_t weight_of(const struct relay_client *link, int64_t now_us)
 {
 	if (link->closed)
 		return 0;
-	return client_limits_weight(link->channel.stream.accounted,
-				    link->large_us ? now_us - link->large_us :
-						     0);
+	return client_limits_weight(
+		&link->entry->config.limits, &link->entry->usage,
+		held_bytes(link), link->large_us ? now_us - link->large_us : 0);
 }
 
 bool entry_close_relay(struct entry *entry, uint64_t weight)
@@ -445,7 +461,8 @@
 		link->partial_us = 0;
 	else if (!link->partial_us)
 		link->partial_us = now_us;
-	if (stream->accounted <= CLIENT_SMALL_BYTES)
+	if (held_bytes(link) <=
+	    client_limits_small_bytes(limits, &link->entry->usage))
 		link->large_us = 0;
 	else if (!link->large_us)
 		link->large_us = now_us;
--- a/entry/request.c
+++ b/entry/request.c
@@ -76,8 +76,9 @@
 				    ENTRY_COUNT_UNKNOWN,
 			    1);
 		event_log("request_not_done",
-			  "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}",
-			  "id", s->statement.id, "outcome",
+			  "{s:s%, s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}",
+			  "id", s->statement.id,
+			  limits_log_length(s->statement.id), "outcome",
 			  refusal_text(answer->refusal), "why",
 			  answer->detail ? answer->detail : "", "last",
 			  refusal_text(s->last_refusal), "service",
--- a/entry/session.c
+++ b/entry/session.c
@@ -39,6 +39,7 @@
 	s->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    prepared_free);
 	g_queue_push_tail_link(&entry->sessions, &s->list_node);
+	entry->usage.held_bytes += CLIENT_CONNECTION_BYTES;
 	entry_count(entry, ENTRY_COUNT_SESSIONS, 1);
 	return s;
 }
@@ -51,6 +52,7 @@
 	statement_clear(&s->statement);
 	session_count_statement(s);
 	session_count_state(s, 0);
+	s->entry->usage.held_bytes -= CLIENT_CONNECTION_BYTES;
 	g_hash_table_destroy(s->values);
 	g_hash_table_destroy(s->prepared);
 	g_free(s->database);
@@ -92,6 +94,7 @@
 {
 	s->last_active_us = clock_now_us();
 	s->database = g_strdup(database);
+	session_count_state(s, strlen(database));
 	/* A daemon that has just started receives its routes shortly. */
 	s->awaiting_routes = true;
 	if (s->entry->table)
@@ -332,9 +335,10 @@
 
 static void refuse_while_stopping(struct session *s, enum refusal refusal)
 {
-	event_log("request_not_done", "{s:s, s:s, s:s, s:i}", "id",
-		  s->statement.id, "outcome", refusal_text(refusal), "why",
-		  STOPPING_TEXT, "in_transaction", (int)s->tx);
+	event_log("request_not_done", "{s:s%, s:s, s:s, s:i}", "id",
+		  s->statement.id, limits_log_length(s->statement.id),
+		  "outcome", refusal_text(refusal), "why", STOPPING_TEXT,
+		  "in_transaction", (int)s->tx);
 	entry_count(s->entry, ENTRY_COUNT_REFUSED, 1);
 	sessions_close_soon(s);
 	answer_locally(s, refusal, STOPPING_TEXT);
--- a/include/client_limits.h
+++ b/include/client_limits.h
@@ -16,8 +16,11 @@
  * closed. A limit of 0 is not enforced.
  */
 
-/** A client that holds no more than this is neither paused nor closed, bytes. */
+/** A client that holds no more than this is neither paused nor closed, bytes,
+ * unless so many hold as much that half of the budget does not suffice. */
 #define CLIENT_SMALL_BYTES (64u * 1024)
+/** A client that holds no more than this never is, bytes. */
+#define CLIENT_SMALL_MIN_BYTES (8u * 1024)
 /** A message of at most this length is never refused for lack of memory: the
  * end of a transaction must be possible. */
 #define CLIENT_SMALL_MESSAGE_BYTES 4096u
@@ -108,6 +111,10 @@
 enum client_limit client_limits_admit(const struct client_limits *limits,
 				      const struct client_usage *usage,
 				      unsigned same_address);
+/** client_limits_small_bytes() - what a client holds at most that is neither
+ * paused nor closed now */
+size_t client_limits_small_bytes(const struct client_limits *limits,
+				 const struct client_usage *usage);
 /** client_limits_may_read() - whether to read from a client that holds
  * @held_bytes */
 bool client_limits_may_read(const struct client_limits *limits,
@@ -137,8 +144,10 @@
 			      const struct client_usage *usage,
 			      int64_t paused_us);
 /** client_limits_weight() - order of clients to close, 0 for one that is kept;
- * @held_us is the time for which it has held more than CLIENT_SMALL_BYTES */
-uint64_t client_limits_weight(size_t held_bytes, int64_t held_us);
+ * @held_us is the time for which it has not been small */
+uint64_t client_limits_weight(const struct client_limits *limits,
+			      const struct client_usage *usage,
+			      size_t held_bytes, int64_t held_us);
 
 /**
  * struct client_ages - times since which a client owes something, 0 for none
--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -86,13 +86,38 @@
  * instead of one that has held as much for longer. */
 START_TEST(test_weight)
 {
-	ck_assert_uint_eq(client_limits_weight(CLIENT_SMALL_BYTES, INT32_MAX),
+	struct client_limits l;
+	struct client_usage u = { .connections = 10 };
+
+	client_limits_set_defaults(&l, 64, 0);
+	ck_assert_uint_eq(
+		client_limits_weight(&l, &u, CLIENT_SMALL_BYTES, INT32_MAX), 0);
+	ck_assert_uint_gt(client_limits_weight(&l, &u, MIB, 0), 0);
+	ck_assert_uint_gt(client_limits_weight(&l, &u, MIB, 2000000),
+			  client_limits_weight(&l, &u, MIB, 1000000));
+	ck_assert_uint_gt(client_limits_weight(&l, &u, 2 * MIB, 1000000),
+			  client_limits_weight(&l, &u, MIB, 1000000));
+}
+END_TEST
+
+/* Guards against very many clients of which each holds too little to be paused
+ * or closed, while all together hold more than the budget. */
+START_TEST(test_many_small)
+{
+	struct client_usage usage = { .connections = 2888 };
+	struct client_limits limits;
+	size_t held;
+
+	client_limits_set_defaults(&limits, 160, 4200);
+	held = client_limits_small_bytes(&limits, &usage);
+	ck_assert_uint_lt(held * usage.connections, limits.budget_bytes);
+	usage.held_bytes = limits.budget_bytes;
+	ck_assert(client_limits_may_read(&limits, &usage, held));
+	ck_assert(!client_limits_may_read(&limits, &usage, held + 1));
+	ck_assert_uint_gt(client_limits_weight(&limits, &usage, held + 1024, 0),
 			  0);
-	ck_assert_uint_gt(client_limits_weight(MIB, 0), 0);
-	ck_assert_uint_gt(client_limits_weight(MIB, 2000000),
-			  client_limits_weight(MIB, 1000000));
-	ck_assert_uint_gt(client_limits_weight(2 * MIB, 1000000),
-			  client_limits_weight(MIB, 1000000));
+	/* A client between statements holds less. */
+	ck_assert_uint_gt(held, 2 * CLIENT_CONNECTION_BYTES);
 }
 END_TEST
 
@@ -145,4 +170,4 @@
 END_TEST
 
 TEST_MAIN("client_limits", test_defaults, test_order, test_paused_for_long,
-	  test_weight, test_counts, test_overdue)
+	  test_weight, test_many_small, test_counts, test_overdue)
