--- a/coordination/client_limits.c
+++ b/coordination/client_limits.c
@@ -4,7 +4,7 @@
 #define PAUSE_PERCENT 50
 #define RESUME_PERCENT 40
 #define REFUSE_PERCENT 75
-#define FULL_PERCENT 90
+#define CLOSE_PERCENT 90
 /* The other half of the VM's memory is for the program, allocator overhead and
  * the kernel. */
 #define BUDGET_DIVISOR 2
@@ -119,7 +119,7 @@
 				 const struct client_usage *usage, size_t len)
 {
 	return len <= CLIENT_SMALL_MESSAGE_BYTES ||
-	       fits(limits, usage, CLIENT_MESSAGE_COPIES * len, FULL_PERCENT);
+	       fits(limits, usage, CLIENT_MESSAGE_COPIES * len, REFUSE_PERCENT);
 }
 
 bool client_limits_takes_state(const struct client_limits *limits,
@@ -128,7 +128,7 @@
 {
 	if (limits->session_bytes && state_bytes + len > limits->session_bytes)
 		return false;
-	return fits(limits, usage, len, FULL_PERCENT);
+	return fits(limits, usage, len, REFUSE_PERCENT);
 }
 
 bool client_limits_takes_answer(const struct client_limits *limits,
@@ -137,14 +137,14 @@
 	if (limits->answer_bytes && len > limits->answer_bytes)
 		return false;
 	return len <= CLIENT_SMALL_BYTES ||
-	       fits(limits, usage, len, FULL_PERCENT);
+	       fits(limits, usage, len, CLOSE_PERCENT);
 }
 
 bool client_limits_must_close(const struct client_limits *limits,
 			      const struct client_usage *usage,
 			      int64_t paused_us)
 {
-	if (!fits(limits, usage, 0, REFUSE_PERCENT))
+	if (!fits(limits, usage, 0, CLOSE_PERCENT))
 		return true;
 	return paused_us > CLIENT_PAUSE_MAX_US &&
 	       !fits(limits, usage, 0, RESUME_PERCENT);
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -289,5 +289,34 @@
 }
 END_TEST
 
+/* Guards against a caller that stays paused although it holds little: neither is
+ * it read, nor is it one of those that are closed. */
+START_TEST(test_resume)
+{
+	struct client_limits limits;
+	g_autofree char *value = g_strnfill(20000, 'v');
+	size_t held;
+	int fd;
+
+	client_limits_set_defaults(&limits, 64, 0);
+	setup(&limits);
+	fd = connect_caller();
+	expect(fd, "START db key\r\n", "READY I");
+	held = limits.budget_bytes * 6 / 10;
+	entry->usage.held_bytes += held;
+	entry->usage.connections += 5000;
+	send_all(fd, "QUERY 1 SET a ", 14);
+	send_all(fd, value, strlen(value));
+	while (!entry->usage.paused)
+		ev_run(loop, EVRUN_ONCE);
+	entry->usage.connections -= 5000;
+	expect(fd, "\r\n", "DONE -\r\nREADY I");
+	ck_assert_uint_eq(entry->usage.paused, 0);
+	entry->usage.held_bytes -= held;
+	close(fd);
+	teardown();
+}
+END_TEST
+
 TEST_MAIN("callers", test_early_statements, test_counts, test_times,
-	  test_no_memory, test_session_state)
+	  test_no_memory, test_session_state, test_resume)
--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -38,7 +38,7 @@
 {
 	struct client_usage usage = { 0 };
 	struct client_limits limits;
-	size_t paused = 0, refused = 0, closed = 0;
+	size_t paused = 0, refused = 0, statement = 0, closed = 0;
 
 	client_limits_set_defaults(&limits, 64, 0);
 	for (usage.held_bytes = 0; usage.held_bytes < limits.budget_bytes;
@@ -48,12 +48,17 @@
 		if (!refused && client_limits_admit(&limits, &usage, 0) !=
 					CLIENT_LIMIT_NONE)
 			refused = usage.held_bytes;
+		if (!statement &&
+		    !client_limits_takes_message(&limits, &usage, 10000))
+			statement = usage.held_bytes;
 		if (!closed && client_limits_must_close(&limits, &usage, 0))
 			closed = usage.held_bytes;
 	}
 	ck_assert_uint_gt(paused, 0);
 	ck_assert_uint_lt(paused, refused);
-	ck_assert_uint_le(refused, closed);
+	ck_assert_uint_lt(refused, closed);
+	ck_assert_uint_lt(paused, statement);
+	ck_assert_uint_lt(statement, closed);
 	ck_assert_uint_lt(closed, limits.budget_bytes);
 	usage.held_bytes = limits.budget_bytes;
 	ck_assert(client_limits_may_read(&limits, &usage, 1000));
