--- a/entry/link.c
+++ b/entry/link.c
@@ -202,9 +202,11 @@
 }
 
 /* Session values of callers that no longer use the connection would otherwise
- * be held once for each connection. */
+ * be held once for each connection. Without a budget nothing is reset. */
 static void drop_large_state(struct link *link)
 {
+	if (!link_entry(link)->config.limits.budget_bytes)
+		return;
 	if (link->state_bytes <= MAX_IDLE_STATE_BYTES || link->in_transaction ||
 	    link->outstanding->len || link->state != LINK_READY)
 		return;
