--- a/entry/request.c
+++ b/entry/request.c
@@ -83,8 +83,9 @@
 				    ENTRY_COUNT_UNKNOWN,
 			    1);
 		event_log("request_not_done",
-			  "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}",
-			  "id", s->statement.id, "outcome",
+			  "{s:s%, s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}",
+			  "id", s->statement.id,
+			  limits_log_length(s->statement.id), "outcome",
 			  refusal_text(answer->refusal), "why",
 			  answer->detail ? answer->detail : "", "last",
 			  refusal_text(s->last_refusal), "service",
@@ -636,6 +637,10 @@
 	if (refusal == REFUSAL_BEHIND)
 		note_behind(s, s->link->upstream);
 	release_link(s);
+	if (answer->oversized) {
+		refuse(s, refusal, answer->detail);
+		return;
+	}
 	if (refusal_had_no_effect(refusal) && refusal != REFUSAL_MALFORMED)
 		request_retry(s, refusal);
 	else if (!write && refusal != REFUSAL_MALFORMED)
--- a/entry/session.c
+++ b/entry/session.c
@@ -39,6 +39,7 @@
 	s->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    prepared_free);
 	g_queue_push_tail_link(&entry->sessions, &s->list_node);
+	entry->usage.held_bytes += CLIENT_CONNECTION_BYTES;
 	entry_count(entry, ENTRY_COUNT_SESSIONS, 1);
 	return s;
 }
@@ -49,6 +50,9 @@
 	entry_table_unref(s->table);
 	g_queue_unlink(&s->entry->sessions, &s->list_node);
 	statement_clear(&s->statement);
+	session_count_statement(s);
+	session_count_state(s, 0);
+	s->entry->usage.held_bytes -= CLIENT_CONNECTION_BYTES;
 	g_hash_table_destroy(s->values);
 	g_hash_table_destroy(s->prepared);
 	g_free(s->database);
@@ -123,6 +127,7 @@
 	s->last_active_us = clock_now_us();
 	s->database = g_strdup(database);
 	s->key = g_strdup(key);
+	session_count_state(s, strlen(database) + strlen(s->key));
 	/* A daemon that has just started receives its routes shortly. */
 	s->awaiting_routes = true;
 	if (s->entry->table)
@@ -158,6 +163,7 @@
 	s->last_active_us = clock_now_us();
 	release_route(s);
 	statement_clear(&s->statement);
+	session_count_statement(s);
 	s->ops->answer(s->handle, &out);
 }
 
@@ -232,8 +238,42 @@
 	answer_locally(s, REFUSAL_NONE, NULL);
 }
 
+#define NO_MEMORY_TEXT "this daemon is short of memory; try again"
+#define SESSION_FULL_TEXT                                    \
+	"the session holds too many values and statements; " \
+	"deallocate some or connect again"
+
+void session_refuse_statement(struct session *s)
+{
+	entry_note_limit(s->entry, CLIENT_LIMIT_STATEMENT_MEMORY);
+	answer_locally(s, REFUSAL_BUSY, NO_MEMORY_TEXT);
+}
+
+static size_t value_bytes(const struct session *s, const char *name)
+{
+	const char *value = g_hash_table_lookup(s->values, name);
+
+	return value ? limits_item_bytes(name, value) : 0;
+}
+
+static size_t prepared_bytes(const struct session *s, const char *name)
+{
+	const struct prepared *p = g_hash_table_lookup(s->prepared, name);
+
+	return p ? limits_item_bytes(name, p->shape) : 0;
+}
+
 static void handle_set(struct session *s)
 {
+	const struct statement *st = &s->statement;
+	size_t old = value_bytes(s, st->name);
+	size_t bytes = limits_item_bytes(st->name, st->value);
+
+	if (bytes > old && !session_takes_state(s, bytes - old)) {
+		answer_locally(s, REFUSAL_BUSY, SESSION_FULL_TEXT);
+		return;
+	}
+	session_count_state(s, s->state_bytes - old + bytes);
 	g_hash_table_replace(s->values, g_strdup(s->statement.name),
 			     g_strdup(s->statement.value));
 	answer_locally(s, REFUSAL_NONE, NULL);
@@ -254,6 +294,8 @@
 {
 	struct prepared *p = g_new0(struct prepared, 1);
 
+	session_count_state(s, s->state_bytes - prepared_bytes(s, name) +
+				       limits_item_bytes(name, shape));
 	p->writes = writes;
 	p->shape = g_strdup(shape);
 	p->alias = g_strdup(alias);
@@ -264,13 +306,21 @@
 {
 	const struct statement *st = &s->statement;
 	g_autofree char *alias = shared_alias(st->writes, st->value);
+	size_t old = prepared_bytes(s, st->name);
+	size_t bytes = limits_item_bytes(st->name, st->value);
 
+	if (bytes > old && !session_takes_state(s, bytes - old)) {
+		answer_locally(s, REFUSAL_BUSY, SESSION_FULL_TEXT);
+		return;
+	}
 	session_add_prepared(s, st->name, alias, st->value, st->writes);
 	answer_locally(s, REFUSAL_NONE, NULL);
 }
 
 static void handle_deallocate(struct session *s)
 {
+	session_count_state(s, s->state_bytes -
+				       prepared_bytes(s, s->statement.name));
 	if (g_hash_table_remove(s->prepared, s->statement.name))
 		answer_locally(s, REFUSAL_NONE, NULL);
 	else
@@ -321,9 +371,10 @@
 
 static void refuse_while_stopping(struct session *s, enum refusal refusal)
 {
-	event_log("request_not_done", "{s:s, s:s, s:s, s:i}", "id",
-		  s->statement.id, "outcome", refusal_text(refusal), "why",
-		  STOPPING_TEXT, "in_transaction", (int)s->tx);
+	event_log("request_not_done", "{s:s%, s:s, s:s, s:i}", "id",
+		  s->statement.id, limits_log_length(s->statement.id),
+		  "outcome", refusal_text(refusal), "why", STOPPING_TEXT,
+		  "in_transaction", (int)s->tx);
 	entry_count(s->entry, ENTRY_COUNT_REFUSED, 1);
 	sessions_close_soon(s);
 	answer_locally(s, refusal, STOPPING_TEXT);
@@ -363,6 +414,7 @@
 {
 	s->statement = *statement;
 	*statement = (struct statement){ 0 };
+	session_count_statement(s);
 	s->last_active_us = clock_now_us();
 	if (refuse_if_stopping(s))
 		return;
