Test that the largest message is served beside no others

A limit on memory must not refuse a single message within the limits. The load sends a Bind of 16 MiB less 64 KiB and waits for its answer.

--- a/tests/hostile/proxy/crowd.c
+++ b/tests/hostile/proxy/crowd.c
@@ -141,17 +141,14 @@
 	return fd;
 }
 
-/* Reads whole frames until ReadyForQuery; the text is in one of them. */
-bool caller_query(int fd, const char *sql, const char *expected)
+bool caller_answer(int fd, const char *expected)
 {
-	GByteArray *out = g_byte_array_new(), *in = g_byte_array_new();
 	struct pollfd pfd = { .fd = fd, .events = POLLIN };
+	GByteArray *in = g_byte_array_new();
 	char buffer[4096];
 	bool found = false;
 	ssize_t n;
 
-	frame_text(out, 'Q', sql);
-	push(fd, out->data, out->len);
 	while (poll(&pfd, 1, 5000) == 1) {
 		n = recv(fd, buffer, sizeof(buffer), 0);
 		if (n <= 0)
@@ -163,11 +160,20 @@
 		found = memmem(in->data, in->len, expected, strlen(expected));
 		break;
 	}
-	g_byte_array_unref(out);
 	g_byte_array_unref(in);
 	return found;
 }
 
+bool caller_query(int fd, const char *sql, const char *expected)
+{
+	GByteArray *out = g_byte_array_new();
+
+	frame_text(out, 'Q', sql);
+	push(fd, out->data, out->len);
+	g_byte_array_unref(out);
+	return caller_answer(fd, expected);
+}
+
 static void fail(const char *why)
 {
 	fprintf(stderr, "failed: %s\n", why);
@@ -284,7 +290,7 @@
 {
 	const struct load *load = argc > 6 ? find_load(argv[1]) : NULL;
 	struct target t;
-	GArray *fds = g_array_new(FALSE, FALSE, sizeof(int));
+	GArray *fds;
 	guint i;
 
 	if (argc == 3 && !strcmp(argv[1], "certificate"))
@@ -300,6 +306,7 @@
 	t.admin = atoi(argv[4]);
 	t.bus = atoi(argv[5]);
 	t.control = atoi(argv[6]);
+	fds = g_array_new(FALSE, FALSE, sizeof(int));
 	load->run(&t, fds);
 	check(&t, load);
 	/* Ordinary callers are served beside the crowd and after it. */
--- a/tests/hostile/proxy/crowd.h
+++ b/tests/hostile/proxy/crowd.h
@@ -41,6 +41,9 @@
 int caller_connect(const struct target *t);
 /** caller_open() - a session that is ready, -1 if refused */
 int caller_open(const struct target *t);
+/** caller_answer() - read up to ReadyForQuery. Return: whether @expected is in
+ * it */
+bool caller_answer(int fd, const char *expected);
 /** caller_query() - Return: whether the answer of @sql contains @expected */
 bool caller_query(int fd, const char *sql, const char *expected);
 /** caller_serves() - fail unless an ordinary request is answered */
--- a/tests/hostile/proxy/statements.c
+++ b/tests/hostile/proxy/statements.c
@@ -2,6 +2,8 @@
 
 #include "hostile.h"
 
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define KIB 1024u
@@ -90,6 +92,31 @@
 	crowd(t, fds, 24, bytes);
 }
 
+/* A limit must not refuse the largest message when nothing else runs. */
+static void single_message(const struct target *t, GArray *fds)
+{
+	GByteArray *bytes = g_byte_array_new();
+	GByteArray *body = filled(16 * MIB - 64 * KIB, 'x');
+	static const guint8 head[] = { 0, 0, 0, 0, 0, 1, 0, 0xff, 0, 0 };
+	static const guint8 tail[] = { 0, 0 };
+	int fd = join(t, fds);
+
+	frame_parse(bytes, "", "SELECT length($1)");
+	frame_header(bytes, 'B', 4 + sizeof(head) + body->len + sizeof(tail));
+	g_byte_array_append(bytes, head, sizeof(head));
+	g_byte_array_append(bytes, body->data, body->len);
+	g_byte_array_append(bytes, tail, sizeof(tail));
+	frame_execute(bytes, "");
+	frame_add(bytes, 'S', NULL, 0);
+	push(fd, bytes->data, bytes->len);
+	g_byte_array_unref(bytes);
+	g_byte_array_unref(body);
+	if (!caller_answer(fd, "16711680")) {
+		fprintf(stderr, "failed: the message is not answered\n");
+		exit(1);
+	}
+}
+
 static void small_pieces(const struct target *t, GArray *fds)
 {
 	GByteArray *bytes = g_byte_array_new();
@@ -268,6 +295,7 @@
 	{ "half_statement", half_statement, BOUND_KB, BOUND_FDS },
 	{ "large_statements", large_statements, BOUND_KB, BOUND_FDS },
 	{ "large_parameters", large_parameters, BOUND_KB, BOUND_FDS },
+	{ "single_message", single_message, BOUND_KB, BOUND_FDS },
 	{ "small_pieces", small_pieces, BOUND_KB, BOUND_FDS },
 	{ "false_lengths", false_lengths, BOUND_KB, BOUND_FDS },
 	{ "simple_pipeline", simple_pipeline, BOUND_KB, BOUND_FDS },
