--- a/common/ini_types.c
+++ b/common/ini_types.c
@@ -152,6 +152,48 @@
 				       us / 1000000);
 }
 
+static const struct {
+	const char *name;
+	uint64_t bytes;
+} size_units[] = {
+	{ "MiB", 1024 * 1024 },
+	{ "KiB", 1024 },
+};
+
+static bool parse_size(const char *text, const struct ini_field *field,
+		       void *target)
+{
+	const char *unit = text + strspn(text, "0123456789");
+	g_autofree char *digits = g_strndup(text, unit - text);
+	guint64 value;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(size_units); i++) {
+		if (strcmp(unit, size_units[i].name))
+			continue;
+		if (!g_ascii_string_to_unsigned(
+			    digits, 10, 0, G_MAXUINT64 / size_units[i].bytes,
+			    &value, NULL))
+			return false;
+		value *= size_units[i].bytes;
+		if (value < field->min || value > field->max)
+			return false;
+		*(uint64_t *)target = value;
+		return true;
+	}
+	return false;
+}
+
+static void print_size(const void *target, GString *out)
+{
+	uint64_t bytes = *(const uint64_t *)target;
+	size_t i = bytes % size_units[0].bytes ? 1 : 0;
+
+	g_string_append_printf(out, "%" G_GUINT64_FORMAT "%s",
+			       (guint64)(bytes / size_units[i].bytes),
+			       size_units[i].name);
+}
+
 char **ini_split_list(const char *text)
 {
 	char **items = g_strsplit(text, ",", -1);
@@ -248,6 +290,12 @@
 	.print = print_duration,
 };
 
+const struct ini_type ini_size = {
+	.expected = "a size with its unit, such as 512KiB or 64MiB,",
+	.parse = parse_size,
+	.print = print_size,
+};
+
 const struct ini_type ini_names = {
 	.expected = "different names separated by commas, each of 1 to 40 "
 		    "letters, digits, \"-\" or \"_\"",
--- a/common/settings.c
+++ b/common/settings.c
@@ -4,6 +4,7 @@
 
 #define US_PER_MS INT64_C(1000)
 #define US_PER_HOUR INT64_C(3600000000)
+#define MIB UINT64_C(1048576)
 
 #define FIELD(section, key, member, type) \
 	section, key, &type, offsetof(struct settings, member)
@@ -26,6 +27,25 @@
 	{ FIELD("daemon", "caller_write_timeout", caller_write_timeout_us,
 		ini_duration),
 	  INI_OPTIONAL, "30s", 10 * US_PER_MS, US_PER_HOUR },
+	{ FIELD("daemon", "memory_budget", memory_budget, ini_size),
+	  INI_OPTIONAL, "96MiB", 16 * MIB, 1024 * 1024 * MIB },
+	{ FIELD("daemon", "max_startups", max_startups, ini_unsigned),
+	  INI_OPTIONAL, "2500", 1, 100000 },
+	{ FIELD("daemon", "max_callers_per_address", max_callers_per_address,
+		ini_unsigned),
+	  INI_OPTIONAL, "0", 0, 100000 },
+	{ FIELD("daemon", "reserved_descriptors", reserved_descriptors,
+		ini_unsigned),
+	  INI_OPTIONAL, "256", 0, 100000 },
+	{ FIELD("daemon", "max_upstreams", max_upstreams, ini_unsigned),
+	  INI_OPTIONAL, "2000", 1, 100000 },
+	{ FIELD("daemon", "startup_timeout", startup_timeout_us, ini_duration),
+	  INI_OPTIONAL, "10s", 100 * US_PER_MS, US_PER_HOUR },
+	{ FIELD("daemon", "message_timeout", message_timeout_us, ini_duration),
+	  INI_OPTIONAL, "60s", 100 * US_PER_MS, US_PER_HOUR },
+	{ FIELD("daemon", "transaction_idle_timeout", transaction_idle_us,
+		ini_duration),
+	  INI_OPTIONAL, "60s", 0, 24 * US_PER_HOUR },
 };
 
 static const struct ini_field control_fields[] = {
@@ -189,6 +209,17 @@
 	       field->offset == offsetof(struct settings, drain_timeout_us) ||
 	       field->offset ==
 		       offsetof(struct settings, caller_write_timeout_us) ||
+	       field->offset == offsetof(struct settings, memory_budget) ||
+	       field->offset == offsetof(struct settings, max_startups) ||
+	       field->offset ==
+		       offsetof(struct settings, max_callers_per_address) ||
+	       field->offset ==
+		       offsetof(struct settings, reserved_descriptors) ||
+	       field->offset == offsetof(struct settings, max_upstreams) ||
+	       field->offset == offsetof(struct settings, startup_timeout_us) ||
+	       field->offset == offsetof(struct settings, message_timeout_us) ||
+	       field->offset ==
+		       offsetof(struct settings, transaction_idle_us) ||
 	       field->offset == offsetof(struct settings, users_file);
 }
 
@@ -212,6 +243,18 @@
 			     field->key);
 }
 
+static void copy_limits(struct settings *to, const struct settings *from)
+{
+	to->memory_budget = from->memory_budget;
+	to->max_startups = from->max_startups;
+	to->max_callers_per_address = from->max_callers_per_address;
+	to->reserved_descriptors = from->reserved_descriptors;
+	to->max_upstreams = from->max_upstreams;
+	to->startup_timeout_us = from->startup_timeout_us;
+	to->message_timeout_us = from->message_timeout_us;
+	to->transaction_idle_us = from->transaction_idle_us;
+}
+
 bool settings_reload(struct settings *settings, const char *path,
 		     GError **error)
 {
@@ -235,6 +278,7 @@
 		settings->drain_timeout_us = fresh.drain_timeout_us;
 		settings->caller_write_timeout_us =
 			fresh.caller_write_timeout_us;
+		copy_limits(settings, &fresh);
 		g_free(settings->users_file);
 		settings->users_file = g_steal_pointer(&fresh.users_file);
 	}
--- a/include/ini_reader.h
+++ b/include/ini_reader.h
@@ -131,6 +131,8 @@
 extern const struct ini_type ini_uint64;
 /** int64_t, microseconds */
 extern const struct ini_type ini_duration;
+/** uint64_t, bytes */
+extern const struct ini_type ini_size;
 /** char **, NULL-terminated: distinct names separated by commas */
 extern const struct ini_type ini_names;
 
--- a/include/settings.h
+++ b/include/settings.h
@@ -53,6 +53,15 @@
  * @stale_tables_limit_us: how long tables are used after the last lease grant
  * @session_wait_us: maximum wait for the owners of a session
  * @caller_write_timeout_us: how long a caller may leave an answer unread
+ * @memory_budget: bytes that all callers may hold in this process
+ * @max_startups: maximum number of callers that are not logged in yet
+ * @max_callers_per_address: maximum per IP address, 0 for no limit
+ * @reserved_descriptors: file descriptors not given to callers
+ * @max_upstreams: maximum number of upstreams known from announcements
+ * @startup_timeout_us: how long a caller may take to log in
+ * @message_timeout_us: how long a message or a batch may take to arrive
+ * @transaction_idle_us: how long a caller may be idle in a transaction, 0 for
+ *                       no limit
  * @connection_linger_us: time after which a dead daemon's connections are
  *                        presumed closed
  * @election_timeout_us: minimum Raft election timeout
@@ -84,6 +93,14 @@
 	int64_t stale_tables_limit_us;
 	int64_t session_wait_us;
 	int64_t caller_write_timeout_us;
+	uint64_t memory_budget;
+	unsigned max_startups;
+	unsigned max_callers_per_address;
+	unsigned reserved_descriptors;
+	unsigned max_upstreams;
+	int64_t startup_timeout_us;
+	int64_t message_timeout_us;
+	int64_t transaction_idle_us;
 	int64_t connection_linger_us;
 	int64_t election_timeout_us;
 };
@@ -95,8 +112,8 @@
 /**
  * settings_reload() - apply the settings that may change at run time
  *
- * These are log_level, max_callers, drain_timeout, caller_write_timeout and
- * users_file. If any other setting differs, nothing is changed and the
+ * These are log_level, max_callers, drain_timeout, caller_write_timeout,
+ * users_file and the limits on callers and upstreams. If any other setting differs, nothing is changed and the
  * difference is reported as an error.
  */
 bool settings_reload(struct settings *settings, const char *path,
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -108,6 +108,14 @@
 	ck_assert_int_eq(s.drain_timeout_us, 30000000);
 	ck_assert_int_eq(s.caller_write_timeout_us, 30000000);
 	ck_assert_uint_eq(s.max_callers, 2500);
+	ck_assert_uint_eq(s.memory_budget, 96u * 1024 * 1024);
+	ck_assert_uint_eq(s.max_startups, 2500);
+	ck_assert_uint_eq(s.max_callers_per_address, 0);
+	ck_assert_uint_eq(s.reserved_descriptors, 256);
+	ck_assert_uint_eq(s.max_upstreams, 2000);
+	ck_assert_int_eq(s.startup_timeout_us, 10000000);
+	ck_assert_int_eq(s.message_timeout_us, 60000000);
+	ck_assert_int_eq(s.transaction_idle_us, 60000000);
 	ck_assert_int_eq(s.log_level, LOG_LEVEL_INFO);
 	settings_finish(&s);
 }
@@ -268,12 +276,15 @@
 	ck_assert_uint_eq(s.max_callers, 20);
 	g_free(text);
 	text = edit_base("max_callers = 10\ndrain_timeout = 1m",
-			 "max_callers = 30\ncaller_write_timeout = 1s");
+			 "max_callers = 30\ncaller_write_timeout = 1s\n"
+			 "memory_budget = 17408KiB\nmax_upstreams = 7");
 	write_text(text);
 	ck_assert(settings_reload(&s, path, &error));
 	ck_assert_uint_eq(s.max_callers, 30);
 	ck_assert_int_eq(s.drain_timeout_us, 30000000);
 	ck_assert_int_eq(s.caller_write_timeout_us, 1000000);
+	ck_assert_uint_eq(s.memory_budget, 17u * 1024 * 1024);
+	ck_assert_uint_eq(s.max_upstreams, 7);
 	g_free(text);
 	text = edit_base("2@127.0.0.1:7002", "2@127.0.0.1:7003");
 	write_text(text);
