Limit the memory, descriptors and time that callers take

Callers could make the daemon buffer without a bound: halves of large messages, batches of small frames, names of prepared statements, answers of the daemon itself. A search among pending Parse frames was quadratic and hung the process. Idle callers took every descriptor, callers that stopped in a transaction every connection to the primary, and each announced name became an entry for good.

What callers hold is now counted against memory_budget. Above half of it all but one are read only up to 64 KiB; above all of it those that held the most for the longest are closed. Frames of a batch and names of statements count. Frames behind a Flush wait for the upstream. Startups, messages and idle transactions have timeouts, and callers leave reserved_descriptors free. A table of pending statements replaces the search. Each limit has a counter and a log line at most every 10 s.

--- a/comfreywheeld/announce.c
+++ b/comfreywheeld/announce.c
@@ -1,6 +1,7 @@
 #include "announce.h"
 
 #include "announcement.h"
+#include "caller_limits.h"
 #include "cluster_links.h"
 #include "http.h"
 
@@ -35,6 +36,28 @@
 	int timer;
 };
 
+/*
+ * Upstreams that no pool uses may fill half of the table, so that names of
+ * unused clusters do not keep out those of used ones.
+ */
+static bool is_full(struct proxy *proxy, const Wire__Announcement *ann)
+{
+	const struct upstream_directory *dir = &proxy->directory;
+	unsigned max = proxy->settings->max_upstreams;
+
+	if (directory_find_upstream(dir, ann->name) != UPSTREAM_NONE)
+		return false;
+	if (!cluster_links_uses(proxy, ann->service, ann->cluster))
+		max -= max / 2;
+	if (dir->upstreams->len < max)
+		return false;
+	caller_limits_note(proxy, COUNT_UPSTREAMS_REFUSED,
+			   "announcements are refused: too many names",
+			   "raise max_upstreams, or restart after wrong "
+			   "announcements");
+	return true;
+}
+
 const char *announce_take(struct proxy *proxy, const Wire__Announcement *ann)
 {
 	const struct upstream_announcement known = {
@@ -50,9 +73,12 @@
 		.leaving = ann->leaving,
 	};
 	int64_t age = MIN(ann->age_us, (uint64_t)INT64_MAX / 2);
-	int handle = directory_record_announcement(&proxy->directory, &known,
-						   age, proxy_now());
+	int handle;
 
+	if (is_full(proxy, ann))
+		return "too many upstreams are known; raise max_upstreams";
+	handle = directory_record_announcement(&proxy->directory, &known, age,
+					       proxy_now());
 	if (handle == UPSTREAM_NONE) {
 		proxy_count(proxy, COUNT_ANNOUNCEMENTS_STALE);
 		return "older than what is known, or of another cluster than "
--- a/comfreywheeld/caller.c
+++ b/comfreywheeld/caller.c
@@ -1,6 +1,7 @@
 #include "caller.h"
 
 #include "caller_batch.h"
+#include "caller_limits.h"
 #include "caller_query.h"
 #include "net.h"
 #include "upstream_connection.h"
@@ -10,8 +11,6 @@
 
 /* Bytes a caller may send ahead of the answer before reading pauses. */
 #define AHEAD_MAX (64u * 1024)
-/* Time a caller has for start-up and login. */
-#define LOGIN_TIMEOUT_US (10 * 1000000ll)
 
 struct pg_buffer *caller_out(struct caller *caller)
 {
@@ -45,6 +44,7 @@
 	caller->state = CALLER_CLOSED;
 	request_drop(&caller->request);
 	stream_close(&caller->stream);
+	caller_limits_closed(caller);
 	timer_cancel(&proxy->timers, &caller->login_timer);
 	caller_settings_finish(&caller->settings);
 	caller_statements_finish(caller);
@@ -98,14 +98,21 @@
 	struct caller *caller = data;
 
 	caller->login_timer = TIMER_NONE;
+	caller_limits_note(caller->proxy, COUNT_CALLERS_LATE_STARTUP,
+			   "callers are closed: their startup did not end in "
+			   "time",
+			   "raise startup_timeout if they are slow");
 	caller_close(caller);
 }
 
 void caller_accept(struct proxy *proxy, int fd)
 {
-	struct caller *caller = g_new0(struct caller, 1);
 	static uint32_t generation;
+	struct caller *caller;
 
+	if (!caller_limits_accept(proxy, fd))
+		return;
+	caller = g_new0(struct caller, 1);
 	caller->proxy = proxy;
 	caller->index = take_index(proxy, caller);
 	caller->generation = ++generation;
@@ -119,18 +126,14 @@
 	request_init(&caller->request, caller);
 	stream_init(&caller->stream, proxy->loop, fd, false, &caller_events,
 		    caller);
-	caller->login_timer = timer_subscribe(&proxy->timers,
-					      proxy_now() + LOGIN_TIMEOUT_US, 0,
-					      caller_login_timeout, caller);
+	caller->login_timer = timer_subscribe(
+		&proxy->timers,
+		proxy_now() + proxy->settings->startup_timeout_us, 0,
+		caller_login_timeout, caller);
 	proxy->nr_callers++;
 	proxy_count(proxy, COUNT_CALLERS_ACCEPTED);
 	proxy_gauge(proxy, COUNT_CALLERS_OPEN, proxy->nr_callers);
-	if (proxy->nr_callers <= proxy->settings->max_callers)
-		return;
-	proxy_count(proxy, COUNT_CALLERS_REFUSED);
-	caller_fatal(caller, "53300", "too many callers on this daemon",
-		     "Connect again to reach another daemon, or raise "
-		     "max_callers.");
+	caller_limits_opened(caller);
 }
 
 /* What runs for the caller is given up with it. */
@@ -139,6 +142,7 @@
 {
 	if (caller->state >= CALLER_CLOSING)
 		return;
+	caller_limits_started(caller);
 	request_drop(&caller->request);
 	pg_put_error(caller_out(caller), "FATAL", sqlstate, message, hint);
 	caller->state = CALLER_CLOSING;
@@ -232,15 +236,21 @@
 	caller_frame(caller, &frame, pg_buffer_head(in));
 	if (caller->state == CALLER_READY)
 		pg_buffer_consume(in, frame.frame_len);
+	if (!pg_buffer_length(&caller->request.bytes))
+		caller->message_since_us = 0;
 	return caller->state == CALLER_READY;
 }
 
-/* A batch that was flushed goes on while its beginning runs. */
+/* A batch that was flushed goes on while its beginning runs, as fast as the
+ * upstream takes it. */
 static bool may_take(const struct caller *caller)
 {
 	const struct request *req = &caller->request;
 
-	return !caller->busy || (req->open && req->state == REQUEST_RUNNING);
+	if (!caller->busy)
+		return true;
+	return req->open && req->state == REQUEST_RUNNING && req->conn &&
+	       !stream_above_high_water(&req->conn->stream);
 }
 
 void caller_input(struct caller *caller)
@@ -257,9 +267,8 @@
 	if (caller->state != CALLER_READY)
 		return;
 	ahead = pg_buffer_length(&caller->stream.in) > AHEAD_MAX;
-	stream_pause(&caller->stream,
-		     ahead &&
-			     (caller->busy || caller->stream.above_high_water));
+	caller_limits_pace(caller, ahead && (caller->busy ||
+					     caller->stream.above_high_water));
 }
 
 void caller_answered(struct caller *caller)
--- a/comfreywheeld/caller.h
+++ b/comfreywheeld/caller.h
@@ -59,6 +59,14 @@
  * @idle_since_us: when the last request ended, or the drain began
  * @closing_us: when the state became CALLER_CLOSING
  * @cluster: directory handle
+ * @accepted_us: when the connection was accepted
+ * @address: IP address, as a key
+ * @in_startup: counted as not logged in yet
+ * @negotiations: requests for encryption answered
+ * @held_bytes: bytes counted against the memory budget
+ * @held_since_us: since when that is not 0
+ * @message_since_us: since when a message or batch is incomplete, 0 if none is
+ * @paused: not read since memory is short
  */
 struct caller {
 	struct proxy *proxy;
@@ -87,6 +95,14 @@
 	int login_timer;
 	int64_t closing_us;
 	int64_t idle_since_us;
+	int64_t accepted_us;
+	char *address;
+	bool in_startup;
+	unsigned negotiations;
+	size_t held_bytes;
+	int64_t held_since_us;
+	int64_t message_since_us;
+	bool paused;
 };
 
 void caller_accept(struct proxy *proxy, int fd);
--- a/comfreywheeld/caller_batch.c
+++ b/comfreywheeld/caller_batch.c
@@ -1,5 +1,6 @@
 #include "caller_batch.h"
 
+#include "caller_limits.h"
 #include "caller_query.h"
 #include "upstream_connection.h"
 
@@ -16,25 +17,37 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
+/* Names count as well: a caller may choose long ones. */
+static void forget_name(struct caller *caller, const char *name,
+			const struct statement *st)
+{
+	size_t len = strlen(name);
+
+	caller->statement_bytes -= g_bytes_get_size(st->body) + len;
+	table_of(caller)->bytes -= len;
+}
+
 static void drop_statement(struct caller *caller, const char *name)
 {
 	struct statement *st = g_hash_table_lookup(caller->statements, name);
 
 	if (!st)
 		return;
+	forget_name(caller, name, st);
 	g_hash_table_remove(caller->statements, name);
-	caller->statement_bytes -= g_bytes_get_size(st->body);
 	statement_unref(table_of(caller), st);
 }
 
 void caller_statements_finish(struct caller *caller)
 {
 	GHashTableIter iter;
-	gpointer st;
+	gpointer name, st;
 
 	g_hash_table_iter_init(&iter, caller->statements);
-	while (g_hash_table_iter_next(&iter, NULL, &st))
+	while (g_hash_table_iter_next(&iter, &name, &st)) {
+		forget_name(caller, name, st);
 		statement_unref(table_of(caller), st);
+	}
 	g_hash_table_destroy(caller->statements);
 }
 
@@ -114,6 +127,7 @@
 		     struct statement *st)
 {
 	struct request *req = &caller->request;
+	size_t bytes = g_bytes_get_size(st->body) + strlen(name);
 
 	if (*name && g_hash_table_contains(caller->statements, name)) {
 		statement_unref(table_of(caller), st);
@@ -122,15 +136,22 @@
 			    "Close it first, or use another name.");
 	}
 	drop_statement(caller, name);
+	if (*name && caller_limits_statements_full(caller->proxy)) {
+		statement_unref(table_of(caller), st);
+		return fail(caller, "53200",
+			    "this daemon has no memory left for prepared "
+			    "statements",
+			    "Use unnamed statements, or raise memory_budget.");
+	}
 	if (g_hash_table_size(caller->statements) >= STATEMENTS_MAX ||
-	    (*name && caller->statement_bytes + g_bytes_get_size(st->body) >
-			      STATEMENTS_BYTES_MAX)) {
+	    (*name && caller->statement_bytes + bytes > STATEMENTS_BYTES_MAX)) {
 		statement_unref(table_of(caller), st);
 		return fail(caller, "53400", "too many prepared statements",
 			    "Close statements that are no longer used.");
 	}
 	g_hash_table_insert(caller->statements, g_strdup(name), st);
-	caller->statement_bytes += g_bytes_get_size(st->body);
+	caller->statement_bytes += bytes;
+	table_of(caller)->bytes += strlen(name);
 	if (!req->new_names)
 		req->new_names = g_ptr_array_new_with_free_func(g_free);
 	g_ptr_array_add(req->new_names, g_strdup(name));
@@ -255,6 +276,21 @@
 	}
 }
 
+/* Many small frames take more memory than their bytes. */
+static bool has_room(const struct request *req, const struct pg_frame *frame)
+{
+	return pg_buffer_length(&req->bytes) + frame->frame_len +
+		       (size_t)req->frames * BATCH_FRAME_COST <=
+	       PG_FRAME_MAX_BYTES;
+}
+
+static bool too_large(struct caller *caller)
+{
+	return fail(caller, "54000", "the batch is too large",
+		    "Send Sync after at most 16 MiB, 96 bytes more for each "
+		    "message.");
+}
+
 static void answer_sync(struct caller *caller)
 {
 	caller->skip_to_sync = false;
@@ -333,6 +369,11 @@
 	struct request *req = &caller->request;
 	struct pg_buffer out;
 
+	if (!has_room(req, frame)) {
+		too_large(caller);
+		return;
+	}
+	req->frames++;
 	pg_buffer_init(&out);
 	if (take(caller, frame, data, &out)) {
 		if (req->has_local)
@@ -366,11 +407,10 @@
 		flush_batch(caller, frame, data);
 		return;
 	}
-	if (pg_buffer_length(&req->bytes) + frame->frame_len >
-	    PG_FRAME_MAX_BYTES) {
-		fail(caller, "54000", "the batch is too large",
-		     "Send Sync after at most 16 MiB.");
+	if (!has_room(req, frame)) {
+		too_large(caller);
 		return;
 	}
+	req->frames++;
 	take(caller, frame, data, &req->bytes);
 }
--- a/comfreywheeld/caller_local.c
+++ b/comfreywheeld/caller_local.c
@@ -1,4 +1,5 @@
 #include "caller_batch.h"
+#include "caller_limits.h"
 #include "caller_query.h"
 
 #include <string.h>
@@ -170,12 +171,20 @@
 	struct pg_frame frame;
 	guint used = 0;
 
+	/* A short frame may ask for a long answer. */
 	while (left && pg_frame_peek(at, left, PG_FRAME_MAX_BYTES, &frame) ==
 			       PG_FRAME_READY) {
 		if (!answer_frame(caller, &frame, &used)) {
 			caller_batch_failed(caller);
 			break;
 		}
+		if (pg_buffer_length(caller_out(caller)) > LOCAL_ANSWER_MAX) {
+			pg_put_error(caller_out(caller), "ERROR", "54000",
+				     "the answer of the batch is too large",
+				     "Send fewer SHOW statements before Sync.");
+			caller_batch_failed(caller);
+			break;
+		}
 		at += frame.frame_len;
 		left -= frame.frame_len;
 	}
--- a/comfreywheeld/caller_startup.c
+++ b/comfreywheeld/caller_startup.c
@@ -1,6 +1,7 @@
 #include "caller.h"
 
 #include "caller_auth.h"
+#include "caller_limits.h"
 #include "cancel.h"
 #include "tls.h"
 
@@ -8,6 +9,8 @@
 
 #define PRODUCT_PREFIX "comfreywheel."
 #define PROTOCOL_MAJOR_3 3
+/* Requests for encryption answered on one connection; libpq sends two. */
+#define NEGOTIATIONS_MAX 4
 
 /* Reported until an upstream has reported its own values. */
 static const char *const default_parameters[][2] = {
@@ -77,6 +80,7 @@
 	put_parameters(caller);
 	put_cancel_key(caller);
 	pg_put_ready(caller_out(caller), 'I');
+	caller_limits_started(caller);
 	caller->state = CALLER_READY;
 }
 
@@ -232,6 +236,14 @@
 
 	pg_reader_init(&r, frame->payload, frame->payload_len);
 	version = pg_read_u32(&r);
+	if ((version == PG_SSL_REQUEST_CODE ||
+	     version == PG_GSSENC_REQUEST_CODE) &&
+	    ++caller->negotiations > NEGOTIATIONS_MAX) {
+		caller_fatal(caller, "08P01",
+			     "too many requests for encryption",
+			     "Send the start-up packet after two at most.");
+		return;
+	}
 	switch (version) {
 	case PG_CANCEL_REQUEST_CODE:
 		pid = pg_read_u32(&r);
--- a/comfreywheeld/cluster_links.c
+++ b/comfreywheeld/cluster_links.c
@@ -56,14 +56,15 @@
 	       !cluster_at(proxy, cluster)->fenced;
 }
 
-static bool pool_uses(const struct pool *pool, const struct cluster *cluster)
+static bool pool_uses(const struct pool *pool, const char *service,
+		      const char *cluster)
 {
-	return !strcmp(pool->service, cluster->service) &&
-	       g_strv_contains((const char *const *)pool->clusters,
-			       cluster->name);
+	return !strcmp(pool->service, service) &&
+	       g_strv_contains((const char *const *)pool->clusters, cluster);
 }
 
-static bool is_used(struct proxy *proxy, int cluster)
+bool cluster_links_uses(struct proxy *proxy, const char *service,
+			const char *cluster)
 {
 	const struct tables *tables =
 		proxy->control ? control_client_tables(proxy->control) : NULL;
@@ -71,11 +72,18 @@
 
 	for (i = 0; tables && i < tables->pools->len; i++)
 		if (pool_uses(&g_array_index(tables->pools, struct pool, i),
-			      cluster_at(proxy, cluster)))
+			      service, cluster))
 			return true;
 	return false;
 }
 
+static bool is_used(struct proxy *proxy, int cluster)
+{
+	const struct cluster *c = cluster_at(proxy, cluster);
+
+	return cluster_links_uses(proxy, c->service, c->name);
+}
+
 static void use_upstream(struct proxy *proxy, int upstream)
 {
 	const struct upstream *up =
--- a/comfreywheeld/cluster_links.h
+++ b/comfreywheeld/cluster_links.h
@@ -18,4 +18,8 @@
 /** cluster_links_announced() - an upstream was announced with @term */
 void cluster_links_announced(struct proxy *proxy, int upstream, uint32_t term);
 
+/** cluster_links_uses() - whether a pool of the tables uses the cluster */
+bool cluster_links_uses(struct proxy *proxy, const char *service,
+			const char *cluster);
+
 #endif
--- a/comfreywheeld/proxy.c
+++ b/comfreywheeld/proxy.c
@@ -1,6 +1,6 @@
 #include "proxy.h"
 
-#include "caller.h"
+#include "caller_limits.h"
 #include "cancel.h"
 #include "cluster_links.h"
 #include "commit_wait.h"
@@ -12,6 +12,7 @@
 #include "upstream_pool.h"
 #include "users.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -20,10 +21,8 @@
 #define DIRECTORY_EXPIRY_US (15 * 1000000ll)
 /* Memory for classified statement texts, bytes. */
 #define CLASSIFIER_BYTES (8u * 1024 * 1024)
-/* Time between looks at callers that do not read. */
+/* Time between looks at all callers. */
 #define SWEEP_US (250 * 1000ll)
-/* Time for a caller to close after its last answer. */
-#define CLOSE_WAIT_US (1000 * 1000ll)
 /* Connections taken from the listener at once. */
 #define ACCEPT_BATCH 64
 
@@ -40,6 +39,19 @@
 	g_ptr_array_set_size(proxy->discarded, 0);
 }
 
+/* Without a descriptor the listener stays readable; sweep() tries again. */
+static void note_accept(struct proxy *proxy, ev_io *w, int err)
+{
+	if (err != EMFILE && err != ENFILE)
+		return;
+	caller_limits_note(proxy, COUNT_ACCEPT_FAILED,
+			   "no descriptor is left for callers",
+			   "raise the limit on open files or "
+			   "reserved_descriptors");
+	proxy->accept_paused = true;
+	ev_io_stop(proxy->loop, w);
+}
+
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
 {
 	struct proxy *proxy = w->data;
@@ -47,8 +59,10 @@
 
 	for (i = 0; i < ACCEPT_BATCH; i++) {
 		fd = net_accept(w->fd);
-		if (fd < 0)
+		if (fd < 0) {
+			note_accept(proxy, w, errno);
 			return;
+		}
 		caller_accept(proxy, fd);
 	}
 }
@@ -56,24 +70,11 @@
 static void sweep(int64_t now_us, void *data)
 {
 	struct proxy *proxy = data;
-	int64_t limit = now_us - proxy->settings->caller_write_timeout_us;
-	struct caller *caller;
-	guint i;
 
-	for (i = 0; i < proxy->callers->len; i++) {
-		caller = proxy->callers->pdata[i];
-		if (caller && caller->state == CALLER_CLOSING &&
-		    !pg_buffer_length(caller_out(caller)) &&
-		    now_us - caller->closing_us > CLOSE_WAIT_US) {
-			caller_close(caller);
-			continue;
-		}
-		if (!caller || !caller->stream.stalled_since_us ||
-		    caller->stream.stalled_since_us > limit)
-			continue;
-		proxy_count(proxy, COUNT_CALLERS_STALLED);
-		caller_close(caller);
-	}
+	caller_limits_sweep(proxy, now_us);
+	if (proxy->accept_paused)
+		ev_io_start(proxy->loop, &proxy->listener);
+	proxy->accept_paused = false;
 }
 
 static void init_parts(struct proxy *proxy)
@@ -88,6 +89,7 @@
 	retry_budget_init(&proxy->retries);
 	proxy->callers = g_ptr_array_new();
 	proxy->free_callers = g_array_new(FALSE, FALSE, sizeof(unsigned));
+	caller_limits_init(proxy);
 	proxy->homes = g_ptr_array_new();
 	proxy->shares =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -136,6 +138,7 @@
 		g_hash_table_destroy(proxy->users);
 	g_ptr_array_free(proxy->callers, TRUE);
 	g_array_free(proxy->free_callers, TRUE);
+	g_hash_table_destroy(proxy->addresses);
 	g_ptr_array_free(proxy->homes, TRUE);
 	g_hash_table_destroy(proxy->shares);
 	g_array_free(proxy->announced_terms, TRUE);
@@ -152,8 +155,9 @@
 
 void proxy_stop_listening(struct proxy *proxy)
 {
-	if (!ev_is_active(&proxy->listener))
+	if (!ev_is_active(&proxy->listener) && !proxy->accept_paused)
 		return;
+	proxy->accept_paused = false;
 	ev_io_stop(proxy->loop, &proxy->listener);
 	close(proxy->listener.fd);
 }
--- a/comfreywheeld/proxy.h
+++ b/comfreywheeld/proxy.h
@@ -32,6 +32,17 @@
 	COUNT_CALLERS_OPEN,
 	COUNT_CALLERS_STALLED,
 	COUNT_CALLERS_REJECTED_LOGIN,
+	COUNT_CALLERS_HELD,
+	COUNT_CALLERS_PAUSED,
+	COUNT_CALLERS_SHED,
+	COUNT_CALLERS_EVICTED,
+	COUNT_CALLERS_REFUSED_ADDRESS,
+	COUNT_CALLERS_LATE_STARTUP,
+	COUNT_CALLERS_LATE_MESSAGE,
+	COUNT_CALLERS_IDLE_TRANSACTION,
+	COUNT_STATEMENTS_REFUSED,
+	COUNT_ACCEPT_FAILED,
+	COUNT_UPSTREAMS_REFUSED,
 	COUNT_REQUESTS,
 	COUNT_REQUESTS_REPLICA,
 	COUNT_REQUESTS_PRIMARY,
@@ -68,11 +79,18 @@
 };
 
 struct announce;
+struct caller;
 struct commit_wait;
 
 /**
  * struct proxy - state of the task
  * @callers: struct caller by handle, NULL where free
+ * @nr_startups: callers that are not logged in yet
+ * @held_bytes: held by all callers
+ * @preferred: caller that may go on while others are paused, NULL if none
+ * @addresses: number of callers by address
+ * @descriptors: limit of the process on open files
+ * @logged_us: last log line about a limit, by its counter
  * @parked: struct request that no upstream fits now
  * @homes: struct upstream_home by directory handle
  * @shares: connections granted, by upstream name
@@ -80,6 +98,7 @@
  * @acknowledged: what was acknowledged, by directory handle of the cluster
  * @surrendered: the lease was lost for so long that the control leader may
  *               give the connections of this daemon to others
+ * @accept_paused: no descriptor was left; the listener is not watched
  * @parameters: ParameterStatus values learned from upstreams, by name
  * @tls: OpenSSL context for callers, NULL without a certificate
  * @cancels: struct cancel under way
@@ -107,6 +126,12 @@
 	GPtrArray *callers;
 	GArray *free_callers;
 	unsigned nr_callers;
+	unsigned nr_startups;
+	size_t held_bytes;
+	struct caller *preferred;
+	GHashTable *addresses;
+	uint64_t descriptors;
+	int64_t logged_us[PROXY_COUNTERS];
 	GQueue parked;
 	GPtrArray *homes;
 	GHashTable *shares;
@@ -124,6 +149,7 @@
 	int surrender_timer;
 	bool surrendered;
 	bool draining;
+	bool accept_paused;
 };
 
 /** proxy_run() - run until a shutdown ends; Return: process exit status */
--- a/comfreywheeld/request.h
+++ b/comfreywheeld/request.h
@@ -42,6 +42,7 @@
  * @used: struct statement, referenced
  * @new_names: names given by the batch's Parse frames, in order
  * @binds: Bind frames
+ * @frames: of the batch so far
  * @parse_completes: how many of these are confirmed
  * @statements: how many were classified
  * @read: shown to have no effects
@@ -83,6 +84,7 @@
 	GPtrArray *new_names;
 	unsigned parse_completes;
 	unsigned binds;
+	unsigned frames;
 	unsigned statements;
 	bool read;
 	bool begins;
--- a/comfreywheeld/statements.c
+++ b/comfreywheeld/statements.c
@@ -34,6 +34,7 @@
 	st->kind = class->kind;
 	st->read_only = class->read_only;
 	g_hash_table_insert(table->by_body, key, st);
+	table->bytes += len;
 	return st;
 }
 
@@ -48,6 +49,7 @@
 	if (--st->refs)
 		return;
 	g_hash_table_remove(table->by_body, st->body);
+	table->bytes -= g_bytes_get_size(st->body);
 	g_bytes_unref(st->body);
 	g_free(st);
 }
@@ -72,6 +74,19 @@
 	bool hidden;
 };
 
+static void add_pending(struct parsed_statements *parsed, uint64_t id,
+			int change)
+{
+	gpointer nr = g_hash_table_lookup(parsed->pending, &id);
+	int now = GPOINTER_TO_INT(nr) + change;
+
+	if (now)
+		g_hash_table_insert(parsed->pending, g_memdup2(&id, sizeof(id)),
+				    GINT_TO_POINTER(now));
+	else
+		g_hash_table_remove(parsed->pending, &id);
+}
+
 static void expect(GQueue *queue, uint64_t id, bool hidden)
 {
 	struct expected *e = g_new(struct expected, 1);
@@ -85,6 +100,8 @@
 {
 	parsed->ids = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    NULL);
+	parsed->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, NULL);
 	g_queue_init(&parsed->parses);
 	g_queue_init(&parsed->closes);
 }
@@ -92,6 +109,7 @@
 void parsed_statements_synced(struct parsed_statements *parsed)
 {
 	g_queue_clear_full(&parsed->parses, g_free);
+	g_hash_table_remove_all(parsed->pending);
 	g_queue_clear_full(&parsed->closes, g_free);
 }
 
@@ -99,21 +117,13 @@
 {
 	parsed_statements_synced(parsed);
 	g_hash_table_destroy(parsed->ids);
+	g_hash_table_destroy(parsed->pending);
 }
 
 static bool is_parsed(const struct parsed_statements *parsed, uint64_t id)
 {
-	const struct expected *e;
-	GList *at;
-
-	if (g_hash_table_contains(parsed->ids, &id))
-		return true;
-	for (at = parsed->parses.head; at; at = at->next) {
-		e = at->data;
-		if (e->id == id)
-			return true;
-	}
-	return false;
+	return g_hash_table_contains(parsed->ids, &id) ||
+	       g_hash_table_contains(parsed->pending, &id);
 }
 
 static void put_close(struct pg_buffer *out, const char *name)
@@ -162,6 +172,7 @@
 	pg_buffer_append(out, body, len);
 	pg_frame_end(out, begin);
 	expect(&parsed->parses, st->id, true);
+	add_pending(parsed, st->id, 1);
 }
 
 static void need(struct parsed_statements *parsed, const GPtrArray *used,
@@ -194,6 +205,8 @@
 		make_room(parsed, out);
 	}
 	expect(&parsed->parses, id, false);
+	if (id)
+		add_pending(parsed, id, 1);
 }
 
 static void prepare(struct parsed_statements *parsed, const GPtrArray *used,
@@ -248,8 +261,10 @@
 	e = g_queue_pop_head(queue);
 	if (!e)
 		return true;
-	if (type == '1' && e->id)
+	if (type == '1' && e->id) {
+		add_pending(parsed, e->id, -1);
 		g_hash_table_add(parsed->ids, g_memdup2(&e->id, sizeof(e->id)));
+	}
 	hidden = e->hidden;
 	g_free(e);
 	return !hidden;
--- a/comfreywheeld/statements.h
+++ b/comfreywheeld/statements.h
@@ -34,9 +34,14 @@
 	bool read_only;
 };
 
+/**
+ * struct statement_table - statements of all callers
+ * @bytes: of the bodies, each counted once, and of names given to them
+ */
 struct statement_table {
 	GHashTable *by_body;
 	uint64_t next_id;
+	size_t bytes;
 };
 
 void statement_table_init(struct statement_table *table);
@@ -56,10 +61,13 @@
  * struct parsed_statements - what is prepared on one upstream connection
  * @ids: identities, as keys
  * @parses: Parse frames whose ParseComplete is to come, in order
+ * @pending: how many of @parses have an identity, by identity; a search in the
+ *           queue would take quadratic time in the frames of a batch
  * @closes: Close frames whose CloseComplete is to come, in order
  */
 struct parsed_statements {
 	GHashTable *ids;
+	GHashTable *pending;
 	GQueue parses;
 	GQueue closes;
 };
--- a/comfreywheeld/upstream_connection.c
+++ b/comfreywheeld/upstream_connection.c
@@ -347,9 +347,19 @@
 		upstream_connection_lose(conn, UPSTREAM_BROKEN);
 }
 
+/* A flushed batch waits until the upstream has taken its beginning. */
+static void on_drained(void *data)
+{
+	struct upstream_connection *conn = data;
+
+	if (conn->request && conn->request->open)
+		caller_input(conn->request->caller);
+}
+
 static const struct stream_events connection_events = {
 	.opened = on_opened,
 	.input = on_input,
+	.drained = on_drained,
 	.closed = on_closed,
 };
 
