--- a/comfreywheeld/caller_batch.c
+++ b/comfreywheeld/caller_batch.c
@@ -6,6 +6,10 @@
 
 #include <string.h>
 
+/* Unnamed statements of at most this many bytes are kept even if the memory
+ * for statements is in use: drivers that run one twice have short ones. */
+#define UNNAMED_SMALL_BYTES 4096u
+
 static struct statement_table *table_of(const struct caller *caller)
 {
 	return &caller->proxy->statements;
@@ -53,7 +57,15 @@
 
 void caller_batch_ended(struct caller *caller)
 {
-	if (caller->statement_bytes > STATEMENTS_BYTES_MAX)
+	const struct statement *st =
+		g_hash_table_lookup(caller->statements, "");
+	struct proxy *proxy = caller->proxy;
+
+	if (!st)
+		return;
+	if (caller->statement_bytes > STATEMENTS_BYTES_MAX ||
+	    (g_bytes_get_size(st->body) > UNNAMED_SMALL_BYTES &&
+	     caller_limits_statements_full(proxy)))
 		drop_statement(caller, "");
 }
 
--- a/common/settings.c
+++ b/common/settings.c
@@ -36,7 +36,7 @@
 	  INI_OPTIONAL, "0", 0, 100000 },
 	{ FIELD("daemon", "reserved_descriptors", reserved_descriptors,
 		ini_unsigned),
-	  INI_OPTIONAL, "256", 0, 100000 },
+	  INI_OPTIONAL, "512", 0, 100000 },
 	{ FIELD("daemon", "max_upstreams", max_upstreams, ini_unsigned),
 	  INI_OPTIONAL, "2000", 1, 100000 },
 	{ FIELD("daemon", "startup_timeout", startup_timeout_us, ini_duration),
--- a/transport/bus.c
+++ b/transport/bus.c
@@ -10,6 +10,8 @@
  */
 #define BUS_HEARTBEAT_MS 500
 #define BUS_HEARTBEAT_TIMEOUT_MS 1500
+/* A peer that does not finish its handshake holds a descriptor for as long. */
+#define BUS_HANDSHAKE_MS 10000
 #define BUS_RECONNECT_MS 50
 #define BUS_RECONNECT_MAX_MS 1000
 /* Messages queued per peer and direction; further ones are dropped. */
@@ -176,6 +178,7 @@
 	if (!set_int_option(socket, ZMQ_LINGER, 0) ||
 	    !set_int_option(socket, ZMQ_SNDHWM, BUS_QUEUE_MAX_MESSAGES) ||
 	    !set_int_option(socket, ZMQ_RCVHWM, BUS_QUEUE_MAX_MESSAGES) ||
+	    !set_int_option(socket, ZMQ_HANDSHAKE_IVL, BUS_HANDSHAKE_MS) ||
 	    !set_int_option(socket, ZMQ_HEARTBEAT_IVL, BUS_HEARTBEAT_MS) ||
 	    !set_int_option(socket, ZMQ_HEARTBEAT_TIMEOUT,
 			    BUS_HEARTBEAT_TIMEOUT_MS) ||
