Limit the peers that a bus port accepts

libzmq accepts connections without a limit, so silent strangers took every descriptor of the process. The monitor of the ROUTER, which counted failed handshakes, now follows accepted and ended connections too. Above a quarter of the limit on open files the newest connection is shut down, and libzmq closes it; connected peers stay. A descriptor is shut down only if it is bound to the address of the port, since the I/O thread may have closed it. Refusals are counted in comfreywheel_bus_refused_connections_total and logged at most every 10 s.

--- a/comfreywheeld/metrics.c
+++ b/comfreywheeld/metrics.c
@@ -34,6 +34,8 @@
 		{ "comfreywheel_bus_malformed_total", counts->malformed },
 		{ "comfreywheel_bus_oversized_total", counts->oversized },
 		{ "comfreywheel_bus_refused_keys_total", counts->refused_keys },
+		{ "comfreywheel_bus_refused_connections_total",
+		  counts->refused_connections },
 	};
 	size_t i;
 
--- a/include/bus.h
+++ b/include/bus.h
@@ -48,6 +48,7 @@
  * @malformed: messages received that are not one valid Envelope
  * @oversized: messages above BUS_FRAME_MAX, sent or received
  * @refused_keys: connections refused by authentication
+ * @refused_connections: connections above the limit of the endpoint
  */
 struct bus_counts {
 	uint64_t sent;
@@ -58,6 +59,7 @@
 	uint64_t malformed;
 	uint64_t oversized;
 	uint64_t refused_keys;
+	uint64_t refused_connections;
 };
 
 struct bus;
--- a/tests/hostile/proxy/stops.c
+++ b/tests/hostile/proxy/stops.c
@@ -90,6 +90,7 @@
 static void idle_crowd(const struct target *t, GArray *fds)
 {
 	int own = caller_open(t);
+	char *metrics;
 	unsigned i;
 
 	for (i = 0; i < 200; i++) {
@@ -113,10 +114,12 @@
 	}
 	own = hostile_connect("127.0.0.1", t->admin);
 	push(own, "GET /metrics HTTP/1.0\r\n\r\n", 25);
-	if (!hostile_read_until(own, "comfreywheel_callers_open")) {
+	metrics = hostile_read_until(own, "comfreywheel_callers_open");
+	if (!metrics) {
 		fprintf(stderr, "failed: no metrics beside the crowd\n");
 		exit(1);
 	}
+	g_free(metrics);
 	close(own);
 	/* Ordinary callers get in once some of the crowd leave. */
 	for (i = 0; i < 150; i++) {
--- a/transport/bus.c
+++ b/transport/bus.c
@@ -214,7 +214,7 @@
 			"check bus_secret_key and the open file limit");
 	if (bus->encrypted &&
 	    !bus_zap_start(&bus->zap, bus->loop, bus->context, bus->router,
-			   bus->public_key, &bus->counts.refused_keys, error))
+			   bus->public_key, &bus->counts, error))
 		return false;
 	if (zmq_bind(bus->router, endpoint))
 		return set_zmq_error(
--- a/transport/bus_internal.h
+++ b/transport/bus_internal.h
@@ -11,10 +11,13 @@
 /**
  * struct bus_zap - ZAP handler that authenticates the peers of a ROUTER
  * @rep: REP socket that receives ZAP requests from the context's I/O thread
- * @monitor: PAIR socket that reports handshakes which failed before
- *           authentication
+ * @monitor: PAIR socket that reports connections, and handshakes which failed
+ *           before authentication
  * @key: the only public key accepted
- * @refused: counter, incremented for each refused connection
+ * @accepted: descriptors of the accepted connections, as keys
+ * @max_accepted: number of connections above which new ones are shut down
+ * @logged_us: when refused connections were logged last
+ * @counts: @refused_keys and @refused_connections are incremented
  */
 struct bus_zap {
 	struct ev_loop *loop;
@@ -23,7 +26,10 @@
 	ev_io rep_io;
 	ev_io monitor_io;
 	uint8_t key[BUS_KEY_SIZE];
-	uint64_t *refused;
+	GHashTable *accepted;
+	unsigned max_accepted;
+	int64_t logged_us;
+	struct bus_counts *counts;
 };
 
 /**
@@ -31,8 +37,8 @@
  * @router: must not be bound yet, else a peer could connect unauthenticated
  */
 bool bus_zap_start(struct bus_zap *zap, struct ev_loop *loop, void *context,
-		   void *router, const char *public_key, uint64_t *refused,
-		   GError **error);
+		   void *router, const char *public_key,
+		   struct bus_counts *counts, GError **error);
 void bus_zap_stop(struct bus_zap *zap);
 
 /** bus_socket_fd() - file descriptor to poll for the socket's events */
