Let an empty allocation succeed in the decoder of channels

Cause: g_try_malloc(0) returns NULL, which protobuf-c takes for a failure. No message is known that asks for 0 bytes.

Change: the decoder's allocator asks for at least one byte.

Measured: transport, relay, server_limits, event_table and the hostile loads size, slow_http, frames_half, bodies_whole and watch_reports pass; lint passes.

--- a/transport/channel.c
+++ b/transport/channel.c
@@ -49,7 +49,8 @@
 	if (size > budget->left)
 		return NULL;
 	budget->left -= size;
-	return g_try_malloc(size);
+	/* NULL would count as a failure, also for an empty field. */
+	return g_try_malloc(MAX(size, 1));
 }
 
 static void budget_free(void *data, void *pointer)
