--- a/coordination/client_limits.c
+++ b/coordination/client_limits.c
@@ -19,7 +19,7 @@
 /* Descriptors reserved for upstreams, control, other daemons, HTTP and logs, in
  * sixteenths. With 4,200 descriptors 2,888 callers remain. */
 #define RESERVED_SIXTEENTHS 5
-#define RELAYS_DIVISOR 16
+#define RELAYS_SIXTEENTHS 3
 #define RELAYS_MIN 8
 /* Relaying daemons where the number of descriptors is not known. */
 #define RELAYS_DEFAULT 256
@@ -54,7 +54,7 @@
 	limits->connections = max_fds - max_fds * RESERVED_SIXTEENTHS / 16;
 	if (max_fds && limits->connections < CONNECTIONS_MIN)
 		limits->connections = CONNECTIONS_MIN;
-	limits->relays = max_fds / RELAYS_DIVISOR;
+	limits->relays = max_fds * RELAYS_SIXTEENTHS / 16;
 	if (limits->relays < RELAYS_MIN)
 		limits->relays = RELAYS_MIN;
 	if (!max_fds)
--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -26,7 +26,8 @@
 			 CLIENT_LIMIT_NONE);
 	ck_assert(client_limits_takes_message(&limits, &usage, MIB));
 	ck_assert(client_limits_takes_state(&limits, &usage, 0, MIB + 256));
-	ck_assert_uint_ge(limits.relays, 67);
+	/* Each of 600 daemons may relay to this one. */
+	ck_assert_uint_ge(limits.relays, 600);
 	ck_assert_int_gt(limits.startup_us, 2000000);
 	/* Descriptors remain for others than callers. */
 	ck_assert_uint_lt(limits.connections, 3200);
