--- a/entry/internal.h
+++ b/entry/internal.h
@@ -26,9 +26,10 @@
 #define ENTRY_ABANDONED_TIMEOUT_US (2000 * 1000ll)
 /** Largest age of the newest sample before the primary is sampled again. */
 #define ENTRY_SAMPLE_INTERVAL_US (400 * 1000ll)
-/** Time in which the control leader answers for the limit of an account: several
- * round trips within a region. */
-#define ENTRY_QUOTA_TIMEOUT_US (100 * 1000ll)
+/** Time in which the control leader answers for the limit of an account. A
+ * packet that is lost is sent again after 200 ms; an answer that comes after
+ * this time is not used. */
+#define ENTRY_QUOTA_TIMEOUT_US (300 * 1000ll)
 /** Largest number of attempts of one statement, including the first. */
 #define ENTRY_MAX_ATTEMPTS 6
 
