Hold no limit of an account that the configuration does not have

Cause: an entry daemon kept an entry for each account that another daemon named in a relayed statement, so names alone could take its memory.

Change: such a statement is refused before anything is kept for it.

Measured: the test accounts, which fails without the change.

--- a/entry/quota.c
+++ b/entry/quota.c
@@ -263,12 +263,14 @@
 
 	if (!s->account || s->charged)
 		return QUOTA_ALLOWED;
+	/* Another daemon may have a newer configuration. */
+	if (!g_hash_table_contains(entry->table->accounts, s->account)) {
+		*wait_us = INT64_MAX;
+		return QUOTA_REFUSED;
+	}
 	quota = get_quota(entry, s->account);
 	if (!quota->limit.depth)
-		return g_hash_table_contains(entry->table->accounts,
-					     s->account) ?
-			       QUOTA_ALLOWED :
-			       QUOTA_REFUSED;
+		return QUOTA_ALLOWED;
 	quota->attempted++;
 	set_bucket(entry, quota, now_us);
 	if (!quota->waiting.length &&
@@ -535,7 +537,7 @@
 	GHashTableIter it;
 	size_t i;
 
-	if (!view->quota_term || view->quota_term < q->term ||
+	if (!entry->table || !view->quota_term || view->quota_term < q->term ||
 	    (view->quota_term == q->term && view->quota_number <= q->number))
 		return;
 	q->unanswered_us = 0;
--- a/tests/test_accounts.c
+++ b/tests/test_accounts.c
@@ -352,7 +352,25 @@
 }
 END_TEST
 
+/* Guards against memory for each name that another daemon sends. */
+START_TEST(test_unknown_account)
+{
+	struct session *s;
+	int64_t wait_us = 0;
+
+	setup(1);
+	s = start_session("primary", "ka");
+	s->account = "unheard-of";
+	ck_assert_int_eq(quota_charge(s, &wait_us), QUOTA_REFUSED);
+	ck_assert_int_eq(wait_us, INT64_MAX);
+	ck_assert_uint_eq(g_hash_table_size(entry->quotas.accounts), 0);
+	s->account = NULL;
+	teardown();
+}
+END_TEST
+
 TEST_MAIN("accounts", test_unknown_key, test_no_key_needed,
 	  test_connection_of_account, test_eviction, test_eviction_order,
 	  test_revoked_key, test_revoked_in_transaction, test_key_moves,
-	  test_out_of_touch, test_quota, test_quota_lease, test_no_limit)
+	  test_out_of_touch, test_quota, test_quota_lease, test_no_limit,
+	  test_unknown_account)
