--- a/tests/hostile/proxy/crowd.c
+++ b/tests/hostile/proxy/crowd.c
@@ -111,7 +111,6 @@
 static bool log_in(int fd)
 {
 	GByteArray *out = g_byte_array_new();
-	g_autofree char *answer = NULL;
 	struct pollfd pfd = { .fd = fd, .events = POLLIN };
 	char byte = 0, last[6] = "";
 	int i;
