Show that a new control VM replaces a primary that it never heard of

Three machines of the core are replaced by plan, one each 1.3 s, while the primary's heartbeats do not reach control for 5.0 s and one replica receives nothing for 5.5 s. One of the new machines leads, knows no primary and two databases instead of three, and has the replica promoted that lacks the commits. All databases run, and the daemons use the primary all the time.

--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -167,12 +167,15 @@
         self.draining = False
         self.sequence = 0
         self.born = 0
+        self.clock_ahead_ms = 0
         self.server = None
         self.connections = set()
         self.tasks = set()
         self.received = asyncio.Event()
         self.light = asyncio.Event()
         self.light.set()
+        self.control_reached = asyncio.Event()
+        self.control_reached.set()
 
     @property
     def address(self):
@@ -186,7 +189,7 @@
         return "%d.%d" % (max(last.term, 1), last.number)
 
     async def start(self):
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) + self.clock_ahead_ms
         self.sequence = 0
         self.running = True
         self.server = await asyncio.start_server(self.serve, self.ip, self.port, limit=4 << 20)
@@ -245,9 +248,11 @@
 
     async def beat(self):
         await self.light.wait()
+        await self.control_reached.wait()
         self.sequence += 1
         body = self.beat_body()
-        for ip in random.sample(self.lab.control_ips(), len(self.lab.control_ips())):
+        ips = self.lab.live_controls
+        for ip in random.sample(ips, len(ips)):
             status, _ = await self.lab.http(
                 ip, "POST", "/comfreywheel/instances/%s/heartbeat" % self.id, body
             )
@@ -690,6 +695,7 @@
         )
         self.controls = []
         self.entries = []
+        self.live_controls = self.control_ips()
         for i, ip in enumerate(self.control_ips()):
             data = os.path.join(self.temporary, "disk-%d" % i)
             os.mkdir(data)
