Let crashed databases of the scripts keep their logs until they meet a primary

The stand-in rolled back a database that was not running at the moment of a promotion, and asked for a number before it was there after one; neither occurred in the four scripts.

--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -167,13 +167,13 @@
         self.draining = False
         self.sequence = 0
         self.born = 0
-        self.clock_ahead_ms = 0
         self.server = None
         self.connections = set()
         self.tasks = set()
         self.received = asyncio.Event()
         self.light = asyncio.Event()
         self.light.set()
+        self.change = asyncio.Event()
         self.control_reached = asyncio.Event()
         self.control_reached.set()
 
@@ -189,7 +189,7 @@
         return "%d.%d" % (max(last.term, 1), last.number)
 
     async def start(self):
-        self.born = int(time.time() * 1000) + self.clock_ahead_ms
+        self.born = int(time.time() * 1000)
         self.sequence = 0
         self.running = True
         self.server = await asyncio.start_server(self.serve, self.ip, self.port, limit=4 << 20)
@@ -222,16 +222,11 @@
         while True:
             await self.beat()
             try:
-                await asyncio.wait_for(self.changed().wait(), self.lab.heartbeat_s)
+                await asyncio.wait_for(self.change.wait(), self.lab.heartbeat_s)
                 self.change.clear()
             except asyncio.TimeoutError:
                 pass
 
-    def changed(self):
-        if not hasattr(self, "change"):
-            self.change = asyncio.Event()
-        return self.change
-
     def beat_body(self):
         return {
             "service": self.service.name,
@@ -263,7 +258,7 @@
     def set_primary(self, primary):
         if self.primary != primary:
             self.primary = primary
-            self.changed().set()
+            self.change.set()
 
     # replication
 
@@ -271,13 +266,27 @@
         """Receives a commit from the primary; applies it a little later."""
         if not self.running or self.deaf or self.paused_term or self.primary:
             return
-        if len(self.log) != commit.index:
+        leader = self.service.primary
+        if leader is None or commit not in leader.log[commit.index : commit.index + 1]:
+            return
+        if len(self.log) != commit.index or self.log[-1:] != leader.log[: commit.index][-1:]:
             self.catch_up()
             return
         self.log.append(commit)
         self.service.received()
         asyncio.get_running_loop().call_later(self.apply_s, self.apply, len(self.log))
 
+    def roll_back(self):
+        """Drops what the present primary does not have."""
+        leader = self.service.primary
+        if leader is None or leader is self or self.deaf:
+            return
+        common = 0
+        end = min(len(self.log), len(leader.log))
+        while common < end and self.log[common] is leader.log[common]:
+            common += 1
+        self.truncate(common)
+
     def catch_up(self):
         leader = self.service.primary
         if (
@@ -289,6 +298,7 @@
             or self.paused_term
         ):
             return
+        self.roll_back()
         if len(self.log) < len(leader.log):
             self.log.extend(leader.log[len(self.log) :])
             self.service.received()
@@ -565,15 +575,9 @@
         db.set_primary(True)
         for other in self.databases:
             other.paused_term = 0
-            if other is db:
-                continue
-            common = 0
-            while (
-                common < min(len(other.log), length) and other.log[common] is db.log[common]
-            ):
-                common += 1
-            other.truncate(common)
-            other.catch_up()
+            if other is not db and other.running:
+                other.roll_back()
+                other.catch_up()
         self.received()
         self.lab.record(
             "%s leads %s in term %d with %d commits; acknowledged commits that it lacks: %d"
@@ -734,12 +738,13 @@
 
     async def http(self, ip, method, path, body=None, timeout_s=1.0, port=None):
         """Return: status (0 without an answer) and body."""
-        data = json.dumps(body).encode() if not isinstance(body, bytes) and body is not None else body or b""
+        data = b"" if body is None else json.dumps(body).encode()
         host = ip
         for _ in range(3):
             try:
                 status, headers, text = await asyncio.wait_for(
-                    self.http_once(host, port or self.ports["control"], method, path, data), timeout_s
+                    self.http_once(host, port or self.ports["control"], method, path, data),
+                    timeout_s,
                 )
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
                 return 0, b""
