--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -122,7 +122,7 @@
         self.number = number
         self.writes = writes
         self.ids = ids
-        self.acked = False
+        self.acked_at = 0.0
 
 
 class Connection:
@@ -932,7 +932,7 @@
         lost = set()
         for ident, commits in self.commits.items():
             for c in commits:
-                if c.acked and c.service is service and id(c) not in have:
+                if c.acked_at and c.service is service and id(c) not in have:
                     lost.add(c)
         lost = sorted(lost, key=lambda c: c.number)
         if lost and service.sync:
@@ -1014,7 +1014,7 @@
             answer = lines[-1] if lines else "nothing"
             if answer.startswith("DONE"):
                 for c in lab.commits.get(ident, []):
-                    c.acked = True
+                    c.acked_at = time.monotonic()
                 counts["done"] = counts.get("done", 0) + 1
                 lab.record("client: %s %s -> %s" % (ident, text[:14], answer))
             else:
