--- a/control/internal.h
+++ b/control/internal.h
@@ -4,6 +4,7 @@
 #include "group_policy.h"
 #include "node.h"
 #include "position.h"
+#include "primary_register.h"
 #include "promotion_policy.h"
 #include "quota_shares.h"
 #include "raft_disk.h"
@@ -211,7 +212,10 @@
  * @unanswered_us: time of the last request without an answer, INT64_MIN / 2 if a
  *                 later one was answered
  * @nr_unanswered: consecutive promotion requests without an answer
- * @pending: whether a promotion request awaits the platform's answer
+ * @pending: whether a promotion request awaits its entry in the agreed log or
+ *           the platform's answer
+ * @token: token of the last promotion request
+ * @sent: whether that request was passed to the platform
  * @survey: what the upstreams have received
  */
 struct control_promotion_state {
@@ -227,6 +231,8 @@
 	int64_t unanswered_us;
 	unsigned nr_unanswered;
 	bool pending;
+	uint64_t token;
+	bool sent;
 	struct control_survey survey;
 };
 
@@ -239,6 +245,7 @@
  *                     every entry committed in earlier terms has been applied
  *                     too
  * @last_leader: identity of the last known leader
+ * @primaries: who leads each service, as agreed by the group
  * @deflated_document: configuration document of version @deflated_version
  * @roster: daemon name to struct control_roster_entry
  * @roster_revision: incremented by every change of @roster
@@ -288,6 +295,7 @@
 	bool lead_term_applied;
 	uint64_t last_leader;
 	struct config_register reg;
+	struct primary_register primaries;
 	GBytes *deflated_document;
 	uint64_t deflated_version;
 	struct channel_group watcher_channels;
@@ -497,6 +505,49 @@
 /** control_promotions_review() - decide about one service now */
 void control_promotions_review(struct control_node *node, const char *service);
 
+/**
+ * control_promotion_agreed() - the order with @token, proposed by this leader,
+ *                              is in the agreed log
+ */
+void control_promotion_agreed(struct control_node *node, const char *service,
+			      const char *id, uint64_t token);
+
+/* primaries.c */
+/**
+ * control_primary_propose() - propose an entry of the agreed log
+ * Return: false if this VM does not lead or too many entries are uncommitted
+ */
+bool control_primary_propose(struct control_node *node,
+			     const Wire__PrimaryChange *change);
+/** control_primary_apply() - apply an entry of the agreed log */
+void control_primary_apply(struct control_node *node,
+			   const Wire__PrimaryChange *change, uint64_t index);
+/** control_primaries_restore() - continue with the records of a snapshot */
+void control_primaries_restore(struct control_node *node,
+			       const Wire__ConfigChange *snapshot);
+/**
+ * control_primary() - the primary of @service as far as this VM knows
+ *
+ * That is the agreed one unless it is known not to lead any more; then, and
+ * before one was agreed on, an upstream that says that it leads.
+ * Return: NULL if there is none
+ */
+const struct sighting *control_primary(const struct control_node *node,
+				       const char *service, int64_t now_us);
+/**
+ * control_primary_check() - as the leader, propose to agree on the upstream that
+ *                           leads @service if no answer of the platform has
+ *                           said so
+ */
+void control_primary_check(struct control_node *node, const char *service,
+			   int64_t now_us);
+/** control_primary_follow() - note how far the log of the primary reaches */
+void control_primary_follow(struct control_node *node, const char *service,
+			    int64_t now_us);
+/** control_newest_position() - newest position that entry daemons report */
+struct position control_newest_position(const struct control_node *node,
+					const char *id);
+
 /* quota.c */
 void control_quota_init(struct control_node *node);
 void control_quota_finish(struct control_node *node);
--- a/control/node.c
+++ b/control/node.c
@@ -185,6 +185,7 @@
 	node->successions = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, control_succession_free);
 	sightings_init(&node->sightings);
+	primary_register_init(&node->primaries);
 	config_register_init(&node->reg);
 	counter_set_init(&node->counters);
 	counter_register_all(&node->counters, counter_specs,
@@ -224,6 +225,7 @@
 	g_hash_table_destroy(node->roster);
 	control_quota_finish(node);
 	sightings_finish(&node->sightings);
+	primary_register_finish(&node->primaries);
 	config_register_finish(&node->reg);
 	counter_set_finish(&node->counters);
 	g_clear_pointer(&node->deflated_document, g_bytes_unref);
--- a/control/node.h
+++ b/control/node.h
@@ -122,9 +122,13 @@
 /** control_sightings() - the latest announcement of each upstream */
 const struct sightings *control_sightings(const struct control_node *node);
 
-/** control_promotion_answered() - report the result of a promotion request */
+/**
+ * control_promotion_answered() - report the result of a promotion request
+ * @token: fencing token of the request
+ */
 void control_promotion_answered(struct control_node *node, const char *service,
-				const char *id, enum promotion_result result);
+				const char *id, uint64_t token,
+				enum promotion_result result);
 
 /**
  * control_config_put() - propose a validated configuration to the group
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -13,10 +13,6 @@
 /* Timeout of a handover, including the messages to and from the daemon that
  * carries it out, microseconds. */
 #define HANDOVER_TIMEOUT_US (1000 * 1000ll)
-/* Time for which a position of the primary may have been reported from before
- * its promotion: a daemon reports upstreams that answered recently, and counts
- * as connected for CONTROL_WATCHER_TIMEOUT_US after its last report. */
-#define SETTLED_AFTER_US (2 * CONTROL_WATCHER_TIMEOUT_US)
 /* Interval at which a VM that does not promote notes the positions of primaries,
  * microseconds. */
 #define FOLLOW_INTERVAL_US (1000 * 1000ll)
@@ -27,12 +23,9 @@
 #define RESUME_RETRY_US (2500 * 1000ll)
 /* Pause after a refused promotion request, microseconds. */
 #define REFUSED_RETRY_US (300 * 1000ll)
-
-void control_succession_free(void *data)
-{
-	succession_finish(data);
-	g_free(data);
-}
+/* An order that took longer than this to be agreed on is not given, since what
+ * it was decided by may have changed, microseconds. */
+#define ORDER_MAX_AGE_US (500 * 1000ll)
 
 void control_promotion_state_free(void *data)
 {
@@ -80,15 +73,13 @@
 	return up.answered;
 }
 
-/* Whether an upstream that was promoted has said since that it does not lead. */
-static bool denies_leading(const struct control_node *node,
-			   const struct sighting *upstream)
+struct position control_newest_position(const struct control_node *node,
+					const char *id)
 {
-	const struct appointment *a = g_hash_table_lookup(
-		node->sightings.appointments, upstream->service);
+	struct promotion_upstream up = { 0 };
 
-	return !upstream->primary && a && !strcmp(a->id, upstream->id) &&
-	       upstream->heard_us - a->at_us > PROMOTION_REQUEST_INTERVAL_US;
+	count_reports(node, id, &up, clock_now_us());
+	return up.position;
 }
 
 /* Return: a struct promotion_upstream for each of the service's upstreams; also
@@ -97,8 +88,7 @@
 				 const char *service,
 				 struct promotion_view *view, int64_t now_us)
 {
-	const struct sighting *primary_sighting =
-		sightings_primary(&node->sightings, service);
+	const struct sighting *primary = control_primary(node, service, now_us);
 	GArray *out =
 		g_array_new(FALSE, TRUE, sizeof(struct promotion_upstream));
 	struct sighting *upstream;
@@ -116,8 +106,7 @@
 
 		if (upstream->gone || strcmp(upstream->service, service))
 			continue;
-		if (upstream == primary_sighting &&
-		    !denies_leading(node, upstream))
+		if (upstream == primary)
 			view->primary = (int)out->len;
 		if (upstream->heard_us < node->started_us)
 			view->unannounced_upstreams++;
@@ -127,49 +116,6 @@
 	return out;
 }
 
-/* Newest log position that entry daemons report for an upstream. */
-static struct position newest_position(const struct control_node *node,
-				       const char *id)
-{
-	struct promotion_upstream up = { 0 };
-
-	count_reports(node, id, &up, clock_now_us());
-	return up.position;
-}
-
-struct succession *control_succession(struct control_node *node,
-				      const char *service)
-{
-	struct succession *s = g_hash_table_lookup(node->successions, service);
-
-	if (s)
-		return s;
-	s = g_new0(struct succession, 1);
-	succession_init(s);
-	g_hash_table_insert(node->successions, g_strdup(service), s);
-	return s;
-}
-
-static void follow_primary(struct control_node *node, const char *service,
-			   int64_t now_us)
-{
-	struct succession *s = control_succession(node, service);
-	const struct sighting *primary =
-		sightings_primary(&node->sightings, service);
-	struct position last = { 0 };
-
-	if (s->primary)
-		last = newest_position(node, s->primary);
-	if (primary && g_strcmp0(s->primary, primary->id)) {
-		succession_change(s, primary->id,
-				  newest_position(node, primary->id), last);
-		s->seen_us = now_us;
-		return;
-	}
-	succession_note_position(s, s->primary, last,
-				 now_us - s->seen_us > SETTLED_AFTER_US);
-}
-
 static void mark_diverged(struct control_node *node, const char *service,
 			  GArray *upstreams)
 {
@@ -216,7 +162,7 @@
 		control_survey_received(state, id, clock_now_us());
 
 	return position_max(received ? *received : (struct position){ 0 },
-			    newest_position(node, id));
+			    control_newest_position(node, id));
 }
 
 /* The upstreams that a promotion was decided by, for the log. */
@@ -243,6 +189,28 @@
 	return g_string_free(out, FALSE);
 }
 
+/*
+ * The order goes to the platform once it is in the agreed log, so that no later
+ * leader takes it for one that was never given.
+ */
+static bool propose_order(struct control_node *node, const char *service,
+			  const char *id, uint64_t token,
+			  struct position log_end)
+{
+	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
+	Wire__Position end = WIRE__POSITION__INIT;
+
+	end.term = log_end.term;
+	end.lsn = log_end.lsn;
+	change.kind = WIRE__PRIMARY_CHANGE__KIND__ORDERED;
+	change.service = (char *)service;
+	change.id = (char *)id;
+	change.token = token;
+	change.log_end = &end;
+	change.newest_term = control_succession(node, service)->newest_term;
+	return control_primary_propose(node, &change);
+}
+
 static void request_promotion(struct control_node *node, const char *service,
 			      const char *id, enum promotion_reason reason,
 			      const struct promotion_view *view)
@@ -261,9 +229,9 @@
 		state->nr_unanswered = 0;
 	}
 	state->at_us = clock_now_us();
+	state->token = token;
+	state->sent = false;
 	state->pending = true;
-	succession_request(control_succession(node, service), id,
-			   log_end(node, state, id));
 	event_log_always("promotion_ordered",
 			 "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:I, s:s}",
 			 "service", service, "upstream", id, "was",
@@ -273,7 +241,21 @@
 			 p ? (int)p->failing : 0, "token", (json_int_t)token,
 			 "upstreams", upstreams);
 	control_count(node, CONTROL_COUNT_PROMOTIONS, 1);
-	node->ops->promote(service, id, token, node->data);
+	if (!propose_order(node, service, id, token, log_end(node, state, id)))
+		state->pending = false;
+}
+
+static void propose_outcome(struct control_node *node, const char *service,
+			    const char *id, uint64_t token, bool promoted)
+{
+	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
+
+	change.kind = promoted ? WIRE__PRIMARY_CHANGE__KIND__PROMOTED :
+				 WIRE__PRIMARY_CHANGE__KIND__REFUSED;
+	change.service = (char *)service;
+	change.id = (char *)id;
+	change.token = token;
+	control_primary_propose(node, &change);
 }
 
 /* Return: index of the upstream whose promotion was requested without an answer
@@ -401,6 +383,44 @@
 	return node->lead_term && raft_lease_until_us(node->raft) >= now_us;
 }
 
+void control_promotion_agreed(struct control_node *node, const char *service,
+			      const char *id, uint64_t token)
+{
+	struct control_promotion_state *state =
+		g_hash_table_lookup(node->promotion_states, service);
+	int64_t now_us = clock_now_us();
+
+	if (!state || !state->pending || state->sent || state->token != token ||
+	    token >> 32 != node->lead_term)
+		return;
+	if (!holds_lease(node, now_us) ||
+	    now_us - state->at_us > ORDER_MAX_AGE_US) {
+		event_log_always("promotion_dropped", "{s:s, s:s, s:I}",
+				 "service", service, "upstream", id, "token",
+				 (json_int_t)token);
+		state->pending = false;
+		propose_outcome(node, service, id, token, false);
+		return;
+	}
+	state->sent = true;
+	node->ops->promote(service, id, token, node->data);
+}
+
+/* Whether @state's handover is of a primary that leads no more. */
+static bool is_superseded(struct control_node *node,
+			  const struct control_promotion_state *state,
+			  const char *id)
+{
+	const struct primary_record *record =
+		primary_register_find(&node->primaries, state->service);
+
+	/* An order of an earlier leader may have been carried out meanwhile. */
+	if (record && record->id && strcmp(record->id, state->from))
+		return true;
+	return succession_diverged(control_succession(node, state->service), id,
+				   control_newest_position(node, id));
+}
+
 static void end_handover(struct control_node *node,
 			 struct control_promotion_state *state, bool complete)
 {
@@ -408,10 +428,7 @@
 	g_autofree char *id = g_strdup(complete ? state->id : state->from);
 
 	state->handover = 0;
-	/* An order of an earlier leader may have been carried out meanwhile. */
-	follow_primary(node, state->service, clock_now_us());
-	if (succession_diverged(control_succession(node, state->service), id,
-				newest_position(node, id))) {
+	if (is_superseded(node, state, id)) {
 		event_log_always("handover_superseded", "{s:s, s:s}", "service",
 				 state->service, "upstream", id);
 		return;
@@ -664,9 +681,11 @@
 		 * number of services times that of upstreams. */
 		if (!is_configured(node, service))
 			continue;
-		follow_primary(node, service, now_us);
-		if (promote)
-			check_service(node, service, now_us);
+		control_primary_follow(node, service, now_us);
+		if (!promote)
+			continue;
+		control_primary_check(node, service, now_us);
+		check_service(node, service, now_us);
 	}
 	g_hash_table_destroy(services);
 }
@@ -680,19 +699,21 @@
 }
 
 void control_promotion_answered(struct control_node *node, const char *service,
-				const char *id, enum promotion_result result)
+				const char *id, uint64_t token,
+				enum promotion_result result)
 {
 	struct control_promotion_state *state =
 		g_hash_table_lookup(node->promotion_states, service);
 	int64_t now_us = clock_now_us();
 
-	event_log_always("promotion_answered", "{s:s, s:s, s:i}", "service",
-			 service, "upstream", id, "result", (int)result);
-	if (result == PROMOTION_DONE &&
-	    sightings_appoint(&node->sightings, service, id, now_us))
-		node->views_due = true;
+	event_log_always("promotion_answered", "{s:s, s:s, s:I, s:i}",
+			 "service", service, "upstream", id, "token",
+			 (json_int_t)token, "result", (int)result);
+	if (result != PROMOTION_OUTCOME_UNKNOWN)
+		propose_outcome(node, service, id, token,
+				result == PROMOTION_DONE);
 	/* The result may belong to a request of an earlier term. */
-	if (!state || !state->pending || strcmp(state->id, id))
+	if (!state || !state->pending || state->token != token)
 		return;
 	state->pending = false;
 	if (result == PROMOTION_DONE) {
--- a/control/sightings_file.c
+++ b/control/sightings_file.c
@@ -24,55 +24,6 @@
 	return g_build_filename(node->folder, "sightings", NULL);
 }
 
-static Wire__Succession *pack_succession(const char *service,
-					 const struct succession *s)
-{
-	Wire__Succession *out = g_new(Wire__Succession, 1);
-	GHashTableIter it;
-	char *id;
-
-	wire__succession__init(out);
-	out->service = (char *)service;
-	out->primary = s->primary;
-	out->log_end = g_new(Wire__Position, 1);
-	wire__position__init(out->log_end);
-	out->log_end->term = s->base.term;
-	out->log_end->lsn = s->base.lsn;
-	out->ended_term = s->ended_term;
-	out->replaced = g_new(char *, g_hash_table_size(s->replaced) + 1);
-	g_hash_table_iter_init(&it, s->replaced);
-	while (g_hash_table_iter_next(&it, (void **)&id, NULL))
-		out->replaced[out->n_replaced++] = id;
-	return out;
-}
-
-static void add_successions(const struct control_node *node, Wire__View *view)
-{
-	const struct succession *s;
-	GHashTableIter it;
-	char *service;
-
-	view->successions = g_new(Wire__Succession *,
-				  g_hash_table_size(node->successions) + 1);
-	g_hash_table_iter_init(&it, node->successions);
-	while (g_hash_table_iter_next(&it, (void **)&service, (void **)&s))
-		if (s->primary)
-			view->successions[view->n_successions++] =
-				pack_succession(service, s);
-}
-
-static void clear_successions(Wire__View *view)
-{
-	size_t i;
-
-	for (i = 0; i < view->n_successions; i++) {
-		g_free(view->successions[i]->log_end);
-		g_free(view->successions[i]->replaced);
-		g_free(view->successions[i]);
-	}
-	g_free(view->successions);
-}
-
 static GByteArray *pack_file(struct control_node *node)
 {
 	GByteArray *out = g_byte_array_new();
@@ -82,11 +33,9 @@
 
 	control_view_fill(node, 0, &view);
 	control_roster_fill(node, 0, &view);
-	add_successions(node, &view);
 	g_byte_array_set_size(out,
 			      HEADER_LEN + wire__view__get_packed_size(&view));
 	wire__view__pack(&view, out->data + HEADER_LEN);
-	clear_successions(&view);
 	control_view_clear(&view);
 	memcpy(out->data + CHECKSUM_LEN, &saved_ms, sizeof(saved_ms));
 	checksum = GUINT64_TO_LE(
@@ -131,21 +80,6 @@
 	g_byte_array_free(bytes, TRUE);
 }
 
-static void restore_succession(struct control_node *node,
-			       const Wire__Succession *in)
-{
-	struct succession *s = control_succession(node, in->service);
-	struct position base = { 0 };
-	size_t i;
-
-	if (in->log_end)
-		base = (struct position){ in->log_end->term, in->log_end->lsn };
-	succession_restore(s, in->primary, base, in->ended_term);
-	s->seen_us = clock_now_us();
-	for (i = 0; i < in->n_replaced; i++)
-		succession_restore_replaced(s, in->replaced[i]);
-}
-
 /*
  * How long ago the saved upstreams were last heard from is unknown. They are
  * used as addresses to try, but are merged with an age at which none counts as
@@ -160,11 +94,10 @@
 		control_roster_restore(node, view->roster[i], clock_now_us());
 	for (i = 0; i < view->n_sightings; i++)
 		control_merge_sighting(node, view->sightings[i], now_us);
-	for (i = 0; i < view->n_successions; i++)
-		restore_succession(node, view->successions[i]);
 	for (i = 0; i < view->n_primaries; i++)
 		sightings_appoint(&node->sightings, view->primaries[i]->service,
 				  view->primaries[i]->id,
+				  view->primaries[i]->index,
 				  now_us - (int64_t)view->primaries[i]->age_us);
 }
 
--- a/control/storage.c
+++ b/control/storage.c
@@ -49,17 +49,33 @@
 	raft_disk_append(&node->disk, entries, nr);
 }
 
+static void apply_data(struct control_node *node,
+		       const struct raft_entry *entry)
+{
+	Wire__ConfigChange *change =
+		wire__config_change__unpack(NULL, entry->len, entry->data);
+
+	if (!change) {
+		event_log_always("entry_unreadable", "{s:I}", "index",
+				 (json_int_t)entry->index);
+		return;
+	}
+	if (change->primary)
+		control_primary_apply(node, change->primary, entry->index);
+	else
+		config_register_take(&node->reg, change);
+	wire__config_change__free_unpacked(change, NULL);
+}
+
 static void on_apply(const struct raft_entry *entry, void *data)
 {
 	struct control_node *node = data;
 	uint64_t version = node->reg.version;
 
-	if (entry->kind == RAFT_ENTRY_DATA &&
-	    !config_register_apply(&node->reg, entry->data, entry->len))
-		event_log_always("entry_unreadable", "{s:I}", "index",
-				 (json_int_t)entry->index);
 	if (node->lead_term && entry->term == node->lead_term)
 		node->lead_term_applied = true;
+	if (entry->kind == RAFT_ENTRY_DATA)
+		apply_data(node, entry);
 	if (entry->kind == RAFT_ENTRY_MEMBERS)
 		node->group_due = true;
 	if (node->reg.version == version)
@@ -74,8 +90,19 @@
 static uint8_t *on_take_snapshot(size_t *len, void *data)
 {
 	struct control_node *node = data;
-
-	return config_change_pack(node->reg.version, node->reg.document, len);
+	Wire__ConfigChange snapshot = WIRE__CONFIG_CHANGE__INIT;
+	uint8_t *bytes;
+
+	snapshot.version = node->reg.version;
+	if (node->reg.document)
+		snapshot.document.data = (uint8_t *)g_bytes_get_data(
+			node->reg.document, &snapshot.document.len);
+	primary_register_pack(&node->primaries, &snapshot);
+	*len = wire__config_change__get_packed_size(&snapshot);
+	bytes = g_malloc(MAX(*len, 1));
+	wire__config_change__pack(&snapshot, bytes);
+	primary_register_clear_packed(&snapshot);
+	return bytes;
 }
 
 static void on_save_snapshot(uint64_t index, uint64_t term,
@@ -90,9 +117,16 @@
 static void on_restore_snapshot(const uint8_t *bytes, size_t len, void *data)
 {
 	struct control_node *node = data;
-
-	if (!config_register_apply(&node->reg, bytes, len))
+	Wire__ConfigChange *snapshot =
+		wire__config_change__unpack(NULL, len, bytes);
+
+	if (snapshot) {
+		config_register_take(&node->reg, snapshot);
+		control_primaries_restore(node, snapshot);
+		wire__config_change__free_unpacked(snapshot, NULL);
+	} else {
 		event_log_always("snapshot_unreadable", "");
+	}
 	node->views_due = true;
 }
 
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -117,6 +117,7 @@
 		out->service = a->service;
 		out->id = a->id;
 		out->age_us = (uint64_t)MAX(now_us - a->at_us, 0);
+		out->index = a->index;
 		view->primaries[view->n_primaries++] = out;
 	}
 }
--- a/coordination/succession.c
+++ b/coordination/succession.c
@@ -57,12 +57,12 @@
 }
 
 void succession_request(struct succession *s, const char *id,
-			struct position position)
+			struct position position, uint32_t newest_term)
 {
 	g_free(s->requested);
 	s->requested = g_strdup(id);
 	s->requested_position = position;
-	s->requested_term = s->newest_term;
+	s->requested_term = newest_term;
 }
 
 /*
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -461,7 +461,7 @@
 	upstream->not_primary_until_us = 0;
 	if (known && !strcmp(known->id, upstream->id))
 		return;
-	if (sightings_appoint(sightings, svc->name, upstream->id, asked_us))
+	if (sightings_note_found(sightings, svc->name, upstream->id, asked_us))
 		event_log("primary_found", "{s:s, s:s, s:s}", "service",
 			  svc->name, "upstream", upstream->id, "was",
 			  known ? known->id : "");
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -78,7 +78,7 @@
 	struct upstream *upstream;
 
 	if (!sightings_appoint(&entry->sightings, in->service, in->id,
-			       now_us - (int64_t)in->age_us))
+			       in->index, now_us - (int64_t)in->age_us))
 		return;
 	upstream = g_hash_table_lookup(entry->known_upstreams, in->id);
 	if (upstream)
--- a/include/config_register.h
+++ b/include/config_register.h
@@ -1,6 +1,8 @@
 #ifndef CONFIG_REGISTER_H
 #define CONFIG_REGISTER_H
 
+#include "messages.pb-c.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -38,6 +40,10 @@
  */
 uint8_t *config_change_pack(uint64_t version, GBytes *document, size_t *len);
 
+/** config_register_take() - apply a decoded log entry or snapshot */
+void config_register_take(struct config_register *reg,
+			  const Wire__ConfigChange *change);
+
 /**
  * config_register_apply() - apply a log entry or a snapshot
  * Return: false if @bytes cannot be decoded; nothing changes then
--- a/include/sightings.h
+++ b/include/sightings.h
@@ -45,14 +45,19 @@
 };
 
 /**
- * struct appointment - the upstream that the control group promoted to primary
- *                      of a service
- * @at_us: when it was promoted
+ * struct appointment - the upstream that leads a service according to the
+ *                      control group, or was found to lead since
+ * @index: index of the entry of the agreed log, 0 before the first one
+ * @at_us: when a control VM learned of that entry
+ * @found_us: when this process asked an upstream that proved to lead,
+ *            INT64_MIN if it has not
  */
 struct appointment {
 	char *service;
 	char *id;
+	uint64_t index;
 	int64_t at_us;
+	int64_t found_us;
 };
 
 /**
@@ -86,11 +91,21 @@
 					   const struct sighting *in);
 
 /**
- * sightings_appoint() - record a promotion
- * Return: whether the appointed upstream of the service changed
+ * sightings_appoint() - the control group says who leads
+ * @index: entry of the agreed log; an older one is ignored
+ * Return: whether the primary of the service changed
  */
 bool sightings_appoint(struct sightings *s, const char *service, const char *id,
-		       int64_t at_us);
+		       uint64_t index, int64_t at_us);
+
+/**
+ * sightings_note_found() - an upstream that was asked at @asked_us leads
+ *
+ * Holds until the control group learns of another primary later than that.
+ * Return: whether the primary of the service changed
+ */
+bool sightings_note_found(struct sightings *s, const char *service,
+			  const char *id, int64_t asked_us);
 
 const struct sighting *sightings_find(const struct sightings *s,
 				      const char *id);
--- a/include/succession.h
+++ b/include/succession.h
@@ -7,8 +7,8 @@
  * DOC: Which upstreams led a service, and whether a log may lead it again.
  *
  * Does no I/O. Each control VM keeps one for each service and follows the
- * changes of primary that it sees, whoever requested them, so that a new leader
- * knows of those before its election.
+ * changes of primary in the agreed log, see primary_register.h, so that a new
+ * leader knows of those before its election.
  *
  * A promoted upstream begins the next term with the log that it has. What other
  * logs hold beyond that point is discarded once they follow it. A log that was
@@ -23,6 +23,7 @@
  * @settled_position: newest end of its log noted once it was settled, term 0 if
  *                    there is none
  * @seen_us: when the caller saw that it leads
+ * @index: index of the entry of the agreed log that the caller saw last
  * @base: end of its log when it was promoted, term 0 if unknown
  * @ended_term: newest term of any log at that time, 0 if unknown
  * @newest_term: newest term of any log
@@ -37,6 +38,7 @@
 	struct position position;
 	struct position settled_position;
 	int64_t seen_us;
+	uint64_t index;
 	struct position base;
 	uint32_t ended_term;
 	uint32_t newest_term;
@@ -82,11 +84,12 @@
 			      struct position position, bool settled);
 
 /**
- * succession_request() - this VM requests the promotion of @id
- * @position: last known end of its log
+ * succession_request() - the promotion of @id was ordered
+ * @position: last known end of its log at that time
+ * @newest_term: newest term of any log at that time
  */
 void succession_request(struct succession *s, const char *id,
-			struct position position);
+			struct position position, uint32_t newest_term);
 
 /**
  * succession_change() - @id is the primary from now on
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -1717,49 +1717,139 @@
   assert(message->base.descriptor == &wire__service_primary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wire__succession__init
-                     (Wire__Succession         *message)
+void   wire__primary_order__init
+                     (Wire__PrimaryOrder         *message)
 {
-  static const Wire__Succession init_value = WIRE__SUCCESSION__INIT;
+  static const Wire__PrimaryOrder init_value = WIRE__PRIMARY_ORDER__INIT;
   *message = init_value;
 }
-size_t wire__succession__get_packed_size
-                     (const Wire__Succession *message)
+size_t wire__primary_order__get_packed_size
+                     (const Wire__PrimaryOrder *message)
 {
-  assert(message->base.descriptor == &wire__succession__descriptor);
+  assert(message->base.descriptor == &wire__primary_order__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wire__succession__pack
-                     (const Wire__Succession *message,
+size_t wire__primary_order__pack
+                     (const Wire__PrimaryOrder *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wire__succession__descriptor);
+  assert(message->base.descriptor == &wire__primary_order__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wire__succession__pack_to_buffer
-                     (const Wire__Succession *message,
+size_t wire__primary_order__pack_to_buffer
+                     (const Wire__PrimaryOrder *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__succession__descriptor);
+  assert(message->base.descriptor == &wire__primary_order__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wire__Succession *
-       wire__succession__unpack
+Wire__PrimaryOrder *
+       wire__primary_order__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wire__Succession *)
-     protobuf_c_message_unpack (&wire__succession__descriptor,
+  return (Wire__PrimaryOrder *)
+     protobuf_c_message_unpack (&wire__primary_order__descriptor,
                                 allocator, len, data);
 }
-void   wire__succession__free_unpacked
-                     (Wire__Succession *message,
+void   wire__primary_order__free_unpacked
+                     (Wire__PrimaryOrder *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wire__succession__descriptor);
+  assert(message->base.descriptor == &wire__primary_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__primary_record__init
+                     (Wire__PrimaryRecord         *message)
+{
+  static const Wire__PrimaryRecord init_value = WIRE__PRIMARY_RECORD__INIT;
+  *message = init_value;
+}
+size_t wire__primary_record__get_packed_size
+                     (const Wire__PrimaryRecord *message)
+{
+  assert(message->base.descriptor == &wire__primary_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__primary_record__pack
+                     (const Wire__PrimaryRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__primary_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__primary_record__pack_to_buffer
+                     (const Wire__PrimaryRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__primary_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PrimaryRecord *
+       wire__primary_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PrimaryRecord *)
+     protobuf_c_message_unpack (&wire__primary_record__descriptor,
+                                allocator, len, data);
+}
+void   wire__primary_record__free_unpacked
+                     (Wire__PrimaryRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__primary_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__primary_change__init
+                     (Wire__PrimaryChange         *message)
+{
+  static const Wire__PrimaryChange init_value = WIRE__PRIMARY_CHANGE__INIT;
+  *message = init_value;
+}
+size_t wire__primary_change__get_packed_size
+                     (const Wire__PrimaryChange *message)
+{
+  assert(message->base.descriptor == &wire__primary_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__primary_change__pack
+                     (const Wire__PrimaryChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__primary_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__primary_change__pack_to_buffer
+                     (const Wire__PrimaryChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__primary_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PrimaryChange *
+       wire__primary_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PrimaryChange *)
+     protobuf_c_message_unpack (&wire__primary_change__descriptor,
+                                allocator, len, data);
+}
+void   wire__primary_change__free_unpacked
+                     (Wire__PrimaryChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__primary_change__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   wire__view__init
@@ -6443,7 +6533,7 @@
   (ProtobufCMessageInit) wire__roster_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__service_primary__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__service_primary__field_descriptors[4] =
 {
   {
     "service",
@@ -6481,16 +6571,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ServicePrimary, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__service_primary__field_indices_by_name[] = {
   2,   /* field[2] = age_us */
   1,   /* field[1] = id */
+  3,   /* field[3] = index */
   0,   /* field[0] = service */
 };
 static const ProtobufCIntRange wire__service_primary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__service_primary__descriptor =
 {
@@ -6500,14 +6603,104 @@
   "Wire__ServicePrimary",
   "wire",
   sizeof(Wire__ServicePrimary),
-  3,
+  4,
   wire__service_primary__field_descriptors,
   wire__service_primary__field_indices_by_name,
   1,  wire__service_primary__number_ranges,
   (ProtobufCMessageInit) wire__service_primary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__succession__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__primary_order__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryOrder, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_token",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryOrder, first_token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_token",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryOrder, last_token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_end",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryOrder, log_end),
+    &wire__position__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "newest_term",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryOrder, newest_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__primary_order__field_indices_by_name[] = {
+  1,   /* field[1] = first_token */
+  0,   /* field[0] = id */
+  2,   /* field[2] = last_token */
+  3,   /* field[3] = log_end */
+  4,   /* field[4] = newest_term */
+};
+static const ProtobufCIntRange wire__primary_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wire__primary_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PrimaryOrder",
+  "PrimaryOrder",
+  "Wire__PrimaryOrder",
+  "wire",
+  sizeof(Wire__PrimaryOrder),
+  5,
+  wire__primary_order__field_descriptors,
+  wire__primary_order__field_indices_by_name,
+  1,  wire__primary_order__number_ranges,
+  (ProtobufCMessageInit) wire__primary_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__primary_record__field_descriptors[8] =
 {
   {
     "service",
@@ -6515,31 +6708,55 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__Succession, service),
+    offsetof(Wire__PrimaryRecord, service),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "primary",
+    "id",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__Succession, primary),
+    offsetof(Wire__PrimaryRecord, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "log_end",
+    "token",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryRecord, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryRecord, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "led_from",
+    5,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wire__Succession, log_end),
+    offsetof(Wire__PrimaryRecord, led_from),
     &wire__position__descriptor,
     NULL,
     0,             /* flags */
@@ -6547,11 +6764,11 @@
   },
   {
     "ended_term",
-    4,
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wire__Succession, ended_term),
+    offsetof(Wire__PrimaryRecord, ended_term),
     NULL,
     NULL,
     0,             /* flags */
@@ -6559,45 +6776,195 @@
   },
   {
     "replaced",
-    5,
+    7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_STRING,
-    offsetof(Wire__Succession, n_replaced),
-    offsetof(Wire__Succession, replaced),
+    offsetof(Wire__PrimaryRecord, n_replaced),
+    offsetof(Wire__PrimaryRecord, replaced),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "orders",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__PrimaryRecord, n_orders),
+    offsetof(Wire__PrimaryRecord, orders),
+    &wire__primary_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned wire__succession__field_indices_by_name[] = {
-  3,   /* field[3] = ended_term */
-  2,   /* field[2] = log_end */
-  1,   /* field[1] = primary */
-  4,   /* field[4] = replaced */
+static const unsigned wire__primary_record__field_indices_by_name[] = {
+  5,   /* field[5] = ended_term */
+  1,   /* field[1] = id */
+  3,   /* field[3] = index */
+  4,   /* field[4] = led_from */
+  7,   /* field[7] = orders */
+  6,   /* field[6] = replaced */
   0,   /* field[0] = service */
+  2,   /* field[2] = token */
 };
-static const ProtobufCIntRange wire__succession__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__primary_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor wire__succession__descriptor =
+const ProtobufCMessageDescriptor wire__primary_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Succession",
-  "Succession",
-  "Wire__Succession",
+  "wire.PrimaryRecord",
+  "PrimaryRecord",
+  "Wire__PrimaryRecord",
   "wire",
-  sizeof(Wire__Succession),
-  5,
-  wire__succession__field_descriptors,
-  wire__succession__field_indices_by_name,
-  1,  wire__succession__number_ranges,
-  (ProtobufCMessageInit) wire__succession__init,
+  sizeof(Wire__PrimaryRecord),
+  8,
+  wire__primary_record__field_descriptors,
+  wire__primary_record__field_indices_by_name,
+  1,  wire__primary_record__number_ranges,
+  (ProtobufCMessageInit) wire__primary_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__view__field_descriptors[16] =
+static const ProtobufCEnumValue wire__primary_change__kind__enum_values_by_number[4] =
+{
+  { "LEADS", "WIRE__PRIMARY_CHANGE__KIND__LEADS", 0 },
+  { "ORDERED", "WIRE__PRIMARY_CHANGE__KIND__ORDERED", 1 },
+  { "PROMOTED", "WIRE__PRIMARY_CHANGE__KIND__PROMOTED", 2 },
+  { "REFUSED", "WIRE__PRIMARY_CHANGE__KIND__REFUSED", 3 },
+};
+static const ProtobufCIntRange wire__primary_change__kind__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex wire__primary_change__kind__enum_values_by_name[4] =
+{
+  { "LEADS", 0 },
+  { "ORDERED", 1 },
+  { "PROMOTED", 2 },
+  { "REFUSED", 3 },
+};
+const ProtobufCEnumDescriptor wire__primary_change__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "wire.PrimaryChange.Kind",
+  "Kind",
+  "Wire__PrimaryChange__Kind",
+  "wire",
+  4,
+  wire__primary_change__kind__enum_values_by_number,
+  4,
+  wire__primary_change__kind__enum_values_by_name,
+  1,
+  wire__primary_change__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor wire__primary_change__field_descriptors[6] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryChange, kind),
+    &wire__primary_change__kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryChange, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryChange, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryChange, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_end",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryChange, log_end),
+    &wire__position__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "newest_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryChange, newest_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__primary_change__field_indices_by_name[] = {
+  2,   /* field[2] = id */
+  0,   /* field[0] = kind */
+  4,   /* field[4] = log_end */
+  5,   /* field[5] = newest_term */
+  1,   /* field[1] = service */
+  3,   /* field[3] = token */
+};
+static const ProtobufCIntRange wire__primary_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wire__primary_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PrimaryChange",
+  "PrimaryChange",
+  "Wire__PrimaryChange",
+  "wire",
+  sizeof(Wire__PrimaryChange),
+  6,
+  wire__primary_change__field_descriptors,
+  wire__primary_change__field_indices_by_name,
+  1,  wire__primary_change__number_ranges,
+  (ProtobufCMessageInit) wire__primary_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__view__field_descriptors[15] =
 {
   {
     "fresh",
@@ -6719,18 +7086,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "successions",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__View, n_successions),
-    offsetof(Wire__View, successions),
-    &wire__succession__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "surveys",
     12,
@@ -6793,7 +7148,7 @@
   },
 };
 static const unsigned wire__view__field_indices_by_name[] = {
-  15,   /* field[15] = answered_us */
+  14,   /* field[14] = answered_us */
   2,   /* field[2] = config */
   3,   /* field[3] = config_len */
   1,   /* field[1] = config_version */
@@ -6802,18 +7157,18 @@
   9,   /* field[9] = handovers */
   7,   /* field[7] = leader */
   5,   /* field[5] = primaries */
-  14,   /* field[14] = quota_number */
-  13,   /* field[13] = quota_term */
-  12,   /* field[12] = quotas */
+  13,   /* field[13] = quota_number */
+  12,   /* field[12] = quota_term */
+  11,   /* field[11] = quotas */
   8,   /* field[8] = roster */
   4,   /* field[4] = sightings */
-  10,   /* field[10] = successions */
-  11,   /* field[11] = surveys */
+  10,   /* field[10] = surveys */
 };
-static const ProtobufCIntRange wire__view__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__view__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 12, 10 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__view__descriptor =
 {
@@ -6823,10 +7178,10 @@
   "Wire__View",
   "wire",
   sizeof(Wire__View),
-  16,
+  15,
   wire__view__field_descriptors,
   wire__view__field_indices_by_name,
-  1,  wire__view__number_ranges,
+  2,  wire__view__number_ranges,
   (ProtobufCMessageInit) wire__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -7487,7 +7842,7 @@
   (ProtobufCMessageInit) wire__peers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__config_change__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__config_change__field_descriptors[4] =
 {
   {
     "version",
@@ -7513,15 +7868,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "primary",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__ConfigChange, primary),
+    &wire__primary_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primaries",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__ConfigChange, n_primaries),
+    offsetof(Wire__ConfigChange, primaries),
+    &wire__primary_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__config_change__field_indices_by_name[] = {
   1,   /* field[1] = document */
+  3,   /* field[3] = primaries */
+  2,   /* field[2] = primary */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange wire__config_change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__config_change__descriptor =
 {
@@ -7531,7 +7912,7 @@
   "Wire__ConfigChange",
   "wire",
   sizeof(Wire__ConfigChange),
-  2,
+  4,
   wire__config_change__field_descriptors,
   wire__config_change__field_indices_by_name,
   1,  wire__config_change__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -53,7 +53,9 @@
 typedef struct Wire__QuotaGrant Wire__QuotaGrant;
 typedef struct Wire__RosterEntry Wire__RosterEntry;
 typedef struct Wire__ServicePrimary Wire__ServicePrimary;
-typedef struct Wire__Succession Wire__Succession;
+typedef struct Wire__PrimaryOrder Wire__PrimaryOrder;
+typedef struct Wire__PrimaryRecord Wire__PrimaryRecord;
+typedef struct Wire__PrimaryChange Wire__PrimaryChange;
 typedef struct Wire__View Wire__View;
 typedef struct Wire__SessionValue Wire__SessionValue;
 typedef struct Wire__RelayRequest Wire__RelayRequest;
@@ -84,6 +86,23 @@
   WIRE__APPLY_VERDICT__VERDICT__NOT_LEADER = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__APPLY_VERDICT__VERDICT)
 } Wire__ApplyVerdict__Verdict;
+typedef enum _Wire__PrimaryChange__Kind {
+  /*
+   * Seen to lead although no answer to an order says so; the token is the one
+   * of the record that this corrects.
+   */
+  WIRE__PRIMARY_CHANGE__KIND__LEADS = 0,
+  /*
+   * The leader is about to order its promotion.
+   */
+  WIRE__PRIMARY_CHANGE__KIND__ORDERED = 1,
+  /*
+   * The platform carried the order out, or refused it for good.
+   */
+  WIRE__PRIMARY_CHANGE__KIND__PROMOTED = 2,
+  WIRE__PRIMARY_CHANGE__KIND__REFUSED = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__PRIMARY_CHANGE__KIND)
+} Wire__PrimaryChange__Kind;
 typedef enum _Wire__FailoverStep__Step {
   WIRE__FAILOVER_STEP__STEP__NONE = 0,
   WIRE__FAILOVER_STEP__STEP__FENCING = 1,
@@ -855,7 +874,7 @@
 
 
 /*
- * The upstream that the control leader has put in charge of a service.
+ * The upstream that leads a service according to the agreed log.
  */
 struct  Wire__ServicePrimary
 {
@@ -863,31 +882,88 @@
   char *service;
   char *id;
   uint64_t age_us;
+  /*
+   * Index of the entry of the agreed log that says so.
+   */
+  uint64_t index;
 };
 #define WIRE__SERVICE_PRIMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__service_primary__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
- * The primary of a service and those before it; see include/succession.h.
+ * An order to promote that may still be carried out; see
+ * include/primary_register.h.
  */
-struct  Wire__Succession
+struct  Wire__PrimaryOrder
 {
   ProtobufCMessage base;
-  char *service;
-  char *primary;
+  char *id;
+  /*
+   * Tokens of the first and the last order for this upstream.
+   */
+  uint64_t first_token;
+  uint64_t last_token;
   /*
-   * End of the log of the primary when it was promoted.
+   * At the time of the last one: the end of its log and the newest term of any
+   * log.
    */
   Wire__Position *log_end;
+  uint32_t newest_term;
+};
+#define WIRE__PRIMARY_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__primary_order__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0 }
+
+
+/*
+ * What is agreed on the primary of a service.
+ */
+struct  Wire__PrimaryRecord
+{
+  ProtobufCMessage base;
+  char *service;
+  char *id;
+  uint64_t token;
+  uint64_t index;
+  /*
+   * End of its log when it was promoted, and the newest term of any log then.
+   */
+  Wire__Position *led_from;
   uint32_t ended_term;
+  /*
+   * Those before it.
+   */
   size_t n_replaced;
   char **replaced;
+  size_t n_orders;
+  Wire__PrimaryOrder **orders;
 };
-#define WIRE__SUCCESSION__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__succession__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0,NULL }
+#define WIRE__PRIMARY_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__primary_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * An entry of the agreed log about the primary of a service.
+ */
+struct  Wire__PrimaryChange
+{
+  ProtobufCMessage base;
+  Wire__PrimaryChange__Kind kind;
+  char *service;
+  char *id;
+  uint64_t token;
+  /*
+   * With an order.
+   */
+  Wire__Position *log_end;
+  uint32_t newest_term;
+};
+#define WIRE__PRIMARY_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__primary_change__descriptor) \
+    , WIRE__PRIMARY_CHANGE__KIND__LEADS, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0 }
 
 
 struct  Wire__View
@@ -924,11 +1000,6 @@
   Wire__RosterEntry **roster;
   size_t n_handovers;
   Wire__Handover **handovers;
-  /*
-   * Only in the sightings file of a control VM.
-   */
-  size_t n_successions;
-  Wire__Succession **successions;
   size_t n_surveys;
   Wire__Survey **surveys;
   /*
@@ -943,7 +1014,7 @@
 };
 #define WIRE__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__view__descriptor) \
-    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Wire__SessionValue
@@ -1081,17 +1152,21 @@
 
 
 /*
- * An accepted configuration in the agreed log.
+ * An entry of the agreed log: a configuration, or a change of a primary. A
+ * snapshot has the configuration and all records.
  */
 struct  Wire__ConfigChange
 {
   ProtobufCMessage base;
   uint64_t version;
   ProtobufCBinaryData document;
+  Wire__PrimaryChange *primary;
+  size_t n_primaries;
+  Wire__PrimaryRecord **primaries;
 };
 #define WIRE__CONFIG_CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__config_change__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, NULL, 0,NULL }
 
 
 /*
@@ -1990,24 +2065,62 @@
 void   wire__service_primary__free_unpacked
                      (Wire__ServicePrimary *message,
                       ProtobufCAllocator *allocator);
-/* Wire__Succession methods */
-void   wire__succession__init
-                     (Wire__Succession         *message);
-size_t wire__succession__get_packed_size
-                     (const Wire__Succession   *message);
-size_t wire__succession__pack
-                     (const Wire__Succession   *message,
+/* Wire__PrimaryOrder methods */
+void   wire__primary_order__init
+                     (Wire__PrimaryOrder         *message);
+size_t wire__primary_order__get_packed_size
+                     (const Wire__PrimaryOrder   *message);
+size_t wire__primary_order__pack
+                     (const Wire__PrimaryOrder   *message,
                       uint8_t             *out);
-size_t wire__succession__pack_to_buffer
-                     (const Wire__Succession   *message,
+size_t wire__primary_order__pack_to_buffer
+                     (const Wire__PrimaryOrder   *message,
                       ProtobufCBuffer     *buffer);
-Wire__Succession *
-       wire__succession__unpack
+Wire__PrimaryOrder *
+       wire__primary_order__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wire__succession__free_unpacked
-                     (Wire__Succession *message,
+void   wire__primary_order__free_unpacked
+                     (Wire__PrimaryOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PrimaryRecord methods */
+void   wire__primary_record__init
+                     (Wire__PrimaryRecord         *message);
+size_t wire__primary_record__get_packed_size
+                     (const Wire__PrimaryRecord   *message);
+size_t wire__primary_record__pack
+                     (const Wire__PrimaryRecord   *message,
+                      uint8_t             *out);
+size_t wire__primary_record__pack_to_buffer
+                     (const Wire__PrimaryRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PrimaryRecord *
+       wire__primary_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__primary_record__free_unpacked
+                     (Wire__PrimaryRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PrimaryChange methods */
+void   wire__primary_change__init
+                     (Wire__PrimaryChange         *message);
+size_t wire__primary_change__get_packed_size
+                     (const Wire__PrimaryChange   *message);
+size_t wire__primary_change__pack
+                     (const Wire__PrimaryChange   *message,
+                      uint8_t             *out);
+size_t wire__primary_change__pack_to_buffer
+                     (const Wire__PrimaryChange   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PrimaryChange *
+       wire__primary_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__primary_change__free_unpacked
+                     (Wire__PrimaryChange *message,
                       ProtobufCAllocator *allocator);
 /* Wire__View methods */
 void   wire__view__init
@@ -2467,8 +2580,14 @@
 typedef void (*Wire__ServicePrimary_Closure)
                  (const Wire__ServicePrimary *message,
                   void *closure_data);
-typedef void (*Wire__Succession_Closure)
-                 (const Wire__Succession *message,
+typedef void (*Wire__PrimaryOrder_Closure)
+                 (const Wire__PrimaryOrder *message,
+                  void *closure_data);
+typedef void (*Wire__PrimaryRecord_Closure)
+                 (const Wire__PrimaryRecord *message,
+                  void *closure_data);
+typedef void (*Wire__PrimaryChange_Closure)
+                 (const Wire__PrimaryChange *message,
                   void *closure_data);
 typedef void (*Wire__View_Closure)
                  (const Wire__View *message,
@@ -2569,7 +2688,10 @@
 extern const ProtobufCMessageDescriptor wire__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_entry__descriptor;
 extern const ProtobufCMessageDescriptor wire__service_primary__descriptor;
-extern const ProtobufCMessageDescriptor wire__succession__descriptor;
+extern const ProtobufCMessageDescriptor wire__primary_order__descriptor;
+extern const ProtobufCMessageDescriptor wire__primary_record__descriptor;
+extern const ProtobufCMessageDescriptor wire__primary_change__descriptor;
+extern const ProtobufCEnumDescriptor    wire__primary_change__kind__descriptor;
 extern const ProtobufCMessageDescriptor wire__view__descriptor;
 extern const ProtobufCMessageDescriptor wire__session_value__descriptor;
 extern const ProtobufCMessageDescriptor wire__relay_request__descriptor;
--- a/state/config_register.c
+++ b/state/config_register.c
@@ -1,7 +1,5 @@
 #include "config_register.h"
 
-#include "messages.pb-c.h"
-
 void config_register_init(struct config_register *reg)
 {
 	reg->version = 0;
@@ -40,18 +38,25 @@
 	return bytes;
 }
 
+void config_register_take(struct config_register *reg,
+			  const Wire__ConfigChange *change)
+{
+	GBytes *document =
+		g_bytes_new(change->document.data, change->document.len);
+
+	config_register_set_if_newer(reg, change->version, document);
+	g_bytes_unref(document);
+}
+
 bool config_register_apply(struct config_register *reg, const uint8_t *bytes,
 			   size_t len)
 {
 	Wire__ConfigChange *change =
 		wire__config_change__unpack(NULL, len, bytes);
-	GBytes *document;
 
 	if (!change)
 		return false;
-	document = g_bytes_new(change->document.data, change->document.len);
-	config_register_set_if_newer(reg, change->version, document);
-	g_bytes_unref(document);
+	config_register_take(reg, change);
 	wire__config_change__free_unpacked(change, NULL);
 	return true;
 }
--- a/state/sightings.c
+++ b/state/sightings.c
@@ -135,26 +135,57 @@
 	return SIGHTING_CHANGED;
 }
 
-bool sightings_appoint(struct sightings *s, const char *service, const char *id,
-		       int64_t at_us)
+static struct appointment *get_or_add_appointment(struct sightings *s,
+						  const char *service)
 {
 	struct appointment *a = g_hash_table_lookup(s->appointments, service);
 
-	if (a && a->at_us >= at_us)
-		return false;
-	if (a && !strcmp(a->id, id)) {
-		a->at_us = at_us;
-		return false;
-	}
+	if (a)
+		return a;
 	a = g_new0(struct appointment, 1);
 	a->service = g_strdup(service);
+	a->at_us = INT64_MIN;
+	a->found_us = INT64_MIN;
+	g_hash_table_insert(s->appointments, a->service, a);
+	return a;
+}
+
+static bool set_appointed(struct sightings *s, struct appointment *a,
+			  const char *id)
+{
+	if (!g_strcmp0(a->id, id))
+		return false;
+	g_free(a->id);
 	a->id = g_strdup(id);
-	a->at_us = at_us;
-	g_hash_table_replace(s->appointments, a->service, a);
 	s->revision++;
 	return true;
 }
 
+bool sightings_appoint(struct sightings *s, const char *service, const char *id,
+		       uint64_t index, int64_t at_us)
+{
+	struct appointment *a = get_or_add_appointment(s, service);
+
+	if (a->id && index <= a->index)
+		return false;
+	a->index = index;
+	if (a->found_us >= at_us)
+		return false;
+	a->at_us = at_us;
+	return set_appointed(s, a, id);
+}
+
+bool sightings_note_found(struct sightings *s, const char *service,
+			  const char *id, int64_t asked_us)
+{
+	struct appointment *a = get_or_add_appointment(s, service);
+
+	if (MAX(a->at_us, a->found_us) >= asked_us)
+		return false;
+	a->found_us = asked_us;
+	return set_appointed(s, a, id);
+}
+
 const struct sighting *sightings_find(const struct sightings *s, const char *id)
 {
 	return g_hash_table_lookup(s->by_id, id);
@@ -177,8 +208,8 @@
 
 		if (upstream->gone || strcmp(upstream->service, service))
 			continue;
-		if (a && !strcmp(a->id, upstream->id))
-			at_us = MAX(at_us, a->at_us);
+		if (a && !g_strcmp0(a->id, upstream->id))
+			at_us = MAX(at_us, MAX(a->at_us, a->found_us));
 		if (at_us > newest_us) {
 			newest = upstream;
 			newest_us = at_us;
--- a/tests/control_fixture.h
+++ b/tests/control_fixture.h
@@ -57,7 +57,7 @@
 
 	if (platform_silent) {
 		nr_unanswered++;
-		control_promotion_answered(vm->node, service, id,
+		control_promotion_answered(vm->node, service, id, token,
 					   PROMOTION_OUTCOME_UNKNOWN);
 		return;
 	}
@@ -65,14 +65,15 @@
 		g_strlcpy(unanswered_id, id, sizeof(unanswered_id));
 	if (leave_first_unanswered && !strcmp(id, unanswered_id)) {
 		newest_unanswered_token = token;
-		control_promotion_answered(vm->node, service, id,
+		control_promotion_answered(vm->node, service, id, token,
 					   PROMOTION_OUTCOME_UNKNOWN);
 		return;
 	}
 	nr_promotions++;
 	promoted_token = token;
 	g_strlcpy(promoted_id, id, sizeof(promoted_id));
-	control_promotion_answered(vm->node, service, id, PROMOTION_DONE);
+	control_promotion_answered(vm->node, service, id, token,
+				   PROMOTION_DONE);
 }
 
 /* What the configuration asks for. */
--- a/tests/raft_sim.h
+++ b/tests/raft_sim.h
@@ -68,6 +68,9 @@
  * @state_hashes: hash of a node after each entry, 0 if none applied it
  * @applied_terms: term of each applied entry
  * @propose_in_apply: entries still to be proposed from inside the callback
+ * @started: called before a node is started, as it applies its log again; may
+ *           be NULL
+ * @applied: called for each entry that a node applies; may be NULL
  */
 struct sim {
 	struct sim_node node[SIM_NODES + 1];
@@ -87,6 +90,8 @@
 	uint64_t snapshots_received;
 	uint64_t proposals;
 	unsigned propose_in_apply;
+	void (*started)(struct sim_node *n);
+	void (*applied)(struct sim_node *n, const struct raft_entry *e);
 };
 
 static inline void sim_clear_entry(void *e)
@@ -223,6 +228,8 @@
 		ck_assert_uint_eq(known, n->hash);
 	g_array_index(sim->state_hashes, uint64_t, e->index - 1) = n->hash;
 	g_array_index(sim->applied_terms, uint64_t, e->index - 1) = e->term;
+	if (sim->applied)
+		sim->applied(n, e);
 }
 
 static inline uint8_t *sim_take_snapshot(size_t *len, void *data)
@@ -318,6 +325,8 @@
 
 	n->applied = n->disk.index;
 	n->hash = 0;
+	if (sim->started)
+		sim->started(n);
 	n->raft = raft_new(&config, &rec, &sim_ops, n, sim->now_us);
 }
 
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -416,17 +416,18 @@
 END_TEST
 
 /* One daemon reports these to all VMs: failing_us, the log's end, lag and
- * saturation. */
+ * saturation; a term of 0 stands for 1. */
 struct reported_upstream {
 	const char *id;
 	bool failing;
 	uint64_t lsn;
 	bool lagging;
 	bool saturated;
+	uint32_t term;
 };
 
-static void report_upstreams(const struct reported_upstream *upstreams,
-			     unsigned nr)
+static void send_reports(const struct reported_upstream *upstreams, unsigned nr,
+			 Wire__HandoverResult *result)
 {
 	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 	Wire__Watch watch = WIRE__WATCH__INIT;
@@ -437,7 +438,7 @@
 	for (i = 0; i < nr; i++) {
 		wire__upstream_health__init(&health[i]);
 		wire__position__init(&positions[i]);
-		positions[i].term = 1;
+		positions[i].term = MAX(upstreams[i].term, 1);
 		positions[i].lsn = upstreams[i].lsn;
 		health[i].id = (char *)upstreams[i].id;
 		health[i].failing_us = upstreams[i].failing ? 500000 : 0;
@@ -451,6 +452,8 @@
 	watch.availability_zone = (char *)"z";
 	watch.upstreams = list;
 	watch.n_upstreams = nr;
+	watch.handovers = &result;
+	watch.n_handovers = result != NULL;
 	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
 	envelope.watch = &watch;
 	for (i = 0; i < 3; i++)
@@ -458,6 +461,12 @@
 			channel_send(&daemon_channels[i], &envelope);
 }
 
+static void report_upstreams(const struct reported_upstream *upstreams,
+			     unsigned nr)
+{
+	send_reports(upstreams, nr, NULL);
+}
+
 static void connect_daemon(void)
 {
 	unsigned i;
@@ -577,6 +586,36 @@
 	return state && state->handover;
 }
 
+static const char *awaited_order;
+
+static bool is_order_agreed(void)
+{
+	unsigned i;
+
+	for (i = 0; i < 3; i++) {
+		const struct primary_record *record =
+			primary_register_find(&vms[i].node->primaries, "s");
+
+		if (!record || !primary_record_order(record, awaited_order))
+			return false;
+	}
+	return true;
+}
+
+/* Has the group agree on an order whose leader could not note its outcome. */
+static void agree_on_order(const char *id, uint64_t token)
+{
+	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
+
+	change.kind = WIRE__PRIMARY_CHANGE__KIND__ORDERED;
+	change.service = "s";
+	change.id = (char *)id;
+	change.token = token;
+	ck_assert(control_primary_propose(leader(), &change));
+	awaited_order = id;
+	ck_assert(run_until(is_order_agreed, 3));
+}
+
 /* Guards against a failed handover that makes the former primary lead again
  * although another upstream has become the primary meanwhile. */
 START_TEST(test_failed_handover_of_former_primary)
@@ -605,6 +644,7 @@
 	ck_assert(run_until(is_handover_ordered, 2));
 	ck_assert_uint_eq(nr_promotions, 0);
 	/* An order of an earlier leader is carried out late. */
+	agree_on_order("c", 1);
 	c = upstream("c", true, 2);
 	announce_to_all(&c);
 	report_upstreams(after, G_N_ELEMENTS(after));
@@ -710,24 +750,70 @@
 
 static void report_handover(uint64_t number, bool complete)
 {
-	Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-	Wire__Watch watch = WIRE__WATCH__INIT;
 	Wire__HandoverResult result = WIRE__HANDOVER_RESULT__INIT;
-	Wire__HandoverResult *results = &result;
-	unsigned i;
 
 	result.number = number;
 	result.complete = complete;
-	watch.daemon = (char *)"asking";
-	watch.availability_zone = (char *)"z";
-	watch.handovers = &results;
-	watch.n_handovers = 1;
-	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
-	envelope.watch = &watch;
-	for (i = 0; i < 3; i++)
-		if (vms[i].node)
-			channel_send(&daemon_channels[i], &envelope);
+	send_reports(NULL, 0, &result);
+}
+
+/*
+ * Guards against stale reads: the new primary's planned replacement makes the
+ * crashed one, which never took its claim back, count as the primary again. Its
+ * outdated log is then promoted, as all others count as diverged.
+ */
+START_TEST(test_claim_of_crashed_primary)
+{
+	static const struct reported_upstream crash[] = {
+		{ .id = "a", .failing = true, .lsn = 80 },
+		{ .id = "b", .lsn = 60 },
+		{ .id = "c", .lsn = 60 }
+	};
+	static const struct reported_upstream later[] = {
+		{ .id = "a", .failing = true, .lsn = 80 },
+		{ .id = "b", .lsn = 90, .term = 2 },
+		{ .id = "c", .lsn = 90, .term = 2 }
+	};
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	struct sighting c = upstream("c", false, 1);
+	Wire__HandoverResult result = WIRE__HANDOVER_RESULT__INIT;
+	struct control_promotion_state *state;
+
+	start_group(3);
+	connect_daemon();
+	nr_promotions = 0;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	announce_to_all(&c);
+	run_until(NULL, 0.2);
+	report_upstreams(crash, G_N_ELEMENTS(crash));
+	ck_assert(run_until(is_promotion_requested, 3));
+	ck_assert_str_eq(promoted_id, "b");
+	b = upstream("b", true, 2);
+	announce_to_all(&b);
+	run_until(NULL, 0.3);
+	nr_promotions = 0;
+	ck_assert(run_until(has_leader, 5));
+	stop_vm(leader_index());
+	ck_assert(run_until(has_leader, 5));
+	report_upstreams(later, G_N_ELEMENTS(later));
+	b = upstream("b", true, 3);
+	b.leaving = true;
+	announce_to_all(&b);
+	announce_to_all(&c);
+	ck_assert(run_until(is_handover_ordered, 4));
+	state = g_hash_table_lookup(ordering_node->promotion_states, "s");
+	b = upstream("b", false, 4);
+	b.leaving = true;
+	announce_to_all(&b);
+	result.number = state->handover;
+	result.complete = true;
+	send_reports(later, G_N_ELEMENTS(later), &result);
+	ck_assert(run_until(is_promotion_requested, 0.5));
+	ck_assert_str_eq(promoted_id, "c");
 }
+END_TEST
 
 /* Guards against a control VM that requests a promotion without a lease, since
  * the result of a handover that it ordered as the leader arrives. */
@@ -1083,6 +1169,7 @@
 	test_no_handover_before_late_promotion,
 	test_promoted_without_answer_then_lost,
 	test_new_leader_knows_former_primary, test_restart_keeps_former_primary,
-	test_failed_handover_of_former_primary, test_minority_sends_no_config,
-	test_handover_result_needs_lease, test_one_roster, test_leaving_primary,
+	test_failed_handover_of_former_primary, test_claim_of_crashed_primary,
+	test_minority_sends_no_config, test_handover_result_needs_lease,
+	test_one_roster, test_leaving_primary,
 	test_promoted_upstream_does_not_lead, test_change_seen_late)
--- a/tests/test_sightings.c
+++ b/tests/test_sightings.c
@@ -73,9 +73,11 @@
 	announcement = make_sighting("b", 5, 1, false, 100);
 	sightings_merge(&s, &announcement);
 	ck_assert_str_eq(sightings_primary(&s, "s")->id, "a");
-	ck_assert(sightings_appoint(&s, "s", "b", 200));
+	ck_assert(sightings_appoint(&s, "s", "b", 7, 200));
 	ck_assert_str_eq(sightings_primary(&s, "s")->id, "b");
-	ck_assert(!sightings_appoint(&s, "s", "a", 150));
+	/* An older entry of the agreed log, from a VM that learned it late. */
+	ck_assert(!sightings_appoint(&s, "s", "a", 6, 250));
+	ck_assert(!sightings_note_found(&s, "s", "a", 150));
 	/* b claims the role itself now. */
 	announcement = make_sighting("b", 5, 2, true, 300);
 	sightings_merge(&s, &announcement);
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -19,7 +19,7 @@
 static void promote(const char *id, struct position position,
 		    struct position former)
 {
-	succession_request(&s, id, position);
+	succession_request(&s, id, position, s.newest_term);
 	succession_change(&s, id, position, former);
 }
 
@@ -122,7 +122,7 @@
 	promote("a", at(1, 79), at(1, 79));
 	succession_set_newest_term(&s, 2);
 	/* No answer; b says that it is the primary. */
-	succession_request(&s, "b", at(2, 90));
+	succession_request(&s, "b", at(2, 90), s.newest_term);
 	succession_change(&s, "b", at(2, 90), at(2, 91));
 	ck_assert(succession_diverged(&s, "a", at(2, 120)));
 	ck_assert(!succession_diverged(&s, "a", at(2, 90)));
@@ -156,7 +156,7 @@
 {
 	/* It took effect late, after commits of a further term. */
 	start("a");
-	succession_request(&s, "b", at(1, 79));
+	succession_request(&s, "b", at(1, 79), s.newest_term);
 	succession_set_newest_term(&s, 2);
 	succession_change(&s, "b", at(2, 140), at(2, 149));
 	ck_assert(succession_diverged(&s, "a", at(2, 150)));
@@ -164,7 +164,7 @@
 	succession_finish(&s);
 	/* The primary changed otherwise in between. */
 	start("a");
-	succession_request(&s, "b", at(1, 79));
+	succession_request(&s, "b", at(1, 79), s.newest_term);
 	succession_change(&s, "c", at(1, 90), at(1, 91));
 	succession_change(&s, "b", at(1, 95), at(0, 0));
 	ck_assert(succession_diverged(&s, "c", at(1, 120)));
