Order a primary that has recovered, so that no late order replaces it

Its primary was dark for a moment, and the order to replace it got no answer. 8 s later, long after the primary was back, the platform carried it out.

Cause: replicas that a survey paused counted as paused until no order could be carried out any more, 15 s by one leader's clock. A replica that is started again receives at once, so the primary acknowledged writes that the replica of the open order lacked. Nothing outdated that order.

Evidence: the leader's log has the survey, the order without an answer and no further one; the lost commits, 1.113 to 1.350, were acknowledged between the replica's restart and the order's effect.

Change: an order stays open in the agreed log until one with a higher token was carried out, whoever leads. When a daemon has just seen the primary lead, the leader orders the primary itself until the platform answers: nothing changes, and the open order is refused from then on. Replicas receive again 2.5 s after that in place of 15 s, also under a new leader. Handovers wait for open orders in place of a time. An order that took over 1.5 s to agree on is not given. A survey that a stalled daemon carries out late has its replicas told to receive again.

The test of the 15 s in promotion_policy is replaced by two that ask for the same without a time: no confirmation without a sign that the primary leads, and no resume while an order is open.

--- a/control/internal.h
+++ b/control/internal.h
@@ -145,6 +145,8 @@
  *              answers
  * @lag_us: replication lag
  * @saturated: whether the daemon held back work for the upstream
+ * @led_us: when it was last asked something that only the present primary does,
+ *          and did it; INT64_MIN / 2 if it did not of late
  * @position: newest log position that the daemon saw there
  * @at_us: when the report arrived
  */
@@ -152,6 +154,7 @@
 	int64_t failing_us;
 	int64_t lag_us;
 	bool saturated;
+	int64_t led_us;
 	struct position position;
 	int64_t at_us;
 };
@@ -180,6 +183,7 @@
  * @ended_us: when the last order ended
  * @received: upstream id to struct position, end of the log that it received
  * @finished_us: when @received was reported
+ * @paused_number: number of the last order to pause whose result came
  * @may_be_paused: whether an upstream may be paused, perhaps by an order of a
  *                 former leader
  */
@@ -194,6 +198,7 @@
 	int64_t ended_us;
 	GHashTable *received;
 	int64_t finished_us;
+	uint64_t paused_number;
 	bool may_be_paused;
 };
 
@@ -209,9 +214,9 @@
  * @lag_handover_us: when the primary was last changed because replicas lagged
  * @at_us: when the last promotion was requested or confirmed; set back to
  *         shorten the wait before a retry
- * @unanswered_us: time of the last request without an answer, INT64_MIN / 2 if a
- *                 later one was answered
- * @nr_unanswered: consecutive promotion requests without an answer
+ * @nr_unanswered: consecutive promotion requests for @id without an answer
+ * @confirms: whether the last request was for the upstream that leads, so that
+ *            no earlier one can be carried out
  * @pending: whether a promotion request awaits its entry in the agreed log or
  *           the platform's answer
  * @token: token of the last promotion request
@@ -228,8 +233,8 @@
 	int64_t lagging_since_us;
 	int64_t lag_handover_us;
 	int64_t at_us;
-	int64_t unanswered_us;
 	unsigned nr_unanswered;
+	bool confirms;
 	bool pending;
 	uint64_t token;
 	bool sent;
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -25,7 +25,7 @@
 #define REFUSED_RETRY_US (300 * 1000ll)
 /* An order that took longer than this to be agreed on is not given, since what
  * it was decided by may have changed, microseconds. */
-#define ORDER_MAX_AGE_US (500 * 1000ll)
+#define ORDER_MAX_AGE_US (1500 * 1000ll)
 
 void control_promotion_state_free(void *data)
 {
@@ -61,6 +61,8 @@
 			out->lagging++;
 		if (!report->failing_us && report->saturated)
 			out->saturated++;
+		out->leading += now_us - report->led_us <=
+				PROMOTION_LED_WITHIN_US;
 		out->position = position_max(out->position, report->position);
 	}
 }
@@ -147,7 +149,6 @@
 	state->service = g_strdup(service);
 	state->at_us = INT64_MIN / 2;
 	state->lag_handover_us = INT64_MIN / 2;
-	state->unanswered_us = INT64_MIN / 2;
 	control_survey_init(&state->survey);
 	g_hash_table_insert(node->promotion_states, state->service, state);
 	return state;
@@ -211,6 +212,13 @@
 	return control_primary_propose(node, &change);
 }
 
+/* The request did not go to the platform, so another one need not wait. */
+static void drop_request(struct control_promotion_state *state)
+{
+	state->pending = false;
+	state->at_us = clock_now_us() - PROMOTION_REQUEST_INTERVAL_US;
+}
+
 static void request_promotion(struct control_node *node, const char *service,
 			      const char *id, enum promotion_reason reason,
 			      const struct promotion_view *view)
@@ -232,6 +240,7 @@
 	state->token = token;
 	state->sent = false;
 	state->pending = true;
+	state->confirms = reason == PROMOTION_CONFIRMS_PRIMARY;
 	event_log_always("promotion_ordered",
 			 "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:I, s:s}",
 			 "service", service, "upstream", id, "was",
@@ -242,7 +251,7 @@
 			 "upstreams", upstreams);
 	control_count(node, CONTROL_COUNT_PROMOTIONS, 1);
 	if (!propose_order(node, service, id, token, log_end(node, state, id)))
-		state->pending = false;
+		drop_request(state);
 }
 
 static void propose_outcome(struct control_node *node, const char *service,
@@ -258,22 +267,36 @@
 	control_primary_propose(node, &change);
 }
 
-/* Return: index of the upstream whose promotion was requested without an answer
- * and is to be requested again, -1 for none. */
-static int repeated_request(const struct control_promotion_state *state,
+/* The orders that may still make another upstream than the primary lead. */
+static const struct primary_order *find_rival(const struct control_node *node,
+					      const char *service)
+{
+	const struct primary_record *record =
+		primary_register_find(&node->primaries, service);
+
+	return record ? primary_record_rival(record) : NULL;
+}
+
+/*
+ * Return: index of the upstream whose promotion was requested without an answer,
+ *         also by an earlier leader, and is to be requested again; -1 for none
+ */
+static int repeated_request(const struct control_node *node,
+			    const struct control_promotion_state *state,
 			    const struct promotion_view *view)
 {
+	const struct primary_order *open = find_rival(node, state->service);
 	unsigned i;
 
-	if (!state->nr_unanswered ||
-	    state->nr_unanswered >= MAX_UNANSWERED_REQUESTS)
+	if (!open || state->nr_unanswered >= MAX_UNANSWERED_REQUESTS)
 		return -1;
 	for (i = 0; i < view->nr; i++) {
 		const struct promotion_upstream *up = &view->upstreams[i];
 
 		/* If it is the primary, a request took effect. */
-		if (!strcmp(up->id, state->id) && (int)i != view->primary &&
-		    !up->leaving && !up->diverged)
+		if (!strcmp(up->id, open->id) && (int)i != view->primary &&
+		    !up->leaving && !up->diverged &&
+		    up->silent_us <= PROMOTION_CANDIDATE_MAX_SILENCE_US)
 			return (int)i;
 	}
 	return -1;
@@ -398,7 +421,7 @@
 		event_log_always("promotion_dropped", "{s:s, s:s, s:I}",
 				 "service", service, "upstream", id, "token",
 				 (json_int_t)token);
-		state->pending = false;
+		drop_request(state);
 		propose_outcome(node, service, id, token, false);
 		return;
 	}
@@ -475,8 +498,9 @@
 static bool lag_handover_due(struct control_promotion_state *state,
 			     const struct promotion_view *view, int64_t now_us)
 {
-	if (!promotion_all_replicas_lag(view) ||
-	    !promotion_handover_is_safe(view)) {
+	/* A handover that fails has the primary requested to lead again: with
+	 * commits that reads have missed if a rival has led meanwhile. */
+	if (!promotion_all_replicas_lag(view) || view->rival_ordered) {
 		state->lagging_since_us = 0;
 		return false;
 	}
@@ -524,13 +548,15 @@
 	int chosen = promotion_candidate(view);
 	bool planned = reason == PROMOTION_LEAVING ||
 		       reason == PROMOTION_REPLICAS_BEHIND;
-	int repeated = repeated_request(state, view);
+	int repeated = repeated_request(node, state, view);
 
 	if (repeated >= 0 && !view->sync_replicas) {
 		request_promotion(node, state->service,
 				  view->upstreams[repeated].id, reason, view);
 		return;
 	}
+	if (repeated >= 0)
+		chosen = repeated;
 	if (planned && chosen >= 0 &&
 	    start_handover(node, state->service, view, chosen, reason, now_us))
 		return;
@@ -546,10 +572,6 @@
 				  view->upstreams[chosen].id, reason, view);
 }
 
-/*
- * Whether upstreams that a survey paused may receive again: a primary is known
- * and no order that was based on the survey can be carried out any more.
- */
 static bool may_resume(const struct control_node *node,
 		       const struct control_promotion_state *state,
 		       const struct promotion_view *view, int64_t now_us)
@@ -557,14 +579,13 @@
 	bool was_surveyed = view->sync_replicas || state->survey.executor;
 
 	if (!was_surveyed || !state->survey.may_be_paused ||
-	    view->primary < 0 || !is_survey_due(state, RESUME_RETRY_US, now_us))
+	    !is_survey_due(state, RESUME_RETRY_US, now_us))
 		return false;
-	if (!g_strcmp0(state->id, view->upstreams[view->primary].id))
-		return true;
-	return promotion_handover_is_safe(view) &&
-	       view->since_request_us >= PROMOTION_REQUEST_INTERVAL_US &&
-	       now_us - raft_became_leader_us(node->raft) >=
-		       PROMOTION_LATE_EFFECT_US;
+	/* A survey of the leader before may still be under way. */
+	if (!state->id && now_us - raft_became_leader_us(node->raft) <
+				  PROMOTION_REQUEST_INTERVAL_US)
+		return false;
+	return promotion_may_resume(view, state->confirms);
 }
 
 static void add_received(const struct control_promotion_state *state,
@@ -615,7 +636,7 @@
 		view.silent_daemons = control_roster_count_unreachable(
 			node, view.upstreams[view.primary].id, now_us);
 	view.since_request_us = now_us - state->at_us;
-	view.since_unanswered_us = now_us - state->unanswered_us;
+	view.rival_ordered = find_rival(node, service) != NULL;
 	view.uptime_us = now_us - node->started_us;
 	reason = promotion_needed(&view);
 	if (reason == PROMOTION_NOT_NEEDED &&
@@ -623,6 +644,10 @@
 		reason = PROMOTION_REPLICAS_BEHIND;
 	if (reason != PROMOTION_NOT_NEEDED)
 		change_primary(node, state, &view, reason, now_us);
+	else if (promotion_must_confirm(&view))
+		request_promotion(node, service,
+				  view.upstreams[view.primary].id,
+				  PROMOTION_CONFIRMS_PRIMARY, &view);
 	else if (may_resume(node, state, &view, now_us))
 		control_survey_order(node, state, &view, true, now_us);
 	g_array_free(upstreams, TRUE);
@@ -718,7 +743,6 @@
 	state->pending = false;
 	if (result == PROMOTION_DONE) {
 		state->at_us = now_us;
-		state->unanswered_us = INT64_MIN / 2;
 		state->nr_unanswered = 0;
 		return;
 	}
@@ -726,11 +750,11 @@
 		now_us - PROMOTION_REQUEST_INTERVAL_US + REFUSED_RETRY_US;
 	if (result == PROMOTION_OUTCOME_UNKNOWN) {
 		state->at_us = now_us - PROMOTION_REQUEST_INTERVAL_US;
-		state->unanswered_us = now_us;
 		state->nr_unanswered++;
 		control_count(node, CONTROL_COUNT_PROMOTIONS_UNCLEAR, 1);
 	} else {
-		state->nr_unanswered = 0;
+		/* It would be refused again. */
+		state->nr_unanswered = MAX_UNANSWERED_REQUESTS;
 		control_count(node, CONTROL_COUNT_PROMOTIONS_REFUSED, 1);
 	}
 }
--- a/control/surveys.c
+++ b/control/surveys.c
@@ -159,6 +159,31 @@
 				    g_memdup2(&end, sizeof(end)));
 	}
 	survey->finished_us = now_us;
+	survey->paused_number = result->number;
+}
+
+/* A daemon that was stalled has carried out an order that counts as silent, or
+ * of an earlier leader, and paused upstreams that may receive again. */
+static void note_late_survey(const struct control_node *node,
+			     const Wire__SurveyResult *result)
+{
+	const struct sighting *upstream =
+		result->n_logs ?
+			sightings_find(&node->sightings, result->logs[0]->id) :
+			NULL;
+	struct control_promotion_state *state =
+		upstream ? g_hash_table_lookup(node->promotion_states,
+					       upstream->service) :
+			   NULL;
+
+	/* Daemons repeat a result that was taken. */
+	if (!state || result->resume ||
+	    result->number == state->survey.paused_number)
+		return;
+	state->survey.paused_number = result->number;
+	state->survey.may_be_paused = true;
+	event_log_always("survey_late", "{s:s, s:I}", "service", state->service,
+			 "number", (json_int_t)result->number);
 }
 
 void control_survey_finished(struct control_node *node,
@@ -167,8 +192,10 @@
 	struct control_promotion_state *state =
 		find_survey(node, result->number);
 
-	if (!state)
+	if (!state) {
+		note_late_survey(node, result);
 		return;
+	}
 	state->survey.number = 0;
 	if (!state->survey.resume)
 		store_received(&state->survey, result, clock_now_us());
--- a/control/watchers.c
+++ b/control/watchers.c
@@ -209,6 +209,9 @@
 		report->failing_us = (int64_t)in->failing_us;
 		report->lag_us = (int64_t)in->lag_us;
 		report->saturated = in->saturated;
+		report->led_us = in->led_age_us ?
+					 now_us - (int64_t)in->led_age_us :
+					 INT64_MIN / 2;
 		report->at_us = now_us;
 		if (in->position)
 			report->position =
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -135,9 +135,19 @@
 	return replicas > 0;
 }
 
-bool promotion_handover_is_safe(const struct promotion_view *view)
+bool promotion_must_confirm(const struct promotion_view *view)
 {
-	return view->since_unanswered_us >= PROMOTION_LATE_EFFECT_US;
+	return view->rival_ordered && view->primary >= 0 &&
+	       view->upstreams[view->primary].leading &&
+	       view->since_request_us >= PROMOTION_REQUEST_INTERVAL_US;
+}
+
+bool promotion_may_resume(const struct promotion_view *view, bool confirmed)
+{
+	if (view->primary < 0 || view->rival_ordered)
+		return false;
+	return !confirmed ||
+	       view->since_request_us >= PROMOTION_REQUEST_INTERVAL_US;
 }
 
 const char *promotion_reason_text(enum promotion_reason reason)
@@ -153,6 +163,8 @@
 		return "no primary";
 	case PROMOTION_REPLICAS_BEHIND:
 		return "replicas behind";
+	case PROMOTION_CONFIRMS_PRIMARY:
+		return "confirms primary";
 	case PROMOTION_NOT_NEEDED:
 		break;
 	}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -91,6 +91,8 @@
  * @window: limits the statements that are outstanding there
  * @log_position: log position that it last reported
  * @log_position_at_us: when it reported @log_position
+ * @led_us: when it was last asked something that only the present primary does,
+ *          and did it
  * @last_answer_us: when it last answered any command
  * @newest_answered_us: when the newest of the statements that it has answered
  *                      was sent
@@ -123,6 +125,7 @@
 	struct send_window window;
 	struct position log_position;
 	int64_t log_position_at_us;
+	int64_t led_us;
 	int64_t last_answer_us;
 	int64_t newest_answered_us;
 	int64_t failing_us;
--- a/entry/request.c
+++ b/entry/request.c
@@ -565,8 +565,11 @@
 static void note_sample(struct session *s, bool from_primary,
 			const struct statement_answer *answer)
 {
+	struct upstream *upstream = s->link->upstream;
+
 	if (!from_primary)
 		return;
+	upstream->led_us = MAX(upstream->led_us, s->link->sent_us);
 	read_samples_add(&s->service->samples, s->link->sent_us,
 			 answer->position);
 }
--- a/entry/survey.c
+++ b/entry/survey.c
@@ -272,6 +272,7 @@
 	wire__survey_result__init(out);
 	out->number = survey->number;
 	out->complete = survey->complete;
+	out->resume = survey->resume;
 	out->logs = g_new(Wire__ReceivedLog *, survey->targets->len + 1);
 	for (i = 0; i < survey->targets->len; i++) {
 		const struct survey_target *t = target_at(survey, i);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -86,6 +86,7 @@
 	upstream->connections_full_at_us = INT64_MIN / 2;
 	upstream->saturated_at_us = INT64_MIN / 2;
 	upstream->log_position_at_us = INT64_MIN / 2;
+	upstream->led_us = INT64_MIN / 2;
 	g_ptr_array_add(upstream->service->known_upstreams, upstream);
 	g_hash_table_insert(entry->known_upstreams, upstream->id, upstream);
 	return upstream;
@@ -459,6 +460,7 @@
 	const struct sighting *known = sightings_primary(sightings, svc->name);
 
 	upstream->not_primary_until_us = 0;
+	upstream->led_us = MAX(upstream->led_us, asked_us);
 	if (known && !strcmp(known->id, upstream->id))
 		return;
 	if (sightings_note_found(sightings, svc->name, upstream->id, asked_us))
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -290,6 +290,9 @@
 		out->saturated = now_us - upstream->saturated_at_us <
 				 SATURATED_US;
 		out->lag_us = (uint64_t)MIN(upstream->lag_us, MAX_LAG_US);
+		if (now_us - upstream->led_us <= ANSWERED_RECENTLY_US)
+			out->led_age_us =
+				(uint64_t)(now_us - upstream->led_us) + 1;
 		watch->upstreams[watch->n_upstreams++] = out;
 	}
 }
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -31,9 +31,9 @@
 #define PROMOTION_LAG_TOLERATED_US (500 * 1000ll)
 /** Least time between two promotions because of lag, microseconds. */
 #define PROMOTION_LAG_MIN_INTERVAL_US (12 * 1000000ll)
-/** Time after which a promotion request without an answer is no longer carried
- * out. */
-#define PROMOTION_LATE_EFFECT_US (15 * 1000000ll)
+/** Time for which an upstream counts as the one that leads after it did what
+ * only the present primary does: an entry daemon's sample and its report. */
+#define PROMOTION_LED_WITHIN_US (500 * 1000ll)
 /** A control VM waits this long after its start for announcements. */
 #define PROMOTION_STARTUP_WAIT_US (3000 * 1000ll)
 /** Time for a promotion request to take effect before the next one is sent. */
@@ -52,6 +52,8 @@
  * @lagging: number of entry daemons that saw it lag by more than
  *          PROMOTION_MAX_LAG_US
  * @saturated: number of entry daemons that recently held back requests for it
+ * @leading: number of entry daemons for which it did, within
+ *           PROMOTION_LED_WITHIN_US, what only the present primary does
  * @position: newest position seen on it, up to which it has applied its log
  * @surveyed: whether it has told what it has received, and receives no more
  * @received: end of the log that it has received, if @surveyed
@@ -66,6 +68,7 @@
 	unsigned failing;
 	unsigned lagging;
 	unsigned saturated;
+	unsigned leading;
 	struct position position;
 	bool surveyed;
 	struct position received;
@@ -81,9 +84,8 @@
  *                     start of this control VM
  * @uptime_us: time since this control VM started
  * @since_request_us: time since the last promotion request, INT64_MAX if none
- * @since_unanswered_us: time since the last promotion request without an answer
- *                       that no later, answered one superseded, INT64_MAX if
- *                       there is none
+ * @rival_ordered: whether an order to promote another upstream than the primary
+ *                 may still be carried out
  * @sync_replicas: number of replicas that must hold a commit before it is
  *                 acknowledged
  */
@@ -95,7 +97,7 @@
 	unsigned unannounced_upstreams;
 	int64_t uptime_us;
 	int64_t since_request_us;
-	int64_t since_unanswered_us;
+	bool rival_ordered;
 	unsigned sync_replicas;
 };
 
@@ -106,6 +108,7 @@
 	PROMOTION_SILENT,
 	PROMOTION_NO_PRIMARY,
 	PROMOTION_REPLICAS_BEHIND,
+	PROMOTION_CONFIRMS_PRIMARY,
 };
 
 /** promotion_needed() - whether and why to replace the primary now */
@@ -151,15 +154,25 @@
 bool promotion_all_replicas_lag(const struct promotion_view *view);
 
 /**
- * promotion_handover_is_safe() - whether the primary may be stopped although it
- *                                works
+ * promotion_must_confirm() - whether to request the promotion of the primary
  *
- * Should the handover fail, the primary is requested to lead again. If an
- * earlier request without an answer makes another upstream lead before that one
- * is carried out, the commits that only the former primary has would be back
- * after reads have missed them.
+ * A request without an answer may be carried out at any time and would then
+ * replace a primary that has recovered. One with a higher token for the primary
+ * itself changes nothing and outdates it. If another upstream leads already, it
+ * would be replaced, so the primary must have just proved that it leads.
  */
-bool promotion_handover_is_safe(const struct promotion_view *view);
+bool promotion_must_confirm(const struct promotion_view *view);
+
+/**
+ * promotion_may_resume() - whether upstreams that a survey paused may receive
+ *                          again
+ * @confirmed: whether the last request was for the upstream that leads
+ *
+ * Not while a request based on the survey may be carried out, nor while one that
+ * was accepted before the confirmation takes effect: what is acknowledged from
+ * then on may be missing from the log of that upstream.
+ */
+bool promotion_may_resume(const struct promotion_view *view, bool confirmed);
 
 /** promotion_reason_text() - the reason in words */
 const char *promotion_reason_text(enum promotion_reason reason);
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -5530,7 +5530,7 @@
   (ProtobufCMessageInit) wire__sighting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__upstream_health__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__upstream_health__field_descriptors[6] =
 {
   {
     "id",
@@ -5592,18 +5592,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "led_age_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__UpstreamHealth, led_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__upstream_health__field_indices_by_name[] = {
   1,   /* field[1] = failing_us */
   0,   /* field[0] = id */
   3,   /* field[3] = lag_us */
+  5,   /* field[5] = led_age_us */
   2,   /* field[2] = position */
   4,   /* field[4] = saturated */
 };
 static const ProtobufCIntRange wire__upstream_health__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__upstream_health__descriptor =
 {
@@ -5613,7 +5626,7 @@
   "Wire__UpstreamHealth",
   "wire",
   sizeof(Wire__UpstreamHealth),
-  5,
+  6,
   wire__upstream_health__field_descriptors,
   wire__upstream_health__field_indices_by_name,
   1,  wire__upstream_health__number_ranges,
@@ -5915,7 +5928,7 @@
   (ProtobufCMessageInit) wire__received_log__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__survey_result__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__survey_result__field_descriptors[4] =
 {
   {
     "number",
@@ -5953,16 +5966,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resume",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SurveyResult, resume),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__survey_result__field_indices_by_name[] = {
   1,   /* field[1] = complete */
   2,   /* field[2] = logs */
   0,   /* field[0] = number */
+  3,   /* field[3] = resume */
 };
 static const ProtobufCIntRange wire__survey_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__survey_result__descriptor =
 {
@@ -5972,7 +5998,7 @@
   "Wire__SurveyResult",
   "wire",
   sizeof(Wire__SurveyResult),
-  3,
+  4,
   wire__survey_result__field_descriptors,
   wire__survey_result__field_indices_by_name,
   1,  wire__survey_result__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -658,10 +658,15 @@
    * Whether work for it was kept back of late, as it has enough.
    */
   protobuf_c_boolean saturated;
+  /*
+   * Time since it was asked something that only the present primary does, and
+   * did it, plus 1; 0 if it did not of late.
+   */
+  uint64_t led_age_us;
 };
 #define WIRE__UPSTREAM_HEALTH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__upstream_health__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, NULL, 0, 0, 0 }
 
 
 /*
@@ -743,10 +748,14 @@
   protobuf_c_boolean complete;
   size_t n_logs;
   Wire__ReceivedLog **logs;
+  /*
+   * Whether the order was to resume.
+   */
+  protobuf_c_boolean resume;
 };
 #define WIRE__SURVEY_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__survey_result__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/test_control_survey.c
+++ b/tests/test_control_survey.c
@@ -13,6 +13,8 @@
 static const uint64_t received[NR_UPSTREAMS] = { 120, 100, 120 };
 
 static bool primary_fails;
+/* Whether the primary has just proved that it leads. */
+static bool primary_leads;
 /* Index of an upstream that does not answer surveys, -1 for none. */
 static int silent_upstream;
 static unsigned nr_surveys;
@@ -64,6 +66,8 @@
 		health[i].position = &positions[i];
 		if (primary_fails && !i)
 			health[i].failing_us = 500000;
+		if (primary_leads && !i)
+			health[i].led_age_us = 1;
 		list[i] = &health[i];
 	}
 	watch.daemon = (char *)"asked";
@@ -120,6 +124,7 @@
 	unsigned i, k;
 
 	primary_fails = false;
+	primary_leads = false;
 	silent_upstream = -1;
 	nr_surveys = nr_resumes = nr_promotions = 0;
 	promoted_id[0] = 0;
@@ -217,6 +222,78 @@
 }
 END_TEST
 
+static bool is_unanswered(void)
+{
+	return nr_unanswered;
+}
+
+static bool is_confirmed(void)
+{
+	return nr_promotions && !strcmp(promoted_id, "a");
+}
+
+static void let_primary_recover(void)
+{
+	platform_silent = false;
+	primary_fails = false;
+	primary_leads = true;
+}
+
+/*
+ * Guards against losing acknowledged commits: an order without an answer is
+ * carried out seconds after the primary has recovered, when a replica that was
+ * started again lets it commit. The primary's own order outdates it, and the
+ * replicas stay paused until then.
+ */
+START_TEST(test_recovered_primary_is_confirmed)
+{
+	start();
+	platform_silent = true;
+	nr_unanswered = 0;
+	ck_assert(report_until(is_unanswered, 3));
+	nr_resumes = 0;
+	let_primary_recover();
+	ck_assert(report_until(is_confirmed, 2));
+	ck_assert_uint_eq(nr_resumes, 0);
+	ck_assert_ptr_null(primary_record_rival(
+		primary_register_find(&leader()->primaries, "s")));
+	ck_assert(report_until(is_resumed, 5));
+	ck_assert_uint_eq(nr_promotions, 1);
+}
+END_TEST
+
+/* Guards against a new leader that does not know of an order without an answer
+ * of the leader before it. */
+START_TEST(test_new_leader_confirms_primary)
+{
+	start();
+	platform_silent = true;
+	nr_unanswered = 0;
+	ck_assert(report_until(is_unanswered, 3));
+	stop_vm(leader_index());
+	ck_assert(run_until(has_leader, 5));
+	let_primary_recover();
+	ck_assert(report_until(is_confirmed, 3));
+}
+END_TEST
+
+/* Guards against replacing an upstream that an order without an answer has made
+ * the primary: the former one answers, but does not lead. */
+START_TEST(test_replaced_primary_is_not_confirmed)
+{
+	start();
+	platform_silent = true;
+	nr_unanswered = 0;
+	ck_assert(report_until(is_unanswered, 3));
+	let_primary_recover();
+	primary_leads = false;
+	ck_assert(!report_until(is_confirmed, 3));
+}
+END_TEST
+
 TEST_MAIN_WITH_FIXTURE("control_survey", init_group, stop_group,
 		       test_most_received_is_promoted, test_unanswered_survey,
-		       test_without_synchronous_replicas)
+		       test_without_synchronous_replicas,
+		       test_recovered_primary_is_confirmed,
+		       test_new_leader_confirms_primary,
+		       test_replaced_primary_is_not_confirmed)
--- a/tests/test_primary_faults.c
+++ b/tests/test_primary_faults.c
@@ -19,6 +19,8 @@
 /* Longest time until an order without an answer is carried out. */
 #define LATE_MAX_US 12000000
 #define ORDER_INTERVAL_US 400000
+/* Time without faults after which an order must be outdated. */
+#define SETTLE_US 4000000
 
 /**
  * struct late_order - an order that the platform carries out at @at_us
@@ -49,6 +51,7 @@
 /* The platform: who leads, by which order, and the highest token seen. */
 static unsigned primary;
 static uint64_t primary_token;
+static int64_t primary_since_us;
 static unsigned nr_orders, nr_late, nr_promotions;
 
 static bool chance(double p)
@@ -83,6 +86,8 @@
 	if (token < primary_token)
 		return false;
 	nr_promotions += primary != upstream;
+	if (primary != upstream)
+		primary_since_us = sim->now_us;
 	primary = upstream;
 	primary_token = token;
 	return true;
@@ -157,6 +162,25 @@
 	wire__config_change__free_unpacked(entry, NULL);
 }
 
+/* A report that the primary led is this old at most. */
+#define LED_WITHIN_US 500000
+
+/* As the leader, outdates orders that may replace a primary that leads. */
+static void confirm_primary(struct sim_node *n)
+{
+	struct vm_state *vm = &vms[n->id];
+	const struct primary_record *record = record_of(n);
+
+	if (!record || !record->id || !primary_record_rival(record) ||
+	    strcmp(record->id, ids[primary]) ||
+	    sim->now_us - primary_since_us < LED_WITHIN_US ||
+	    sim->now_us - vm->ordered_us < ORDER_INTERVAL_US)
+		return;
+	vm->ordered_us = sim->now_us;
+	propose(n, WIRE__PRIMARY_CHANGE__KIND__ORDERED, primary,
+		raft_term(n->raft) << 32 | ++vm->last_order);
+}
+
 /* Orders any upstream now and then, and takes one that leads, or led a moment
  * ago, for the primary. */
 static void act_as_leader(struct sim_node *n)
@@ -189,6 +213,17 @@
 		}
 }
 
+static void heal(void)
+{
+	uint64_t id;
+
+	for (id = 1; id <= SIM_NODES; id++) {
+		sim_isolate(sim, id, false);
+		if (!sim->node[id].raft)
+			sim_start(sim, id);
+	}
+}
+
 static void inject(void)
 {
 	uint64_t id = (uint64_t)g_rand_int_range(sim->rand, 1, SIM_NODES + 1);
@@ -206,11 +241,7 @@
 		sim_isolate(sim, id, true);
 		return;
 	default:
-		for (id = 1; id <= SIM_NODES; id++) {
-			sim_isolate(sim, id, false);
-			if (!sim->node[id].raft)
-				sim_start(sim, id);
-		}
+		heal();
 		return;
 	}
 }
@@ -224,9 +255,12 @@
 	const struct primary_record *record = record_of(n);
 	const struct primary_order *order;
 
-	if (!primary_token)
+	if (!primary_token && !record)
 		return;
 	ck_assert_msg(record, "seed %u: no record", seed);
+	ck_assert_msg(record->token <= primary_token,
+		      "seed %u: an order counts as carried out that was not",
+		      seed);
 	if (primary_token <= record->token)
 		return;
 	order = primary_record_order(record, ids[primary]);
@@ -244,6 +278,55 @@
 	       raft_log_term(&n->raft->log, n->applied) == raft_term(n->raft);
 }
 
+/* The upstream that leads says so, as an order without an answer was carried
+ * out. */
+static void propose_lead(struct sim_node *n)
+{
+	const struct primary_record *record = record_of(n);
+
+	if (chance(0.05))
+		propose(n, WIRE__PRIMARY_CHANGE__KIND__LEADS, primary,
+			record->token);
+}
+
+/* With faults over, and long before the latest order is carried out, the
+ * primary must be agreed on, and stay. */
+static void check_settles(uint32_t seed)
+{
+	int64_t until = sim->now_us + SETTLE_US;
+	const struct primary_record *record;
+	struct sim_node *n;
+	unsigned agreed;
+
+	heal();
+	while (sim->now_us < until) {
+		sim_step(sim);
+		play_late_orders();
+		n = sim_leader(sim);
+		if (!n || !leads_for_sure(n))
+			continue;
+		check_leader(n, seed);
+		record = record_of(n);
+		if (record &&
+		    strcmp(record->id ? record->id : "", ids[primary]))
+			propose_lead(n);
+		confirm_primary(n);
+	}
+	n = sim_wait_for_leader(sim);
+	record = record_of(n);
+	ck_assert_msg(record && !primary_record_rival(record),
+		      "seed %u: an order stays open", seed);
+	ck_assert_str_eq(record->id, ids[primary]);
+	agreed = primary;
+	for (until += LATE_MAX_US; sim->now_us < until;) {
+		sim_step(sim);
+		play_late_orders();
+		ck_assert_msg(primary == agreed,
+			      "seed %u: an outdated order was carried out",
+			      seed);
+	}
+}
+
 static void run_seed(uint32_t seed)
 {
 	uint64_t id;
@@ -251,6 +334,7 @@
 	memset(late, 0, sizeof(late));
 	primary = 0;
 	primary_token = 0;
+	primary_since_us = 0;
 	sim = sim_new(seed, SIM_NODES);
 	sim->loss_probability = 0.05;
 	sim->snapshot_entries = 1000000;
@@ -267,8 +351,11 @@
 				continue;
 			check_leader(&sim->node[id], seed);
 			act_as_leader(&sim->node[id]);
+			if (chance(0.2))
+				confirm_primary(&sim->node[id]);
 		}
 	}
+	check_settles(seed);
 	for (id = 1; id <= SIM_NODES; id++) {
 		primary_register_finish(&vms[id].reg);
 		vms[id].init = false;
--- a/tests/test_promotion_policy.c
+++ b/tests/test_promotion_policy.c
@@ -19,8 +19,7 @@
 	}
 	view = (struct promotion_view){ .upstreams = ups,
 					.nr = 3,
-					.since_request_us = INT64_MAX,
-					.since_unanswered_us = INT64_MAX };
+					.since_request_us = INT64_MAX };
 }
 
 /* Guards against a needless change of primary. */
@@ -192,19 +191,49 @@
 }
 END_TEST
 
-/* Guards against a handover during which an earlier request takes effect. */
-START_TEST(test_handover_after_unanswered_request)
+/* Guards against a request without an answer that is carried out after the
+ * primary has recovered, and against replacing a rival that leads already. */
+START_TEST(test_confirms_primary)
 {
 	setup();
-	ck_assert(promotion_handover_is_safe(&view));
-	view.since_unanswered_us = PROMOTION_LATE_EFFECT_US - 1;
-	ck_assert(!promotion_handover_is_safe(&view));
-	view.since_unanswered_us = PROMOTION_LATE_EFFECT_US;
-	ck_assert(promotion_handover_is_safe(&view));
+	ups[0].leading = 1;
+	ck_assert(!promotion_must_confirm(&view));
+	view.rival_ordered = true;
+	ck_assert(promotion_must_confirm(&view));
+	/* It answers, perhaps as a replica by now. */
+	ups[0].leading = 0;
+	ck_assert(!promotion_must_confirm(&view));
+	ups[0].leading = 1;
+	view.since_request_us = PROMOTION_REQUEST_INTERVAL_US - 1;
+	ck_assert(!promotion_must_confirm(&view));
+	view.since_request_us = PROMOTION_REQUEST_INTERVAL_US;
+	view.primary = -1;
+	ck_assert(!promotion_must_confirm(&view));
+}
+END_TEST
+
+/* Guards against commits that are acknowledged while a request may still make an
+ * upstream lead that has not received them. */
+START_TEST(test_resume_after_unanswered_request)
+{
+	setup();
+	ck_assert(promotion_may_resume(&view, false));
+	view.rival_ordered = true;
+	ck_assert(!promotion_may_resume(&view, false));
+	ck_assert(!promotion_may_resume(&view, true));
+	view.rival_ordered = false;
+	view.primary = -1;
+	ck_assert(!promotion_may_resume(&view, false));
+	/* A request accepted just before the confirmation takes a moment. */
+	view.primary = 0;
+	view.since_request_us = PROMOTION_REQUEST_INTERVAL_US - 1;
+	ck_assert(!promotion_may_resume(&view, true));
+	view.since_request_us = PROMOTION_REQUEST_INTERVAL_US;
+	ck_assert(promotion_may_resume(&view, true));
 }
 END_TEST
 
 TEST_MAIN("promotion_policy", test_not_needed, test_needed, test_candidate,
 	  test_synchronous_replicas, test_logs_wanted, test_diverged,
-	  test_unknown_daemons, test_lagging,
-	  test_handover_after_unanswered_request)
+	  test_unknown_daemons, test_lagging, test_confirms_primary,
+	  test_resume_after_unanswered_request)
