Count the copies that may hold commits, not the databases known now

Its primary was lost for good, and a database of another service started at its address. From then on the replica that had received nothing was ordered to lead.

Cause: all but sync_replicas of the databases must answer a survey, and their number was taken from those that the leader knew at that moment. The address in use again made it two in place of three, so one log was enough. A leave, 60 s of silence, or a leader that has just joined had the same effect.

Evidence: the leader's orders list what both replicas have received until the address is used again, and one of them from then on.

Change: the copies that may hold an acknowledged commit are in the agreed log. One is added when it is first heard. It goes when the others have made up for it: after a survey that it did not answer, or when it has ended, and as many replicas as must hold each commit have caught up; or with the configuration. No time removes one. survey_insufficient says how many logs are missing.

--- a/control/internal.h
+++ b/control/internal.h
@@ -202,6 +202,18 @@
 	bool may_be_paused;
 };
 
+/**
+ * struct control_lost_copy - a copy that has ended
+ * @since_us: when this leader noticed it
+ * @mark: end of the primary's log some time later, term 0 before that
+ * @primary_index: index of the entry that named that primary
+ */
+struct control_lost_copy {
+	int64_t since_us;
+	struct position mark;
+	uint64_t primary_index;
+};
+
 /**
  * struct control_promotion_state - what this leader requested for a service
  * @id: upstream of the last promotion request
@@ -222,6 +234,8 @@
  * @token: token of the last promotion request
  * @sent: whether that request was passed to the platform
  * @survey: what the upstreams have received
+ * @lost_copies: id to struct control_lost_copy
+ * @copies_proposed_us: when the copies were last proposed
  */
 struct control_promotion_state {
 	char *service;
@@ -239,6 +253,8 @@
 	uint64_t token;
 	bool sent;
 	struct control_survey survey;
+	GHashTable *lost_copies;
+	int64_t copies_proposed_us;
 };
 
 /**
@@ -553,6 +569,19 @@
 struct position control_newest_position(const struct control_node *node,
 					const char *id);
 
+/* copies.c */
+/**
+ * control_copies_check() - as the leader, have the group agree on the upstreams
+ *                          that may hold acknowledged commits
+ * @sync_replicas: number of replicas that hold each of these commits
+ */
+void control_copies_check(struct control_node *node,
+			  struct control_promotion_state *state,
+			  unsigned sync_replicas, int64_t now_us);
+/** control_copies_count() - number of those, with all that are known now */
+unsigned control_copies_count(const struct control_node *node,
+			      const char *service);
+
 /* quota.c */
 void control_quota_init(struct control_node *node);
 void control_quota_finish(struct control_node *node);
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -36,6 +36,7 @@
 	g_free(state->executor);
 	g_free(state->from);
 	control_survey_finish(&state->survey);
+	g_hash_table_destroy(state->lost_copies);
 	g_free(state);
 }
 
@@ -150,6 +151,9 @@
 	state->at_us = INT64_MIN / 2;
 	state->lag_handover_us = INT64_MIN / 2;
 	control_survey_init(&state->survey);
+	state->lost_copies =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	state->copies_proposed_us = INT64_MIN / 2;
 	g_hash_table_insert(node->promotion_states, state->service, state);
 	return state;
 }
@@ -196,10 +200,13 @@
  */
 static bool propose_order(struct control_node *node, const char *service,
 			  const char *id, uint64_t token,
-			  struct position log_end)
+			  struct position log_end,
+			  const struct promotion_view *view)
 {
+	g_autofree char **surveyed = g_new(char *, view->nr + 1);
 	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
 	Wire__Position end = WIRE__POSITION__INIT;
+	unsigned i;
 
 	end.term = log_end.term;
 	end.lsn = log_end.lsn;
@@ -209,6 +216,11 @@
 	change.token = token;
 	change.log_end = &end;
 	change.newest_term = control_succession(node, service)->newest_term;
+	change.surveyed = surveyed;
+	for (i = 0; i < view->nr; i++)
+		if (view->upstreams[i].surveyed)
+			surveyed[change.n_surveyed++] =
+				(char *)view->upstreams[i].id;
 	return control_primary_propose(node, &change);
 }
 
@@ -250,7 +262,8 @@
 			 p ? (int)p->failing : 0, "token", (json_int_t)token,
 			 "upstreams", upstreams);
 	control_count(node, CONTROL_COUNT_PROMOTIONS, 1);
-	if (!propose_order(node, service, id, token, log_end(node, state, id)))
+	if (!propose_order(node, service, id, token, log_end(node, state, id),
+			   view))
 		drop_request(state);
 }
 
@@ -631,6 +644,9 @@
 			node->ops->sync_replicas(node->reg.document, service,
 						 node->data) :
 			0;
+	if (view.sync_replicas)
+		view.nr_copies = control_copies_count(node, service);
+	control_copies_check(node, state, view.sync_replicas, now_us);
 	mark_diverged(node, service, upstreams);
 	if (view.primary >= 0)
 		view.silent_daemons = control_roster_count_unreachable(
--- a/control/surveys.c
+++ b/control/surveys.c
@@ -162,6 +162,16 @@
 	survey->paused_number = result->number;
 }
 
+static void note_missing_logs(const struct control_promotion_state *state)
+{
+	guint nr = g_hash_table_size(state->survey.received);
+
+	if (nr < state->survey.answers_wanted)
+		event_log_always("survey_insufficient", "{s:s, s:i, s:i}",
+				 "service", state->service, "logs", (int)nr,
+				 "wanted", (int)state->survey.answers_wanted);
+}
+
 /* A daemon that was stalled has carried out an order that counts as silent, or
  * of an earlier leader, and paused upstreams that may receive again. */
 static void note_late_survey(const struct control_node *node,
@@ -197,10 +207,12 @@
 		return;
 	}
 	state->survey.number = 0;
-	if (!state->survey.resume)
+	if (!state->survey.resume) {
 		store_received(&state->survey, result, clock_now_us());
-	else if (result->complete)
+		note_missing_logs(state);
+	} else if (result->complete) {
 		state->survey.may_be_paused = false;
+	}
 	state->survey.ended_us = clock_now_us();
 	control_promotions_review(node, state->service);
 }
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -67,8 +67,9 @@
 
 unsigned promotion_logs_wanted(const struct promotion_view *view)
 {
-	return view->nr > view->sync_replicas ? view->nr - view->sync_replicas :
-						0;
+	unsigned nr = MAX(view->nr, view->nr_copies);
+
+	return nr > view->sync_replicas ? nr - view->sync_replicas : 0;
 }
 
 bool promotion_needs_survey(const struct promotion_view *view)
--- a/include/primary_register.h
+++ b/include/primary_register.h
@@ -28,6 +28,7 @@
  * @last_token: token of the last of them
  * @log_end: end of its log at the time of the last one, term 0 if unknown
  * @newest_term: newest term of any log at that time
+ * @surveyed: ids of the upstreams whose logs one of them was decided by
  * @applied_us: when this VM learned of the last one; not agreed
  */
 struct primary_order {
@@ -36,9 +37,25 @@
 	uint64_t last_token;
 	struct position log_end;
 	uint32_t newest_term;
+	GPtrArray *surveyed;
 	int64_t applied_us;
 };
 
+/**
+ * struct primary_copy - an upstream that may hold a commit that was acknowledged
+ *                       and that others lack
+ * @absent: whether the last promotion was decided by a survey that it did not
+ *          answer; it then holds no later commit unless it is heard again
+ *
+ * It counts also when it has ended or its address is in use again, until the
+ * leader knows that as many others as must hold each commit hold its commits.
+ */
+struct primary_copy {
+	char *id;
+	char *address;
+	bool absent;
+};
+
 /**
  * struct primary_record - what is agreed on the primary of a service
  * @id: upstream that leads, NULL if none is known yet
@@ -49,6 +66,7 @@
  * @ended_term: newest term of any log at that time, 0 if unknown
  * @replaced: ids of the primaries before it, the latest last
  * @orders: struct primary_order, at most one for each upstream
+ * @copies: struct primary_copy; empty where commits wait for no replica
  * @by_order: whether an order made @id lead, so that @base is where its lead
  *            began
  * @applied_us: when this VM learned of @id; not agreed
@@ -62,6 +80,7 @@
 	uint32_t ended_term;
 	GPtrArray *replaced;
 	GPtrArray *orders;
+	GPtrArray *copies;
 	bool by_order;
 	int64_t applied_us;
 };
@@ -104,6 +123,10 @@
 const struct primary_order *
 primary_record_rival(const struct primary_record *record);
 
+/** primary_record_copy() - the copy @id, NULL if it is none */
+const struct primary_copy *
+primary_record_copy(const struct primary_record *record, const char *id);
+
 /** primary_register_pack() - add all records to a snapshot */
 void primary_register_pack(const struct primary_register *reg,
 			   Wire__ConfigChange *snapshot);
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -88,6 +88,8 @@
  *                 may still be carried out
  * @sync_replicas: number of replicas that must hold a commit before it is
  *                 acknowledged
+ * @nr_copies: number of upstreams that may hold such a commit, also of those that
+ *             are not in @upstreams any more
  */
 struct promotion_view {
 	const struct promotion_upstream *upstreams;
@@ -99,6 +101,7 @@
 	int64_t since_request_us;
 	bool rival_ordered;
 	unsigned sync_replicas;
+	unsigned nr_copies;
 };
 
 enum promotion_reason {
@@ -136,7 +139,11 @@
  */
 int promotion_complete_candidate(const struct promotion_view *view);
 
-/** promotion_logs_wanted() - number of upstreams that must be surveyed */
+/**
+ * promotion_logs_wanted() - number of upstreams that must be surveyed
+ *
+ * All copies but as many as replicas hold each commit beside the primary.
+ */
 unsigned promotion_logs_wanted(const struct promotion_view *view);
 
 /** promotion_needs_survey() - whether fewer upstreams have been surveyed */
--- a/protocol/messages.pb-c.c
+++ b/protocol/messages.pb-c.c
@@ -1762,6 +1762,51 @@
   assert(message->base.descriptor == &wire__primary_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__primary_copy__init
+                     (Wire__PrimaryCopy         *message)
+{
+  static const Wire__PrimaryCopy init_value = WIRE__PRIMARY_COPY__INIT;
+  *message = init_value;
+}
+size_t wire__primary_copy__get_packed_size
+                     (const Wire__PrimaryCopy *message)
+{
+  assert(message->base.descriptor == &wire__primary_copy__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__primary_copy__pack
+                     (const Wire__PrimaryCopy *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__primary_copy__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__primary_copy__pack_to_buffer
+                     (const Wire__PrimaryCopy *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__primary_copy__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PrimaryCopy *
+       wire__primary_copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PrimaryCopy *)
+     protobuf_c_message_unpack (&wire__primary_copy__descriptor,
+                                allocator, len, data);
+}
+void   wire__primary_copy__free_unpacked
+                     (Wire__PrimaryCopy *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__primary_copy__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__primary_record__init
                      (Wire__PrimaryRecord         *message)
 {
@@ -6636,7 +6681,7 @@
   (ProtobufCMessageInit) wire__service_primary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__primary_order__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__primary_order__field_descriptors[6] =
 {
   {
     "id",
@@ -6698,6 +6743,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "surveyed",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wire__PrimaryOrder, n_surveyed),
+    offsetof(Wire__PrimaryOrder, surveyed),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__primary_order__field_indices_by_name[] = {
   1,   /* field[1] = first_token */
@@ -6705,11 +6762,12 @@
   2,   /* field[2] = last_token */
   3,   /* field[3] = log_end */
   4,   /* field[4] = newest_term */
+  5,   /* field[5] = surveyed */
 };
 static const ProtobufCIntRange wire__primary_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__primary_order__descriptor =
 {
@@ -6719,14 +6777,78 @@
   "Wire__PrimaryOrder",
   "wire",
   sizeof(Wire__PrimaryOrder),
-  5,
+  6,
   wire__primary_order__field_descriptors,
   wire__primary_order__field_indices_by_name,
   1,  wire__primary_order__number_ranges,
   (ProtobufCMessageInit) wire__primary_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__primary_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wire__primary_copy__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryCopy, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryCopy, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "absent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PrimaryCopy, absent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__primary_copy__field_indices_by_name[] = {
+  2,   /* field[2] = absent */
+  1,   /* field[1] = address */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange wire__primary_copy__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__primary_copy__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PrimaryCopy",
+  "PrimaryCopy",
+  "Wire__PrimaryCopy",
+  "wire",
+  sizeof(Wire__PrimaryCopy),
+  3,
+  wire__primary_copy__field_descriptors,
+  wire__primary_copy__field_indices_by_name,
+  1,  wire__primary_copy__number_ranges,
+  (ProtobufCMessageInit) wire__primary_copy__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__primary_record__field_descriptors[9] =
 {
   {
     "service",
@@ -6824,8 +6946,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "copies",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__PrimaryRecord, n_copies),
+    offsetof(Wire__PrimaryRecord, copies),
+    &wire__primary_copy__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__primary_record__field_indices_by_name[] = {
+  8,   /* field[8] = copies */
   5,   /* field[5] = ended_term */
   1,   /* field[1] = id */
   3,   /* field[3] = index */
@@ -6838,7 +6973,7 @@
 static const ProtobufCIntRange wire__primary_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wire__primary_record__descriptor =
 {
@@ -6848,25 +6983,27 @@
   "Wire__PrimaryRecord",
   "wire",
   sizeof(Wire__PrimaryRecord),
-  8,
+  9,
   wire__primary_record__field_descriptors,
   wire__primary_record__field_indices_by_name,
   1,  wire__primary_record__number_ranges,
   (ProtobufCMessageInit) wire__primary_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue wire__primary_change__kind__enum_values_by_number[4] =
+static const ProtobufCEnumValue wire__primary_change__kind__enum_values_by_number[5] =
 {
   { "LEADS", "WIRE__PRIMARY_CHANGE__KIND__LEADS", 0 },
   { "ORDERED", "WIRE__PRIMARY_CHANGE__KIND__ORDERED", 1 },
   { "PROMOTED", "WIRE__PRIMARY_CHANGE__KIND__PROMOTED", 2 },
   { "REFUSED", "WIRE__PRIMARY_CHANGE__KIND__REFUSED", 3 },
+  { "COPIES", "WIRE__PRIMARY_CHANGE__KIND__COPIES", 4 },
 };
 static const ProtobufCIntRange wire__primary_change__kind__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 5}
 };
-static const ProtobufCEnumValueIndex wire__primary_change__kind__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex wire__primary_change__kind__enum_values_by_name[5] =
 {
+  { "COPIES", 4 },
   { "LEADS", 0 },
   { "ORDERED", 1 },
   { "PROMOTED", 2 },
@@ -6879,15 +7016,15 @@
   "Kind",
   "Wire__PrimaryChange__Kind",
   "wire",
-  4,
+  5,
   wire__primary_change__kind__enum_values_by_number,
-  4,
+  5,
   wire__primary_change__kind__enum_values_by_name,
   1,
   wire__primary_change__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor wire__primary_change__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__primary_change__field_descriptors[8] =
 {
   {
     "kind",
@@ -6961,19 +7098,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "surveyed",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wire__PrimaryChange, n_surveyed),
+    offsetof(Wire__PrimaryChange, surveyed),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "copies",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__PrimaryChange, n_copies),
+    offsetof(Wire__PrimaryChange, copies),
+    &wire__primary_copy__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__primary_change__field_indices_by_name[] = {
+  7,   /* field[7] = copies */
   2,   /* field[2] = id */
   0,   /* field[0] = kind */
   4,   /* field[4] = log_end */
   5,   /* field[5] = newest_term */
   1,   /* field[1] = service */
+  6,   /* field[6] = surveyed */
   3,   /* field[3] = token */
 };
 static const ProtobufCIntRange wire__primary_change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wire__primary_change__descriptor =
 {
@@ -6983,7 +7146,7 @@
   "Wire__PrimaryChange",
   "wire",
   sizeof(Wire__PrimaryChange),
-  6,
+  8,
   wire__primary_change__field_descriptors,
   wire__primary_change__field_indices_by_name,
   1,  wire__primary_change__number_ranges,
--- a/protocol/messages.pb-c.h
+++ b/protocol/messages.pb-c.h
@@ -54,6 +54,7 @@
 typedef struct Wire__RosterEntry Wire__RosterEntry;
 typedef struct Wire__ServicePrimary Wire__ServicePrimary;
 typedef struct Wire__PrimaryOrder Wire__PrimaryOrder;
+typedef struct Wire__PrimaryCopy Wire__PrimaryCopy;
 typedef struct Wire__PrimaryRecord Wire__PrimaryRecord;
 typedef struct Wire__PrimaryChange Wire__PrimaryChange;
 typedef struct Wire__View Wire__View;
@@ -100,7 +101,11 @@
    * The platform carried the order out, or refused it for good.
    */
   WIRE__PRIMARY_CHANGE__KIND__PROMOTED = 2,
-  WIRE__PRIMARY_CHANGE__KIND__REFUSED = 3
+  WIRE__PRIMARY_CHANGE__KIND__REFUSED = 3,
+  /*
+   * All upstreams that may hold an acknowledged commit.
+   */
+  WIRE__PRIMARY_CHANGE__KIND__COPIES = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__PRIMARY_CHANGE__KIND)
 } Wire__PrimaryChange__Kind;
 typedef enum _Wire__FailoverStep__Step {
@@ -920,10 +925,33 @@
    */
   Wire__Position *log_end;
   uint32_t newest_term;
+  /*
+   * Upstreams that told what they have received before an order.
+   */
+  size_t n_surveyed;
+  char **surveyed;
 };
 #define WIRE__PRIMARY_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__primary_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0,NULL }
+
+
+/*
+ * An upstream that may hold a commit that was acknowledged.
+ */
+struct  Wire__PrimaryCopy
+{
+  ProtobufCMessage base;
+  char *id;
+  char *address;
+  /*
+   * Whether it did not answer the survey before the last promotion.
+   */
+  protobuf_c_boolean absent;
+};
+#define WIRE__PRIMARY_COPY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__primary_copy__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -948,10 +976,15 @@
   char **replaced;
   size_t n_orders;
   Wire__PrimaryOrder **orders;
+  /*
+   * Only where commits wait for replicas.
+   */
+  size_t n_copies;
+  Wire__PrimaryCopy **copies;
 };
 #define WIRE__PRIMARY_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__primary_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -969,10 +1002,14 @@
    */
   Wire__Position *log_end;
   uint32_t newest_term;
+  size_t n_surveyed;
+  char **surveyed;
+  size_t n_copies;
+  Wire__PrimaryCopy **copies;
 };
 #define WIRE__PRIMARY_CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__primary_change__descriptor) \
-    , WIRE__PRIMARY_CHANGE__KIND__LEADS, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0 }
+    , WIRE__PRIMARY_CHANGE__KIND__LEADS, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL, 0, 0,NULL, 0,NULL }
 
 
 struct  Wire__View
@@ -2093,6 +2130,25 @@
 void   wire__primary_order__free_unpacked
                      (Wire__PrimaryOrder *message,
                       ProtobufCAllocator *allocator);
+/* Wire__PrimaryCopy methods */
+void   wire__primary_copy__init
+                     (Wire__PrimaryCopy         *message);
+size_t wire__primary_copy__get_packed_size
+                     (const Wire__PrimaryCopy   *message);
+size_t wire__primary_copy__pack
+                     (const Wire__PrimaryCopy   *message,
+                      uint8_t             *out);
+size_t wire__primary_copy__pack_to_buffer
+                     (const Wire__PrimaryCopy   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PrimaryCopy *
+       wire__primary_copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__primary_copy__free_unpacked
+                     (Wire__PrimaryCopy *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__PrimaryRecord methods */
 void   wire__primary_record__init
                      (Wire__PrimaryRecord         *message);
@@ -2592,6 +2648,9 @@
 typedef void (*Wire__PrimaryOrder_Closure)
                  (const Wire__PrimaryOrder *message,
                   void *closure_data);
+typedef void (*Wire__PrimaryCopy_Closure)
+                 (const Wire__PrimaryCopy *message,
+                  void *closure_data);
 typedef void (*Wire__PrimaryRecord_Closure)
                  (const Wire__PrimaryRecord *message,
                   void *closure_data);
@@ -2698,6 +2757,7 @@
 extern const ProtobufCMessageDescriptor wire__roster_entry__descriptor;
 extern const ProtobufCMessageDescriptor wire__service_primary__descriptor;
 extern const ProtobufCMessageDescriptor wire__primary_order__descriptor;
+extern const ProtobufCMessageDescriptor wire__primary_copy__descriptor;
 extern const ProtobufCMessageDescriptor wire__primary_record__descriptor;
 extern const ProtobufCMessageDescriptor wire__primary_change__descriptor;
 extern const ProtobufCEnumDescriptor    wire__primary_change__kind__descriptor;
--- a/state/primary_register.c
+++ b/state/primary_register.c
@@ -15,16 +15,36 @@
 {
 	struct primary_order *order = data;
 
+	g_ptr_array_free(order->surveyed, TRUE);
 	g_free(order->id);
 	g_free(order);
 }
 
+static struct primary_order *order_new(const char *id)
+{
+	struct primary_order *order = g_new0(struct primary_order, 1);
+
+	order->id = g_strdup(id);
+	order->surveyed = g_ptr_array_new_with_free_func(g_free);
+	return order;
+}
+
+static void copy_free(void *data)
+{
+	struct primary_copy *copy = data;
+
+	g_free(copy->id);
+	g_free(copy->address);
+	g_free(copy);
+}
+
 static void record_free(void *data)
 {
 	struct primary_record *record = data;
 
 	g_ptr_array_free(record->replaced, TRUE);
 	g_ptr_array_free(record->orders, TRUE);
+	g_ptr_array_free(record->copies, TRUE);
 	g_free(record->service);
 	g_free(record->id);
 	g_free(record);
@@ -53,6 +73,7 @@
 	record->service = g_strdup(service);
 	record->replaced = g_ptr_array_new_with_free_func(g_free);
 	record->orders = g_ptr_array_new_with_free_func(order_free);
+	record->copies = g_ptr_array_new_with_free_func(copy_free);
 	g_hash_table_insert(reg->by_service, record->service, record);
 	return record;
 }
@@ -83,6 +104,65 @@
 	return find_order(record, id);
 }
 
+const struct primary_copy *
+primary_record_copy(const struct primary_record *record, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < record->copies->len; i++) {
+		const struct primary_copy *copy = record->copies->pdata[i];
+
+		if (!strcmp(copy->id, id))
+			return copy;
+	}
+	return NULL;
+}
+
+static bool has_surveyed(const struct primary_order *order, const char *id)
+{
+	return g_ptr_array_find_with_equal_func(order->surveyed, id,
+						g_str_equal, NULL);
+}
+
+static void add_surveyed(struct primary_order *order, char *const *ids,
+			 size_t nr)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++)
+		if (!has_surveyed(order, ids[i]))
+			g_ptr_array_add(order->surveyed, g_strdup(ids[i]));
+}
+
+static void set_copies(struct primary_record *record,
+		       Wire__PrimaryCopy *const *copies, size_t nr)
+{
+	size_t i;
+
+	g_ptr_array_set_size(record->copies, 0);
+	for (i = 0; i < nr; i++) {
+		struct primary_copy *copy = g_new0(struct primary_copy, 1);
+
+		copy->id = g_strdup(copies[i]->id);
+		copy->address = g_strdup(copies[i]->address);
+		copy->absent = copies[i]->absent;
+		g_ptr_array_add(record->copies, copy);
+	}
+}
+
+static void mark_absent(struct primary_record *record,
+			const struct primary_order *order)
+{
+	guint i;
+
+	for (i = 0; order->surveyed->len && i < record->copies->len; i++) {
+		struct primary_copy *copy = record->copies->pdata[i];
+
+		copy->absent = strcmp(copy->id, order->id) &&
+			       !has_surveyed(order, copy->id);
+	}
+}
+
 const struct primary_order *
 primary_record_rival(const struct primary_record *record)
 {
@@ -107,8 +187,7 @@
 	if (change->token <= record->token)
 		return;
 	if (!order) {
-		order = g_new0(struct primary_order, 1);
-		order->id = g_strdup(change->id);
+		order = order_new(change->id);
 		order->first_token = change->token;
 		g_ptr_array_add(record->orders, order);
 	}
@@ -116,6 +195,7 @@
 	order->log_end = unpack_position(change->log_end);
 	order->newest_term = change->newest_term;
 	order->applied_us = now_us;
+	add_surveyed(order, change->surveyed, change->n_surveyed);
 }
 
 /* An order that was refused is not carried out later. */
@@ -206,9 +286,13 @@
 		refuse_order(record, change);
 		break;
 	case WIRE__PRIMARY_CHANGE__KIND__PROMOTED:
-		if (change->token > record->token)
-			changed = set_primary(record, change->id, change->token,
-					      index, now_us);
+		if (change->token <= record->token)
+			break;
+		if (g_strcmp0(record->id, change->id) &&
+		    find_order(record, change->id))
+			mark_absent(record, find_order(record, change->id));
+		changed = set_primary(record, change->id, change->token, index,
+				      now_us);
 		break;
 	case WIRE__PRIMARY_CHANGE__KIND__LEADS:
 		/* Outdated if an order has been carried out since. What may
@@ -217,6 +301,9 @@
 			changed = set_primary(record, change->id, record->token,
 					      index, now_us);
 		break;
+	case WIRE__PRIMARY_CHANGE__KIND__COPIES:
+		set_copies(record, change->copies, change->n_copies);
+		break;
 	default:
 		break;
 	}
@@ -243,6 +330,19 @@
 	out->last_token = order->last_token;
 	out->log_end = pack_position(order->log_end);
 	out->newest_term = order->newest_term;
+	out->surveyed = (char **)order->surveyed->pdata;
+	out->n_surveyed = order->surveyed->len;
+	return out;
+}
+
+static Wire__PrimaryCopy *pack_copy(const struct primary_copy *copy)
+{
+	Wire__PrimaryCopy *out = g_new(Wire__PrimaryCopy, 1);
+
+	wire__primary_copy__init(out);
+	out->id = copy->id;
+	out->address = copy->address;
+	out->absent = copy->absent;
 	return out;
 }
 
@@ -265,6 +365,10 @@
 	for (i = 0; i < record->orders->len; i++)
 		out->orders[out->n_orders++] =
 			pack_order(record->orders->pdata[i]);
+	out->copies = g_new(Wire__PrimaryCopy *, record->copies->len + 1);
+	for (i = 0; i < record->copies->len; i++)
+		out->copies[out->n_copies++] =
+			pack_copy(record->copies->pdata[i]);
 	return out;
 }
 
@@ -293,6 +397,9 @@
 			g_free(record->orders[k]->log_end);
 			g_free(record->orders[k]);
 		}
+		for (k = 0; k < record->n_copies; k++)
+			g_free(record->copies[k]);
+		g_free(record->copies);
 		g_free(record->orders);
 		g_free(record->led_from);
 		g_free(record);
@@ -316,16 +423,17 @@
 	record->applied_us = now_us;
 	for (i = 0; i < in->n_replaced; i++)
 		g_ptr_array_add(record->replaced, g_strdup(in->replaced[i]));
+	set_copies(record, in->copies, in->n_copies);
 	for (i = 0; i < in->n_orders; i++) {
 		const Wire__PrimaryOrder *from = in->orders[i];
-		struct primary_order *order = g_new0(struct primary_order, 1);
+		struct primary_order *order = order_new(from->id);
 
-		order->id = g_strdup(from->id);
 		order->first_token = from->first_token;
 		order->last_token = from->last_token;
 		order->log_end = unpack_position(from->log_end);
 		order->newest_term = from->newest_term;
 		order->applied_us = now_us;
+		add_surveyed(order, from->surveyed, from->n_surveyed);
 		g_ptr_array_add(record->orders, order);
 	}
 }
--- a/tests/test_control_survey.c
+++ b/tests/test_control_survey.c
@@ -291,9 +291,62 @@
 }
 END_TEST
 
+static bool has_three_copies(void)
+{
+	const struct primary_record *record =
+		primary_register_find(&leader()->primaries, "s");
+
+	return record && record->copies->len == NR_UPSTREAMS;
+}
+
+/* A database of another service starts at the address of the lost primary. */
+static void use_address_again(void)
+{
+	struct sighting s = { .id = "other",
+			      .service = "t",
+			      .address = "a",
+			      .availability_zone = "z",
+			      .born_ms = 1,
+			      .sequence = 1,
+			      .heard_us = clock_now_us() };
+	unsigned i;
+
+	for (i = 0; i < 3; i++)
+		if (vms[i].node)
+			control_add_announcement(vms[i].node, &s);
+}
+
+/*
+ * Guards against losing acknowledged commits: once the address of the lost
+ * primary is in use again, one log counts as enough, which may be the one that
+ * lacks them. Also at a new leader.
+ */
+START_TEST(test_reused_address)
+{
+	start();
+	ck_assert(report_until(has_three_copies, 3));
+	platform_silent = true;
+	nr_unanswered = 0;
+	ck_assert(report_until(is_unanswered, 3));
+	use_address_again();
+	silent_upstream = 2;
+	/* The last survey that c answered does not count any more then. */
+	report_until(is_promoted, 1);
+	platform_silent = false;
+	ck_assert(!report_until(is_promoted, 2));
+	stop_vm(leader_index());
+	ck_assert(run_until(has_leader, 5));
+	ck_assert(!report_until(is_promoted, 2));
+	silent_upstream = -1;
+	ck_assert(report_until(is_promoted, 3));
+	ck_assert_str_eq(promoted_id, "c");
+}
+END_TEST
+
 TEST_MAIN_WITH_FIXTURE("control_survey", init_group, stop_group,
 		       test_most_received_is_promoted, test_unanswered_survey,
 		       test_without_synchronous_replicas,
 		       test_recovered_primary_is_confirmed,
 		       test_new_leader_confirms_primary,
-		       test_replaced_primary_is_not_confirmed)
+		       test_replaced_primary_is_not_confirmed,
+		       test_reused_address)
--- a/tests/test_primary_register.c
+++ b/tests/test_primary_register.c
@@ -29,6 +29,41 @@
 	return primary_register_apply(&reg, &change, next_index++, 1000);
 }
 
+/* An order that was decided by the logs of b and c. */
+static void order_by_survey(const char *id, uint64_t token)
+{
+	static char *surveyed[] = { "b", "c" };
+	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
+
+	change.kind = WIRE__PRIMARY_CHANGE__KIND__ORDERED;
+	change.service = "s";
+	change.id = (char *)id;
+	change.token = token;
+	change.surveyed = surveyed;
+	change.n_surveyed = G_N_ELEMENTS(surveyed);
+	primary_register_apply(&reg, &change, next_index++, 1000);
+}
+
+static void set_copies(void)
+{
+	static const char *const ids[] = { "a", "b", "c" };
+	Wire__PrimaryCopy copies[G_N_ELEMENTS(ids)];
+	Wire__PrimaryCopy *list[G_N_ELEMENTS(ids)];
+	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ids); i++) {
+		wire__primary_copy__init(&copies[i]);
+		copies[i].id = copies[i].address = (char *)ids[i];
+		list[i] = &copies[i];
+	}
+	change.kind = WIRE__PRIMARY_CHANGE__KIND__COPIES;
+	change.service = "s";
+	change.copies = list;
+	change.n_copies = G_N_ELEMENTS(ids);
+	primary_register_apply(&reg, &change, next_index++, 1000);
+}
+
 static bool leads(const char *id, uint64_t token)
 {
 	return apply(WIRE__PRIMARY_CHANGE__KIND__LEADS, id, token, 0);
@@ -119,6 +154,31 @@
 }
 END_TEST
 
+/* Guards against copies that are forgotten by a promotion, and against lost ones
+ * that cannot be told from the others after a survey without them. */
+START_TEST(test_copies)
+{
+	setup();
+	leads("a", 0);
+	set_copies();
+	order("b", 1, 70);
+	promoted("b", 1);
+	ck_assert_uint_eq(record()->copies->len, 3);
+	order_by_survey("c", 2);
+	ck_assert_uint_eq(record()->copies->len, 3);
+	promoted("b", 3);
+	ck_assert_uint_eq(record()->copies->len, 3);
+	order_by_survey("c", 4);
+	promoted("c", 4);
+	/* c may be the only one that has what a held. */
+	ck_assert_uint_eq(record()->copies->len, 3);
+	ck_assert(primary_record_copy(record(), "a")->absent);
+	ck_assert(!primary_record_copy(record(), "b")->absent);
+	ck_assert(!primary_record_copy(record(), "c")->absent);
+	primary_register_finish(&reg);
+}
+END_TEST
+
 /* Guards against a VM with an empty disk that knows less than the others. */
 START_TEST(test_snapshot)
 {
@@ -130,7 +190,8 @@
 	leads("a", 0);
 	order("b", 1, 70);
 	promoted("b", 1);
-	order("c", 2, 80);
+	set_copies();
+	order_by_survey("c", 2);
 	order("c", 3, 81);
 	primary_register_pack(&reg, &snapshot);
 	primary_register_init(&copy);
@@ -148,10 +209,12 @@
 	ck_assert_uint_eq(primary_record_rival(held)->first_token, 2);
 	ck_assert_uint_eq(primary_record_rival(held)->last_token, 3);
 	ck_assert_uint_eq(primary_record_rival(held)->log_end.lsn, 81);
+	ck_assert_uint_eq(primary_record_rival(held)->surveyed->len, 2);
+	ck_assert_str_eq(primary_record_copy(held, "c")->address, "c");
 	primary_register_finish(&copy);
 	primary_register_finish(&reg);
 }
 END_TEST
 
 TEST_MAIN("primary_register", test_highest_token_leads, test_outdated_claim,
-	  test_open_orders, test_snapshot)
+	  test_open_orders, test_copies, test_snapshot)
--- a/tests/test_promotion_faults.c
+++ b/tests/test_promotion_faults.c
@@ -7,8 +7,9 @@
 /*
  * Plays surveys and promotions of a service with synchronous replicas in steps
  * of 10 ms. Databases crash, come back, receive nothing or apply late; answers
- * to surveys and orders are lost; and a primary that control cannot reach goes
- * on committing.
+ * to surveys and orders are lost; a primary that control cannot reach goes
+ * on committing; and databases are lost for good, and forgotten as their address
+ * is used again.
  */
 
 #define FAULT_SEEDS 3000
@@ -25,8 +26,17 @@
  * @deaf_until: step until which it receives nothing
  * @down_since: step of its last crash
  * @surveyed_at: step of its last answer to a survey, -1 for none
+ * @gone: whether it is lost for good
+ * @known: whether control knows of it
+ * @counted: whether it may hold commits that were acknowledged
+ * @absent: whether it did not answer the survey before the last promotion, and
+ *          was not heard since
  */
 struct database {
+	bool gone;
+	bool known;
+	bool counted;
+	bool absent;
 	bool up;
 	bool paused;
 	bool seen;
@@ -49,6 +59,9 @@
 	/* Newest commit that was acknowledged. */
 	int acknowledged;
 	int step;
+	unsigned nr_gone;
+	/* End of the log that was promoted last. */
+	int base;
 	unsigned promotions;
 };
 
@@ -93,13 +106,22 @@
 	unsigned i = (unsigned)g_rand_int_range(m->rand, 0, (int)m->nr);
 	struct database *d = &m->db[i];
 
+	if (d->gone) {
+		d->known = false;
+		return;
+	}
 	switch (g_rand_int_range(m->rand, 0, 4)) {
 	case 0:
 		if (!d->up && m->step - d->down_since <= SURVEY_VALID_STEPS)
 			return;
 		d->up = !d->up;
+		d->gone = !d->up && m->nr_gone < m->sync_replicas &&
+			  chance(m, 0.2);
+		m->nr_gone += d->gone;
 		d->down_since = m->step;
 		d->paused = false;
+		d->counted = d->counted || d->up;
+		d->absent = d->absent && !d->up;
 		return;
 	case 1:
 		d->seen = !d->seen;
@@ -113,6 +135,22 @@
 	}
 }
 
+/* Forgets databases that did not answer a survey once enough others have the
+ * log that was promoted by it. */
+static void forget_absent(struct model *m)
+{
+	unsigned nr = 0;
+	unsigned i;
+
+	for (i = 0; i < m->nr; i++)
+		nr += (int)i != m->primary && m->db[i].counted &&
+		      !m->db[i].gone && !m->db[i].absent &&
+		      m->db[i].applied >= m->base;
+	for (i = 0; nr >= m->sync_replicas && i < m->nr; i++)
+		if (m->db[i].absent)
+			m->db[i].counted = false;
+}
+
 /* Pauses and asks every upstream but the primary; some do not answer. */
 static void survey(struct model *m)
 {
@@ -134,19 +172,25 @@
 	}
 }
 
+/* @index: set to the database of each upstream of the view */
 static void fill_view(struct model *m, struct promotion_view *view,
-		      struct promotion_upstream *ups)
+		      struct promotion_upstream *ups, int *index)
 {
 	unsigned i;
 
 	*view = (struct promotion_view){ .upstreams = ups,
-					 .nr = m->nr,
-					 .primary = m->primary,
+					 .primary = -1,
 					 .sync_replicas = m->sync_replicas };
 	for (i = 0; i < m->nr; i++) {
 		const struct database *d = &m->db[i];
 
-		ups[i] = (struct promotion_upstream){
+		view->nr_copies += d->counted;
+		if (!d->known)
+			continue;
+		if ((int)i == m->primary)
+			view->primary = (int)view->nr;
+		index[view->nr] = (int)i;
+		ups[view->nr++] = (struct promotion_upstream){
 			.id = "d",
 			.answered = d->up && d->seen ? 3 : 0,
 			.failing = d->up && d->seen ? 0 : 3,
@@ -172,8 +216,11 @@
 		      "%d",
 		      m->seed, m->acknowledged, d->received);
 	m->promotions++;
+	m->base = d->received;
 	m->primary = chosen;
 	for (i = 0; i < m->nr; i++) {
+		m->db[i].absent = (int)i != chosen && !m->db[i].up &&
+				  m->db[i].surveyed_at < 0;
 		m->db[i].paused = false;
 		m->db[i].surveyed_at = -1;
 		m->db[i].received = MIN(m->db[i].received, d->received);
@@ -185,20 +232,21 @@
 static void decide(struct model *m)
 {
 	struct promotion_upstream ups[MAX_DATABASES];
+	int index[MAX_DATABASES];
 	struct promotion_view view;
 	const struct database *p = &m->db[m->primary];
 	int chosen;
 
 	if (p->up && p->seen)
 		return;
-	fill_view(m, &view, ups);
+	fill_view(m, &view, ups, index);
 	if (promotion_needs_survey(&view)) {
 		survey(m);
 		return;
 	}
 	chosen = promotion_complete_candidate(&view);
 	if (chosen >= 0 && !chance(m, 0.7))
-		promote(m, chosen);
+		promote(m, index[chosen]);
 }
 
 static unsigned run_seed(uint32_t seed)
@@ -209,13 +257,17 @@
 	m.nr = (unsigned)g_rand_int_range(m.rand, 2, MAX_DATABASES + 1);
 	m.sync_replicas = (unsigned)g_rand_int_range(m.rand, 1, (int)m.nr);
 	for (i = 0; i < m.nr; i++)
-		m.db[i] = (struct database){
-			.up = true, .seen = true, .lag = 1, .surveyed_at = -1
-		};
+		m.db[i] = (struct database){ .up = true,
+					     .seen = true,
+					     .known = true,
+					     .counted = true,
+					     .lag = 1,
+					     .surveyed_at = -1 };
 	for (m.step = 0; m.step < STEPS; m.step++) {
 		if (chance(&m, 0.03))
 			inject(&m);
 		replicate(&m);
+		forget_absent(&m);
 		/* A message to and from a daemon takes a step each. */
 		if (m.step % 3 == 0)
 			decide(&m);
--- a/tests/test_promotion_policy.c
+++ b/tests/test_promotion_policy.c
@@ -191,6 +191,26 @@
 }
 END_TEST
 
+/* Guards against a promotion by one log while a copy of which nothing is known
+ * any more may hold commits that this log lacks. */
+START_TEST(test_lost_copies_count)
+{
+	setup();
+	view.sync_replicas = 1;
+	view.nr = 2;
+	view.primary = -1;
+	ups[0].surveyed = true;
+	ck_assert_uint_eq(promotion_logs_wanted(&view), 1);
+	ck_assert_int_eq(promotion_complete_candidate(&view), 0);
+	view.nr_copies = 3;
+	ck_assert_uint_eq(promotion_logs_wanted(&view), 2);
+	ck_assert_int_eq(promotion_complete_candidate(&view), -1);
+	ups[1].surveyed = true;
+	ups[1].received = (struct position){ 1, 7 };
+	ck_assert_int_eq(promotion_complete_candidate(&view), 1);
+}
+END_TEST
+
 /* Guards against a request without an answer that is carried out after the
  * primary has recovered, and against replacing a rival that leads already. */
 START_TEST(test_confirms_primary)
@@ -235,5 +255,5 @@
 
 TEST_MAIN("promotion_policy", test_not_needed, test_needed, test_candidate,
 	  test_synchronous_replicas, test_logs_wanted, test_diverged,
-	  test_unknown_daemons, test_lagging, test_confirms_primary,
-	  test_resume_after_unanswered_request)
+	  test_unknown_daemons, test_lagging, test_lost_copies_count,
+	  test_confirms_primary, test_resume_after_unanswered_request)
