Ignore announcements that move an upstream to another service

A service with sync_replicas 1 lost 74 acknowledged writes as well, since the number of logs wanted fell with it.

Cause: the newest announcement of an id decided its service. Nothing compared it with the configuration or with what was known of the same start.

Evidence: the order comes 0.6 s after the announcement, with the reason "no primary"; the announcement is kept under the other service by all control VMs.

Change: an upstream belongs to one service from its start to its end. An announcement that names another one for the same start, or a service that is not configured, is ignored with a log line, also if another control VM passes it on. One that came first gives way.

--- a/control/internal.h
+++ b/control/internal.h
@@ -404,6 +404,18 @@
  *                       once a second */
 void control_note_limit(struct control_node *node, enum control_counter counter,
 			const char *what);
+/** control_service_is_configured() - whether the configuration has @service, or
+ *                                 there is none yet */
+bool control_service_is_configured(const struct control_node *node,
+				   const char *service);
+/**
+ * control_is_foreign() - whether an announcement is of another writer, as a known
+ *                        upstream cannot belong to the service that it names
+ *
+ * An upstream belongs to one service from its start to its end.
+ */
+bool control_is_foreign(const struct control_node *node,
+			const struct sighting *upstream);
 /** control_admit_sighting() - whether an announcement may be merged; removes the
  *                           least useful upstream to make room */
 bool control_admit_sighting(struct control_node *node,
--- a/control/limits.c
+++ b/control/limits.c
@@ -93,6 +93,32 @@
 	node->group_events = events;
 }
 
+/* An announcement may name a service that nobody uses. */
+bool control_service_is_configured(const struct control_node *node,
+				   const char *service)
+{
+	return !node->reg.document ||
+	       node->ops->has_service(node->reg.document, service, node->data);
+}
+
+bool control_is_foreign(const struct control_node *node,
+			const struct sighting *upstream)
+{
+	const struct sighting *known =
+		sightings_find(&node->sightings, upstream->id);
+
+	if (!known || !strcmp(known->service, upstream->service) ||
+	    !control_service_is_configured(node, known->service))
+		return false;
+	if (known->born_ms != upstream->born_ms &&
+	    control_service_is_configured(node, upstream->service))
+		return false;
+	event_log("announcement_ignored", "{s:s, s:s, s:s}", "upstream",
+		  upstream->id, "service", upstream->service, "known_service",
+		  known->service);
+	return true;
+}
+
 static struct table_use sighting_use(const struct control_node *node,
 				     const struct sighting *s, int64_t now_us)
 {
--- a/control/node.c
+++ b/control/node.c
@@ -240,6 +240,8 @@
 	enum sighting_merge_result result;
 	const struct sighting *stored;
 
+	if (control_is_foreign(node, upstream))
+		return true;
 	if (!control_admit_sighting(node, upstream))
 		return false;
 	result = sightings_merge(&node->sightings, upstream);
--- a/control/node.h
+++ b/control/node.h
@@ -115,6 +115,9 @@
 /**
  * control_add_announcement() - an upstream sent an announcement to this VM
  * Return: false if it is a further upstream and there are too many
+ *
+ * One that moves a known upstream to another service is ignored: it comes from
+ * another writer.
  */
 bool control_add_announcement(struct control_node *node,
 			      const struct sighting *upstream);
--- a/control/peers.c
+++ b/control/peers.c
@@ -245,7 +245,8 @@
 	struct sighting upstream;
 
 	sighting_unpack(in, now_us, &upstream);
-	if (!control_admit_sighting(node, &upstream))
+	if (control_is_foreign(node, &upstream) ||
+	    !control_admit_sighting(node, &upstream))
 		return;
 	if (sightings_merge(&node->sightings, &upstream) == SIGHTING_CHANGED)
 		node->views_due = true;
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -682,13 +682,6 @@
 	return services;
 }
 
-/* An announcement may name a service that nobody uses. */
-static bool is_configured(const struct control_node *node, const char *service)
-{
-	return !node->reg.document ||
-	       node->ops->has_service(node->reg.document, service, node->data);
-}
-
 static bool may_promote(const struct control_node *node, int64_t now_us)
 {
 	/* A new leader first collects reports of daemons and upstreams. */
@@ -720,7 +713,7 @@
 	while (g_hash_table_iter_next(&it, (void **)&service, NULL)) {
 		/* Announcements with many names would cost as much as the
 		 * number of services times that of upstreams. */
-		if (!is_configured(node, service))
+		if (!control_service_is_configured(node, service))
 			continue;
 		control_primary_follow(node, service, now_us);
 		if (!promote)
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -210,6 +210,63 @@
 }
 END_TEST
 
+/*
+ * Guards against replacing a healthy primary: one announcement of another writer
+ * moves it to a service that nobody uses, or to another one, and it counts as
+ * lost.
+ */
+START_TEST(test_primary_keeps_service)
+{
+	g_autofree char *replica = heartbeat_with("", "");
+	g_autofree char *other_address =
+		heartbeat_with("address", "\"127.1.2.4:8080\"");
+	g_autofree char *unknown = NULL;
+	g_autofree char *other = NULL;
+	g_autofree char *primary = NULL;
+	const struct sighting *known;
+
+	primary = g_strdup(replica);
+	memcpy(strstr(primary, "replica"), "primary", strlen("primary"));
+	unknown = heartbeat_with("service", "\"unknown\"");
+	other = heartbeat_with("service", "\"t\"");
+	start();
+	ck_assert_int_eq(post("a", primary), 200);
+	ck_assert_int_eq(post("b", other_address), 200);
+	run_until(NULL, 0.5);
+	memcpy(strstr(unknown, "\"sequence\":1"), "\"sequence\":9",
+	       strlen("\"sequence\":9"));
+	memcpy(strstr(other, "\"sequence\":1"), "\"sequence\":9",
+	       strlen("\"sequence\":9"));
+	post("a", unknown);
+	post("a", other);
+	run_until(NULL, 1);
+	known = sightings_find(control_sightings(vms[0].node), "a");
+	ck_assert_str_eq(known->service, "s");
+	ck_assert_uint_eq(known->sequence, 1);
+	ck_assert_uint_eq(nr_promotions, 0);
+	/* Nor do the other VMs take it. */
+	known = sightings_find(control_sightings(vms[1].node), "a");
+	ck_assert_str_eq(known->service, "s");
+}
+END_TEST
+
+/* Guards against an upstream that is ignored for good, as an announcement of
+ * another writer came first. */
+START_TEST(test_foreign_announcement_first)
+{
+	g_autofree char *proper = heartbeat_with("sequence", "2");
+	g_autofree char *unknown = heartbeat_with("service", "\"unknown\"");
+	const struct sighting *known;
+
+	start();
+	post("a", unknown);
+	ck_assert_int_eq(post("a", proper), 200);
+	known = sightings_find(control_sightings(vms[0].node), "a");
+	ck_assert_str_eq(known->service, "s");
+}
+END_TEST
+
 TEST_MAIN_WITH_FIXTURE("odd_entries", init_group, stop, test_odd_fields,
 		       test_unreadable, test_known_database_is_kept,
-		       test_unknown_service)
+		       test_unknown_service, test_primary_keeps_service,
+		       test_foreign_announcement_first)
