Judge a primary that a new control VM has not heard by daemons' reports

Cause: a new VM has no announcement of the primary, so the service counted as one without a primary, which is given one at once.

Evidence: the order has the reason "no primary" and lists both replicas with the daemons that they answer; the primary is not in the list.

Change: the agreed log names the primary.

--- a/control/primaries.c
+++ b/control/primaries.c
@@ -133,12 +133,16 @@
 
 /*
  * Whether the agreed primary is known not to lead: it has ended, or says so. One
- * that was promoted leads a moment later only.
+ * that was promoted leads a moment later only, and a VM that has just joined may
+ * not have heard it yet.
  */
-static bool has_lost_lead(const struct primary_record *record,
+static bool has_lost_lead(const struct control_node *node,
+			  const struct primary_record *record,
 			  const struct sighting *holder)
 {
-	if (!holder || holder->gone)
+	if (!holder)
+		return !control_upstream_answers(node, record->id);
+	if (holder->gone)
 		return true;
 	if (holder->primary)
 		return false;
@@ -196,7 +200,7 @@
 {
 	const struct sighting *holder =
 		sightings_find(&node->sightings, record->id);
-	bool lost = has_lost_lead(record, holder);
+	bool lost = has_lost_lead(node, record, holder);
 	const struct sighting *best = NULL;
 	struct sighting *upstream;
 	GHashTableIter it;
@@ -230,7 +234,20 @@
 	if (successor)
 		return successor;
 	holder = sightings_find(&node->sightings, record->id);
-	return has_lost_lead(record, holder) ? NULL : holder;
+	return has_lost_lead(node, record, holder) ? NULL : holder;
+}
+
+const char *control_unheard_primary(const struct control_node *node,
+				    const char *service, int64_t now_us)
+{
+	const struct primary_record *record =
+		primary_register_find(&node->primaries, service);
+
+	if (!record || !record->id ||
+	    sightings_find(&node->sightings, record->id) ||
+	    find_successor(node, record, now_us))
+		return NULL;
+	return record->id;
 }
 
 void control_primary_check(struct control_node *node, const char *service,
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -85,6 +85,20 @@
 	return up.position;
 }
 
+static void add_unheard_primary(const struct control_node *node, const char *id,
+				struct promotion_view *view, GArray *out,
+				int64_t now_us)
+{
+	struct promotion_upstream up = {
+		.id = id,
+		.silent_us = now_us - node->started_us,
+	};
+
+	count_reports(node, id, &up, now_us);
+	view->primary = (int)out->len;
+	g_array_append_val(out, up);
+}
+
 /* Return: a struct promotion_upstream for each of the service's upstreams; also
  * sets the primary and the number of unannounced upstreams in @view. */
 static GArray *collect_upstreams(const struct control_node *node,
@@ -94,6 +108,7 @@
 	const struct sighting *primary = control_primary(node, service, now_us);
 	GArray *out =
 		g_array_new(FALSE, TRUE, sizeof(struct promotion_upstream));
+	const char *unheard = control_unheard_primary(node, service, now_us);
 	struct sighting *upstream;
 	GHashTableIter it;
 
@@ -116,6 +131,8 @@
 		count_reports(node, upstream->id, &up, now_us);
 		g_array_append_val(out, up);
 	}
+	if (unheard)
+		add_unheard_primary(node, unheard, view, out, now_us);
 	return out;
 }
 
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -456,8 +456,8 @@
 	watch.n_handovers = result != NULL;
 	envelope.body_case = WIRE__ENVELOPE__BODY_WATCH;
 	envelope.watch = &watch;
-	for (i = 0; i < 3; i++)
-		if (vms[i].node)
+	for (i = 0; i < NR_VMS; i++)
+		if (vms[i].node && channel_is_open(&daemon_channels[i]))
 			channel_send(&daemon_channels[i], &envelope);
 }
 
@@ -471,9 +471,11 @@
 {
 	unsigned i;
 
-	for (i = 0; i < 3; i++) {
+	for (i = 0; i < NR_VMS; i++) {
 		int64_t next_us = 0;
 
+		if (!vms[i].node)
+			continue;
 		daemon_channels[i].stream.fd = -1;
 		channel_connect(&daemon_channels[i], loop, IP(i), PORT,
 				&daemon_events, NULL, &next_us);
@@ -493,7 +495,7 @@
 {
 	unsigned i;
 
-	for (i = 0; i < 3; i++)
+	for (i = 0; i < NR_VMS; i++)
 		if (vms[i].node)
 			control_add_announcement(vms[i].node, sighting);
 }
@@ -1158,6 +1160,76 @@
 }
 END_TEST
 
+static bool is_primary_agreed(void)
+{
+	const struct primary_record *record =
+		leader() ? primary_register_find(&leader()->primaries, "s") :
+			   NULL;
+
+	return record && record->id;
+}
+
+/* Replaces the three VMs that the group began with by five others. */
+static void replace_vms(void)
+{
+	unsigned i;
+
+	for (i = 3; i < NR_VMS; i++)
+		start_vm(i, false);
+	ck_assert(run_until(has_five_voters, 10));
+	for (i = 0; i < 3; i++) {
+		stop_vm(i);
+		run_until(NULL, 1);
+		ck_assert(run_until(all_members_run, 15));
+	}
+}
+
+/*
+ * Guards against replacing a healthy primary: a VM that joined while the
+ * primary's announcements do not arrive leads, and knows of no primary. It must
+ * still replace one that fails.
+ */
+START_TEST(test_new_vm_knows_primary)
+{
+	static const struct reported_upstream healthy[] = {
+		{ .id = "a", .lsn = 80 },
+		{ .id = "b", .lsn = 79 },
+		{ .id = "c", .lsn = 78 }
+	};
+	static const struct reported_upstream lost[] = {
+		{ .id = "a", .failing = true, .lsn = 80 },
+		{ .id = "b", .lsn = 79 },
+		{ .id = "c", .lsn = 78 }
+	};
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+	struct sighting c = upstream("c", false, 1);
+
+	start_group(3);
+	nr_promotions = 0;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	announce_to_all(&c);
+	ck_assert(run_until(is_primary_agreed, 3));
+	replace_vms();
+	ck_assert_ptr_null(sightings_find(control_sightings(leader()), "a"));
+	connect_daemon();
+	report_upstreams(healthy, G_N_ELEMENTS(healthy));
+	run_until(NULL, 0.2);
+	nr_promotions = 0;
+	b = upstream("b", false, 2);
+	c = upstream("c", false, 2);
+	announce_to_all(&b);
+	announce_to_all(&c);
+	report_upstreams(healthy, G_N_ELEMENTS(healthy));
+	run_until(NULL, 1.5);
+	ck_assert_uint_eq(nr_promotions, 0);
+	report_upstreams(lost, G_N_ELEMENTS(lost));
+	ck_assert(run_until(is_promotion_requested, 3));
+	ck_assert_str_eq(promoted_id, "b");
+}
+END_TEST
+
 TEST_MAIN_WITH_FIXTURE(
 	"control_node", init_group, stop_group, test_unreachable_daemon_count,
 	test_upstream_answers_daemon, test_handover_executor,
@@ -1172,4 +1244,5 @@
 	test_failed_handover_of_former_primary, test_claim_of_crashed_primary,
 	test_minority_sends_no_config, test_handover_result_needs_lease,
 	test_one_roster, test_leaving_primary,
-	test_promoted_upstream_does_not_lead, test_change_seen_late)
+	test_promoted_upstream_does_not_lead, test_change_seen_late,
+	test_new_vm_knows_primary)
