--- a/tests/test_survey.c
+++ b/tests/test_survey.c
@@ -197,6 +197,25 @@
 }
 END_TEST
 
+/* Guards against upstreams that are paused by an order that control has given up
+ * while this process was stalled: nobody would have them receive again. */
+START_TEST(test_stalled_process)
+{
+	uint64_t received[2];
+	bool complete = true;
+
+	open_links();
+	entry->last_tick_us = clock_now_us() - 400000;
+	order_survey(7, "e", false);
+	ck_assert_uint_eq(nr_sent, 2);
+	ck_assert_uint_eq(collect_results(&complete, received), 1);
+	ck_assert(!complete);
+	/* To have them receive again is never too late. */
+	order_survey(8, "e", true);
+	ck_assert_uint_eq(nr_sent, 4);
+}
+END_TEST
+
 /* Guards against a promotion that waits, as callers take each connection that
  * becomes idle. */
 START_TEST(test_busy_upstream)
@@ -220,4 +239,5 @@
 END_TEST
 
 TEST_MAIN_WITH_FIXTURE("survey", setup, teardown, test_survey, test_asked_again,
-		       test_newer_term, test_deadline, test_busy_upstream)
+		       test_newer_term, test_deadline, test_busy_upstream,
+		       test_stalled_process)
