--- a/control/limits.c
+++ b/control/limits.c
@@ -157,7 +157,7 @@
 		uses[victim].in_use = true;
 	}
 	if (victim >= 0)
-		g_hash_table_remove(node->sightings.by_id, list[victim]->id);
+		sightings_remove(&node->sightings, list[victim]->id);
 	g_free(uses);
 	g_free(list);
 	return victim >= 0;
--- a/include/sightings.h
+++ b/include/sightings.h
@@ -64,12 +64,16 @@
  * struct sightings - the latest announcements and appointments
  * @by_id: id to struct sighting
  * @appointments: service to struct appointment
+ * @primaries: service to struct sightings_known_primary
  * @revision: incremented by every change
+ * @generation: incremented when the primary of a service may have changed
  */
 struct sightings {
 	GHashTable *by_id;
 	GHashTable *appointments;
+	GHashTable *primaries;
 	uint64_t revision;
+	uint64_t generation;
 };
 
 enum sighting_merge_result {
@@ -107,6 +111,9 @@
 bool sightings_note_found(struct sightings *s, const char *service,
 			  const char *id, int64_t asked_us);
 
+/** sightings_remove() - forget an upstream */
+void sightings_remove(struct sightings *s, const char *id);
+
 const struct sighting *sightings_find(const struct sightings *s,
 				      const char *id);
 
@@ -114,6 +121,9 @@
  * sightings_primary() - find the primary of a service
  * Return: of the upstreams that have not gone, the one that was appointed or
  *         claimed the role last, NULL if there is none
+ *
+ * Takes constant time while nothing changes: entry daemons ask for each
+ * statement.
  */
 const struct sighting *sightings_primary(const struct sightings *s,
 					 const char *service);
--- a/state/sightings.c
+++ b/state/sightings.c
@@ -13,6 +13,15 @@
 	g_free(upstream);
 }
 
+/**
+ * struct sightings_known_primary - result of a search for a primary
+ * @generation: value of struct sightings.generation at that time
+ */
+struct sightings_known_primary {
+	uint64_t generation;
+	const struct sighting *upstream;
+};
+
 static void appointment_free(void *data)
 {
 	struct appointment *a = data;
@@ -28,13 +37,17 @@
 					 sighting_free);
 	s->appointments = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						appointment_free);
+	s->primaries =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->revision = 0;
+	s->generation = 0;
 }
 
 void sightings_finish(struct sightings *s)
 {
 	g_hash_table_destroy(s->by_id);
 	g_hash_table_destroy(s->appointments);
+	g_hash_table_destroy(s->primaries);
 }
 
 static int compare_recency(const struct sighting *a, const struct sighting *b)
@@ -91,6 +104,7 @@
 	bool new_claim = in->primary && (!upstream->primary ||
 					 upstream->born_ms != in->born_ms);
 
+	s->generation++;
 	if (new_claim)
 		upstream->claimed_us = in->claimed_us;
 	upstream->primary = in->primary;
@@ -169,6 +183,7 @@
 	if (a->id && index <= a->index)
 		return false;
 	a->index = index;
+	s->generation++;
 	if (a->found_us >= at_us)
 		return false;
 	a->at_us = at_us;
@@ -183,16 +198,23 @@
 	if (MAX(a->at_us, a->found_us) >= asked_us)
 		return false;
 	a->found_us = asked_us;
+	s->generation++;
 	return set_appointed(s, a, id);
 }
 
+void sightings_remove(struct sightings *s, const char *id)
+{
+	s->generation++;
+	g_hash_table_remove(s->by_id, id);
+}
+
 const struct sighting *sightings_find(const struct sightings *s, const char *id)
 {
 	return g_hash_table_lookup(s->by_id, id);
 }
 
-const struct sighting *sightings_primary(const struct sightings *s,
-					 const char *service)
+static const struct sighting *search_primary(const struct sightings *s,
+					     const char *service)
 {
 	const struct appointment *a =
 		g_hash_table_lookup(s->appointments, service);
@@ -218,6 +240,23 @@
 	return newest;
 }
 
+const struct sighting *sightings_primary(const struct sightings *s,
+					 const char *service)
+{
+	struct sightings_known_primary *known =
+		g_hash_table_lookup(s->primaries, service);
+
+	if (known && known->generation == s->generation)
+		return known->upstream;
+	if (!known) {
+		known = g_new(struct sightings_known_primary, 1);
+		g_hash_table_insert(s->primaries, g_strdup(service), known);
+	}
+	known->generation = s->generation;
+	known->upstream = search_primary(s, service);
+	return known->upstream;
+}
+
 void sightings_expire(struct sightings *s, int64_t now_us,
 		      sighting_keep_func keep, void *data)
 {
@@ -227,6 +266,8 @@
 	g_hash_table_iter_init(&it, s->by_id);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&upstream))
 		if (now_us - upstream->heard_us > SIGHTINGS_RETENTION_US &&
-		    !keep(upstream, data))
+		    !keep(upstream, data)) {
+			s->generation++;
 			g_hash_table_iter_remove(&it);
+		}
 }
--- a/tests/test_sightings.c
+++ b/tests/test_sightings.c
@@ -88,6 +88,37 @@
 }
 END_TEST
 
+static bool forget(const struct sighting *upstream, void *data)
+{
+	return false;
+}
+
+/* Guards against a primary that is remembered after it was forgotten, left, or
+ * lost its role. */
+START_TEST(test_primary_is_not_outdated)
+{
+	struct sighting announcement = make_sighting("a", 5, 1, true, 100);
+	struct sightings s;
+
+	sightings_init(&s);
+	sightings_merge(&s, &announcement);
+	ck_assert_str_eq(sightings_primary(&s, "s")->id, "a");
+	announcement = make_sighting("a", 5, 2, false, 200);
+	sightings_merge(&s, &announcement);
+	ck_assert_ptr_null(sightings_primary(&s, "s"));
+	ck_assert(sightings_note_found(&s, "s", "a", 300));
+	ck_assert_str_eq(sightings_primary(&s, "s")->id, "a");
+	sightings_remove(&s, "a");
+	ck_assert_ptr_null(sightings_primary(&s, "s"));
+	announcement = make_sighting("b", 5, 1, true, 400);
+	sightings_merge(&s, &announcement);
+	ck_assert_str_eq(sightings_primary(&s, "s")->id, "b");
+	sightings_expire(&s, INT64_MAX / 2, forget, NULL);
+	ck_assert_ptr_null(sightings_primary(&s, "s"));
+	sightings_finish(&s);
+}
+END_TEST
+
 /* Guards against copies that differ because the same announcements were merged
  * in another order. */
 START_TEST(test_any_order)
@@ -166,4 +197,4 @@
 END_TEST
 
 TEST_MAIN("sightings", test_order, test_address_taken, test_primary,
-	  test_any_order, test_register)
+	  test_any_order, test_register, test_primary_is_not_outdated)
