Do not replace a restarted primary before daemons have reached it

What callers would see: a primary that crashed and was started again at once, under another id, was replaced although it led on.

Cause: an upstream that says that it leads counts once a daemon reaches it and tells its position. Until then a service whose agreed primary had ended had none, and was given one.

Change: such a claim, if heard within 3 s and not failing daemons, counts as the primary for the question whether to replace it, not for what is agreed on.

Measured: test_restarted_primary fails without this and passes.

--- a/control/internal.h
+++ b/control/internal.h
@@ -513,6 +513,8 @@
 void control_succession_free(void *data);
 /** control_upstream_answers() - whether @id answers any connected daemon */
 bool control_upstream_answers(const struct control_node *node, const char *id);
+/** control_upstream_fails() - whether @id fails daemons and answers none */
+bool control_upstream_fails(const struct control_node *node, const char *id);
 /**
  * control_handover_executor() - choose the daemon to carry out a handover
  * Return: the daemon that reported last among those that both upstreams
@@ -562,7 +564,8 @@
  * control_primary() - the primary of @service as far as this VM knows
  *
  * That is the agreed one unless it is known not to lead any more; then, and
- * before one was agreed on, an upstream that says that it leads.
+ * before one was agreed on, an upstream that says that it leads, also if nothing
+ * confirms it yet.
  * Return: NULL if there is none
  */
 const struct sighting *control_primary(const struct control_node *node,
--- a/control/primaries.c
+++ b/control/primaries.c
@@ -221,6 +221,31 @@
 	return best;
 }
 
+/*
+ * An upstream that has just said that it leads, though nothing confirms it yet:
+ * a primary that was started again is heard before daemons reach it. It is not
+ * replaced meanwhile.
+ */
+static const struct sighting *find_new_claim(const struct control_node *node,
+					     const char *service,
+					     int64_t now_us)
+{
+	const struct sighting *best = NULL;
+	struct sighting *upstream;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, node->sightings.by_id);
+	while (g_hash_table_iter_next(&it, NULL, (void **)&upstream))
+		if (!upstream->gone && upstream->primary &&
+		    !strcmp(upstream->service, service) &&
+		    now_us - upstream->heard_us <=
+			    PROMOTION_CANDIDATE_MAX_SILENCE_US &&
+		    !control_upstream_fails(node, upstream->id) &&
+		    (!best || upstream->claimed_us > best->claimed_us))
+			best = upstream;
+	return best;
+}
+
 const struct sighting *control_primary(const struct control_node *node,
 				       const char *service, int64_t now_us)
 {
@@ -234,7 +259,9 @@
 	if (successor)
 		return successor;
 	holder = sightings_find(&node->sightings, record->id);
-	return has_lost_lead(node, record, holder) ? NULL : holder;
+	return has_lost_lead(node, record, holder) ?
+		       find_new_claim(node, service, now_us) :
+		       holder;
 }
 
 const char *control_unheard_primary(const struct control_node *node,
@@ -245,7 +272,7 @@
 
 	if (!record || !record->id ||
 	    sightings_find(&node->sightings, record->id) ||
-	    find_successor(node, record, now_us))
+	    control_primary(node, service, now_us))
 		return NULL;
 	return record->id;
 }
@@ -255,10 +282,13 @@
 {
 	const struct primary_record *record =
 		primary_register_find(&node->primaries, service);
-	const struct sighting *primary = control_primary(node, service, now_us);
+	const struct sighting *primary =
+		record && record->id ?
+			find_successor(node, record, now_us) :
+			sightings_primary(&node->sightings, service);
 	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
 
-	if (!primary || (record && !g_strcmp0(record->id, primary->id)))
+	if (!primary)
 		return;
 	change.kind = WIRE__PRIMARY_CHANGE__KIND__LEADS;
 	change.service = (char *)service;
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -76,6 +76,14 @@
 	return up.answered;
 }
 
+bool control_upstream_fails(const struct control_node *node, const char *id)
+{
+	struct promotion_upstream up = { 0 };
+
+	count_reports(node, id, &up, clock_now_us());
+	return up.failing && !up.answered;
+}
+
 struct position control_newest_position(const struct control_node *node,
 					const char *id)
 {
--- a/tests/test_control_node.c
+++ b/tests/test_control_node.c
@@ -1160,13 +1160,15 @@
 }
 END_TEST
 
+static const char *awaited_primary;
+
 static bool is_primary_agreed(void)
 {
 	const struct primary_record *record =
 		leader() ? primary_register_find(&leader()->primaries, "s") :
 			   NULL;
 
-	return record && record->id;
+	return record && record->id && !strcmp(record->id, awaited_primary);
 }
 
 /* Replaces the three VMs that the group began with by five others. */
@@ -1210,6 +1212,7 @@
 	announce_to_all(&a);
 	announce_to_all(&b);
 	announce_to_all(&c);
+	awaited_primary = "a";
 	ck_assert(run_until(is_primary_agreed, 3));
 	replace_vms();
 	ck_assert_ptr_null(sightings_find(control_sightings(leader()), "a"));
@@ -1230,6 +1233,40 @@
 }
 END_TEST
 
+/* Guards against replacing a primary that was started again under another id and
+ * leads on: it is heard before any daemon has reached it. */
+START_TEST(test_restarted_primary)
+{
+	static const struct reported_upstream before[] = {
+		{ .id = "a", .lsn = 80 }, { .id = "b", .lsn = 79 }
+	};
+	static const struct reported_upstream after[] = {
+		{ .id = "a2", .lsn = 80 }, { .id = "b", .lsn = 80 }
+	};
+	struct sighting a = upstream("a", true, 1);
+	struct sighting b = upstream("b", false, 1);
+
+	start_group(3);
+	connect_daemon();
+	nr_promotions = 0;
+	announce_to_all(&a);
+	announce_to_all(&b);
+	report_upstreams(before, G_N_ELEMENTS(before));
+	awaited_primary = "a";
+	ck_assert(run_until(is_primary_agreed, 3));
+	a = upstream("a2", true, 1);
+	a.address = "a";
+	a.born_ms = 2;
+	announce_to_all(&a);
+	run_until(NULL, 1);
+	ck_assert_uint_eq(nr_promotions, 0);
+	report_upstreams(after, G_N_ELEMENTS(after));
+	awaited_primary = "a2";
+	ck_assert(run_until(is_primary_agreed, 3));
+	ck_assert_uint_eq(nr_promotions, 0);
+}
+END_TEST
+
 TEST_MAIN_WITH_FIXTURE(
 	"control_node", init_group, stop_group, test_unreachable_daemon_count,
 	test_upstream_answers_daemon, test_handover_executor,
@@ -1245,4 +1282,4 @@
 	test_minority_sends_no_config, test_handover_result_needs_lease,
 	test_one_roster, test_leaving_primary,
 	test_promoted_upstream_does_not_lead, test_change_seen_late,
-	test_new_vm_knows_primary)
+	test_new_vm_knows_primary, test_restarted_primary)
