Hand over to the upstream of an open order, not order the primary

Cause: the order for the primary that outdates an open one may get no answer either. Both were carried out late: first the open one, and 0.8 s later the one for the former primary, whose log held commits that reads had missed meanwhile.

Evidence: promotion_ordered of the leader has tokens ..593 and ..594 for one upstream and ..595 to ..599 for the primary, all without an answer; primary_changed to the first at 10.14 s and back to the former primary at 10.94 s.

Change: only the upstream of an open order is ordered again. With synchronous replicas it alone receives again, the primary is stopped and its log waited for, so the order may be carried out at any time. Without them nothing is done. The primary is ordered itself only if the other one has ended or the order is 15 s old, and a handover that fails while an order is open orders nothing.

--- a/control/internal.h
+++ b/control/internal.h
@@ -184,6 +184,9 @@
  * @received: upstream id to struct position, end of the log that it received
  * @finished_us: when @received was reported
  * @paused_number: number of the last order to pause whose result came
+ * @resumed_only: upstream that the order in progress has receive again while the
+ *                others stay paused, NULL if the order is for all
+ * @receives: upstream that does so since, NULL for none
  * @may_be_paused: whether an upstream may be paused, perhaps by an order of a
  *                 former leader
  */
@@ -199,6 +202,8 @@
 	GHashTable *received;
 	int64_t finished_us;
 	uint64_t paused_number;
+	char *resumed_only;
+	char *receives;
 	bool may_be_paused;
 };
 
@@ -628,13 +633,14 @@
 /**
  * control_survey_order() - have an entry daemon pause and ask all upstreams but
  *                          the primary, or have them resume
+ * @only: upstream to resume while the others stay paused, NULL for all
  *
  * Does nothing if no daemon reaches any of them.
  */
 void control_survey_order(struct control_node *node,
 			  struct control_promotion_state *state,
 			  const struct promotion_view *view, bool resume,
-			  int64_t now_us);
+			  const char *only, int64_t now_us);
 /** control_survey_is_pending() - whether a survey of the service is under way */
 bool control_survey_is_pending(struct control_promotion_state *state,
 			       int64_t now_us);
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -489,6 +489,13 @@
 	g_autofree char *id = g_strdup(complete ? state->id : state->from);
 
 	state->handover = 0;
+	/* An order for it would undo what the open one leads to, if both are
+	 * carried out late. */
+	if (!complete && find_rival(node, state->service)) {
+		event_log_always("handover_failed", "{s:s, s:s}", "service",
+				 state->service, "upstream", id);
+		return;
+	}
 	if (is_superseded(node, state, id)) {
 		event_log_always("handover_superseded", "{s:s, s:s}", "service",
 				 state->service, "upstream", id);
@@ -572,7 +579,8 @@
 		return promotion_candidate(view);
 	if (promotion_needs_survey(view)) {
 		if (is_survey_due(state, SURVEY_RETRY_US, now_us))
-			control_survey_order(node, state, view, false, now_us);
+			control_survey_order(node, state, view, false, NULL,
+					     now_us);
 		return -1;
 	}
 	return promotion_complete_candidate(view);
@@ -643,6 +651,43 @@
 	}
 }
 
+static void add_rival(const struct control_node *node, const char *service,
+		      struct promotion_view *view, int64_t now_us)
+{
+	const struct primary_order *open = find_rival(node, service);
+	unsigned i;
+
+	view->rival = -1;
+	if (!open)
+		return;
+	view->rival_ordered = true;
+	view->rival_age_us = now_us - open->applied_us;
+	for (i = 0; i < view->nr; i++)
+		if (!strcmp(view->upstreams[i].id, open->id))
+			view->rival = (int)i;
+}
+
+/*
+ * Hands over to the upstream of an open order. It receives again first, alone,
+ * so that what is acknowledged until the primary is stopped is there.
+ */
+static void yield_to_rival(struct control_node *node,
+			   struct control_promotion_state *state,
+			   const struct promotion_view *view, int64_t now_us)
+{
+	const char *id = view->upstreams[view->rival].id;
+
+	if (state->survey.may_be_paused &&
+	    g_strcmp0(state->survey.receives, id)) {
+		if (is_survey_due(state, SURVEY_RETRY_US, now_us))
+			control_survey_order(node, state, view, true, id,
+					     now_us);
+		return;
+	}
+	start_handover(node, state->service, view, view->rival,
+		       PROMOTION_RIVAL_ORDERED, now_us);
+}
+
 static void check_service(struct control_node *node, const char *service,
 			  int64_t now_us)
 {
@@ -677,7 +722,7 @@
 		view.silent_daemons = control_roster_count_unreachable(
 			node, view.upstreams[view.primary].id, now_us);
 	view.since_request_us = now_us - state->at_us;
-	view.rival_ordered = find_rival(node, service) != NULL;
+	add_rival(node, service, &view, now_us);
 	view.uptime_us = now_us - node->started_us;
 	reason = promotion_needed(&view);
 	if (reason == PROMOTION_NOT_NEEDED &&
@@ -685,12 +730,14 @@
 		reason = PROMOTION_REPLICAS_BEHIND;
 	if (reason != PROMOTION_NOT_NEEDED)
 		change_primary(node, state, &view, reason, now_us);
+	else if (promotion_must_yield(&view))
+		yield_to_rival(node, state, &view, now_us);
 	else if (promotion_must_confirm(&view))
 		request_promotion(node, service,
 				  view.upstreams[view.primary].id,
 				  PROMOTION_CONFIRMS_PRIMARY, &view);
 	else if (may_resume(node, state, &view, now_us))
-		control_survey_order(node, state, &view, true, now_us);
+		control_survey_order(node, state, &view, true, NULL, now_us);
 	g_array_free(upstreams, TRUE);
 }
 
--- a/control/surveys.c
+++ b/control/surveys.c
@@ -28,6 +28,8 @@
 	g_ptr_array_free(survey->upstreams, TRUE);
 	g_hash_table_destroy(survey->received);
 	g_free(survey->executor);
+	g_free(survey->resumed_only);
+	g_free(survey->receives);
 }
 
 /* The daemon that reaches most of the upstreams; the one heard last of several. */
@@ -66,7 +68,7 @@
 void control_survey_order(struct control_node *node,
 			  struct control_promotion_state *state,
 			  const struct promotion_view *view, bool resume,
-			  int64_t now_us)
+			  const char *only, int64_t now_us)
 {
 	const struct control_watcher *w = choose_executor(node, view, now_us);
 	struct control_survey *survey = &state->survey;
@@ -80,6 +82,10 @@
 	survey->term = 0;
 	survey->answers_wanted = resume ? view->nr :
 					  promotion_logs_wanted(view);
+	g_free(survey->resumed_only);
+	survey->resumed_only = g_strdup(only);
+	if (!resume)
+		g_clear_pointer(&survey->receives, g_free);
 	g_free(survey->executor);
 	survey->executor = g_strdup(w->name);
 	g_ptr_array_set_size(survey->upstreams, 0);
@@ -87,7 +93,7 @@
 		const struct promotion_upstream *up = &view->upstreams[i];
 
 		survey->term = MAX(survey->term, up->position.term + 1);
-		if ((int)i != view->primary)
+		if ((int)i != view->primary && (!only || !strcmp(up->id, only)))
 			g_ptr_array_add(survey->upstreams, g_strdup(up->id));
 	}
 	if (!resume)
@@ -162,6 +168,14 @@
 	survey->paused_number = result->number;
 }
 
+static void note_resumed(struct control_survey *survey)
+{
+	g_free(survey->receives);
+	survey->receives = g_steal_pointer(&survey->resumed_only);
+	if (!survey->receives)
+		survey->may_be_paused = false;
+}
+
 static void note_missing_logs(const struct control_promotion_state *state)
 {
 	guint nr = g_hash_table_size(state->survey.received);
@@ -211,7 +225,7 @@
 		store_received(&state->survey, result, clock_now_us());
 		note_missing_logs(state);
 	} else if (result->complete) {
-		state->survey.may_be_paused = false;
+		note_resumed(&state->survey);
 	}
 	state->survey.ended_us = clock_now_us();
 	control_promotions_review(node, state->service);
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -136,13 +136,40 @@
 	return replicas > 0;
 }
 
-bool promotion_must_confirm(const struct promotion_view *view)
+/* Whether a primary has recovered while a request for another upstream has no
+ * answer. */
+static bool has_rival(const struct promotion_view *view)
 {
 	return view->rival_ordered && view->primary >= 0 &&
 	       view->upstreams[view->primary].leading &&
 	       view->since_request_us >= PROMOTION_REQUEST_INTERVAL_US;
 }
 
+static bool is_rival_alive(const struct promotion_view *view)
+{
+	return view->rival >= 0 && (view->upstreams[view->rival].answered ||
+				    view->upstreams[view->rival].silent_us <=
+					    PROMOTION_CANDIDATE_MAX_SILENCE_US);
+}
+
+bool promotion_must_yield(const struct promotion_view *view)
+{
+	const struct promotion_upstream *rival;
+
+	if (!view->sync_replicas || !has_rival(view) || !is_rival_alive(view))
+		return false;
+	rival = &view->upstreams[view->rival];
+	return rival->answered && !rival->failing && !rival->leaving &&
+	       !rival->diverged;
+}
+
+bool promotion_must_confirm(const struct promotion_view *view)
+{
+	return has_rival(view) &&
+	       (!is_rival_alive(view) ||
+		view->rival_age_us >= PROMOTION_LATE_EFFECT_US);
+}
+
 bool promotion_may_resume(const struct promotion_view *view, bool confirmed)
 {
 	if (view->primary < 0 || view->rival_ordered)
@@ -164,6 +191,8 @@
 		return "no primary";
 	case PROMOTION_REPLICAS_BEHIND:
 		return "replicas behind";
+	case PROMOTION_RIVAL_ORDERED:
+		return "rival ordered";
 	case PROMOTION_CONFIRMS_PRIMARY:
 		return "confirms primary";
 	case PROMOTION_NOT_NEEDED:
--- a/include/promotion_policy.h
+++ b/include/promotion_policy.h
@@ -31,6 +31,8 @@
 #define PROMOTION_LAG_TOLERATED_US (500 * 1000ll)
 /** Least time between two promotions because of lag, microseconds. */
 #define PROMOTION_LAG_MIN_INTERVAL_US (12 * 1000000ll)
+/** Time after which an order without an answer is hardly carried out any more. */
+#define PROMOTION_LATE_EFFECT_US (15 * 1000000ll)
 /** Time for which an upstream counts as the one that leads after it did what
  * only the present primary does: an entry daemon's sample and its report. */
 #define PROMOTION_LED_WITHIN_US (500 * 1000ll)
@@ -86,6 +88,8 @@
  * @since_request_us: time since the last promotion request, INT64_MAX if none
  * @rival_ordered: whether an order to promote another upstream than the primary
  *                 may still be carried out
+ * @rival: index of that upstream, -1 if it is not in @upstreams
+ * @rival_age_us: time since the last order for it
  * @sync_replicas: number of replicas that must hold a commit before it is
  *                 acknowledged
  * @nr_copies: number of upstreams that may hold such a commit, also of those that
@@ -100,6 +104,8 @@
 	int64_t uptime_us;
 	int64_t since_request_us;
 	bool rival_ordered;
+	int rival;
+	int64_t rival_age_us;
 	unsigned sync_replicas;
 	unsigned nr_copies;
 };
@@ -112,6 +118,7 @@
 	PROMOTION_NO_PRIMARY,
 	PROMOTION_REPLICAS_BEHIND,
 	PROMOTION_CONFIRMS_PRIMARY,
+	PROMOTION_RIVAL_ORDERED,
 };
 
 /** promotion_needed() - whether and why to replace the primary now */
@@ -160,13 +167,23 @@
  */
 bool promotion_all_replicas_lag(const struct promotion_view *view);
 
+/**
+ * promotion_must_yield() - whether to hand over to the upstream of a request
+ *                          without an answer although the primary has recovered
+ *
+ * The request may be carried out at any time. Where commits wait for replicas,
+ * none may be lost by that, so the primary is stopped and that upstream given all
+ * of its log. A request for the primary itself would outdate the first one too,
+ * but could be carried out late as well, and undo what it led to.
+ */
+bool promotion_must_yield(const struct promotion_view *view);
+
 /**
  * promotion_must_confirm() - whether to request the promotion of the primary
  *
- * A request without an answer may be carried out at any time and would then
- * replace a primary that has recovered. One with a higher token for the primary
- * itself changes nothing and outdates it. If another upstream leads already, it
- * would be replaced, so the primary must have just proved that it leads.
+ * It changes nothing and outdates earlier requests, whose upstream has ended or
+ * that are old. If another upstream led by now it would be replaced, so the
+ * primary must have just proved that it leads.
  */
 bool promotion_must_confirm(const struct promotion_view *view);
 
