Move orders to a file of their own, and wait for a rival not heard yet

Structure: promotions.c had 841 lines; giving an order, its outcome and what is open are orders.c now. No behaviour changes by that.

Cause of the second change: a control VM that has just started may not have heard the upstream of an open order and would take it for one that has ended, for which the primary is ordered itself. Found by reading; promotion_policy (test_confirms_primary) checks it.

--- a/control/internal.h
+++ b/control/internal.h
@@ -545,6 +545,34 @@
 /** control_promotions_review() - decide about one service now */
 void control_promotions_review(struct control_node *node, const char *service);
 
+/** control_promotion_state() - find or add what this leader requested for
+ *                             @service */
+struct control_promotion_state *
+control_promotion_state(struct control_node *node, const char *service);
+/** control_holds_lease() - whether this VM leads and no other one can */
+bool control_holds_lease(const struct control_node *node, int64_t now_us);
+
+/* orders.c */
+/**
+ * control_order_promotion() - have the group agree on an order to promote @id,
+ *                             and then give it to the platform
+ * @view: what it was decided by
+ */
+void control_order_promotion(struct control_node *node, const char *service,
+			     const char *id, enum promotion_reason reason,
+			     const struct promotion_view *view);
+/** control_open_rival() - the orders that may still make another upstream than
+ *                        the primary lead, NULL if there are none */
+const struct primary_order *control_open_rival(const struct control_node *node,
+					       const char *service);
+/**
+ * control_repeated_order() - find the upstream whose promotion was ordered
+ *                            without an answer, also by an earlier leader
+ * Return: index in @view if it is to be ordered again, -1 for none
+ */
+int control_repeated_order(const struct control_node *node,
+			   const struct control_promotion_state *state,
+			   const struct promotion_view *view);
 /**
  * control_promotion_agreed() - the order with @token, proposed by this leader,
  *                              is in the agreed log
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -6,10 +6,6 @@
 #include <jansson.h>
 #include <string.h>
 
-/* Unanswered promotion requests for one upstream before another is tried. A
- * request without an answer may take effect late and would then undo a newer
- * one. */
-#define MAX_UNANSWERED_REQUESTS 4
 /* Timeout of a handover, including the messages to and from the daemon that
  * carries it out, microseconds. */
 #define HANDOVER_TIMEOUT_US (1000 * 1000ll)
@@ -21,12 +17,6 @@
 /* Interval at which upstreams that may be paused are told to receive again,
  * microseconds. */
 #define RESUME_RETRY_US (2500 * 1000ll)
-/* Pause after a refused promotion request, microseconds. */
-#define REFUSED_RETRY_US (300 * 1000ll)
-/* An order that took longer than this to be agreed on is not given, since what
- * it was decided by may have changed, microseconds. */
-#define ORDER_MAX_AGE_US (1500 * 1000ll)
-
 void control_promotion_state_free(void *data)
 {
 	struct control_promotion_state *state = data;
@@ -163,8 +153,8 @@
 	}
 }
 
-static struct control_promotion_state *
-get_or_add_state(struct control_node *node, const char *service)
+struct control_promotion_state *
+control_promotion_state(struct control_node *node, const char *service)
 {
 	struct control_promotion_state *state =
 		g_hash_table_lookup(node->promotion_states, service);
@@ -183,163 +173,6 @@
 	return state;
 }
 
-/* End of the log that an upstream leads with if it is promoted now. */
-static struct position log_end(const struct control_node *node,
-			       const struct control_promotion_state *state,
-			       const char *id)
-{
-	const struct position *received =
-		control_survey_received(state, id, clock_now_us());
-
-	return position_max(received ? *received : (struct position){ 0 },
-			    control_newest_position(node, id));
-}
-
-/* The upstreams that a promotion was decided by, for the log. */
-static char *upstreams_text(const struct promotion_view *view)
-{
-	GString *out = g_string_new(NULL);
-	unsigned i;
-
-	for (i = 0; i < view->nr; i++) {
-		const struct promotion_upstream *up = &view->upstreams[i];
-
-		g_string_append_printf(out,
-				       "%s%s %u.%" G_GUINT64_FORMAT
-				       " answered %u failing %u%s",
-				       i ? ", " : "", up->id, up->position.term,
-				       up->position.lsn, up->answered,
-				       up->failing,
-				       up->diverged ? " diverged" : "");
-		if (up->surveyed)
-			g_string_append_printf(
-				out, " received %u.%" G_GUINT64_FORMAT,
-				up->received.term, up->received.lsn);
-	}
-	return g_string_free(out, FALSE);
-}
-
-/*
- * The order goes to the platform once it is in the agreed log, so that no later
- * leader takes it for one that was never given.
- */
-static bool propose_order(struct control_node *node, const char *service,
-			  const char *id, uint64_t token,
-			  struct position log_end,
-			  const struct promotion_view *view)
-{
-	g_autofree char **surveyed = g_new(char *, view->nr + 1);
-	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
-	Wire__Position end = WIRE__POSITION__INIT;
-	unsigned i;
-
-	end.term = log_end.term;
-	end.lsn = log_end.lsn;
-	change.kind = WIRE__PRIMARY_CHANGE__KIND__ORDERED;
-	change.service = (char *)service;
-	change.id = (char *)id;
-	change.token = token;
-	change.log_end = &end;
-	change.newest_term = control_succession(node, service)->newest_term;
-	change.surveyed = surveyed;
-	for (i = 0; i < view->nr; i++)
-		if (view->upstreams[i].surveyed)
-			surveyed[change.n_surveyed++] =
-				(char *)view->upstreams[i].id;
-	return control_primary_propose(node, &change);
-}
-
-/* The request did not go to the platform, so another one need not wait. */
-static void drop_request(struct control_promotion_state *state)
-{
-	state->pending = false;
-	state->at_us = clock_now_us() - PROMOTION_REQUEST_INTERVAL_US;
-}
-
-static void request_promotion(struct control_node *node, const char *service,
-			      const char *id, enum promotion_reason reason,
-			      const struct promotion_view *view)
-{
-	g_autofree char *upstreams = upstreams_text(view);
-	const struct promotion_upstream *p =
-		view->primary >= 0 ? &view->upstreams[view->primary] : NULL;
-	struct control_promotion_state *state = get_or_add_state(node, service);
-	/* The platform may carry out an order long after it was given. It then
-	 * refuses one that a newer order superseded. */
-	uint64_t token = node->lead_term << 32 | ++node->last_order;
-
-	if (!state->id || strcmp(state->id, id)) {
-		g_free(state->id);
-		state->id = g_strdup(id);
-		state->nr_unanswered = 0;
-	}
-	state->at_us = clock_now_us();
-	state->token = token;
-	state->sent = false;
-	state->pending = true;
-	state->confirms = reason == PROMOTION_CONFIRMS_PRIMARY;
-	event_log_always("promotion_ordered",
-			 "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:I, s:s}",
-			 "service", service, "upstream", id, "was",
-			 p ? p->id : "", "why", promotion_reason_text(reason),
-			 "silent_us", (json_int_t)(p ? p->silent_us : -1),
-			 "answered", p ? (int)p->answered : 0, "failing",
-			 p ? (int)p->failing : 0, "token", (json_int_t)token,
-			 "upstreams", upstreams);
-	control_count(node, CONTROL_COUNT_PROMOTIONS, 1);
-	if (!propose_order(node, service, id, token, log_end(node, state, id),
-			   view))
-		drop_request(state);
-}
-
-static void propose_outcome(struct control_node *node, const char *service,
-			    const char *id, uint64_t token, bool promoted)
-{
-	Wire__PrimaryChange change = WIRE__PRIMARY_CHANGE__INIT;
-
-	change.kind = promoted ? WIRE__PRIMARY_CHANGE__KIND__PROMOTED :
-				 WIRE__PRIMARY_CHANGE__KIND__REFUSED;
-	change.service = (char *)service;
-	change.id = (char *)id;
-	change.token = token;
-	control_primary_propose(node, &change);
-}
-
-/* The orders that may still make another upstream than the primary lead. */
-static const struct primary_order *find_rival(const struct control_node *node,
-					      const char *service)
-{
-	const struct primary_record *record =
-		primary_register_find(&node->primaries, service);
-
-	return record ? primary_record_rival(record) : NULL;
-}
-
-/*
- * Return: index of the upstream whose promotion was requested without an answer,
- *         also by an earlier leader, and is to be requested again; -1 for none
- */
-static int repeated_request(const struct control_node *node,
-			    const struct control_promotion_state *state,
-			    const struct promotion_view *view)
-{
-	const struct primary_order *open = find_rival(node, state->service);
-	unsigned i;
-
-	if (!open || state->nr_unanswered >= MAX_UNANSWERED_REQUESTS)
-		return -1;
-	for (i = 0; i < view->nr; i++) {
-		const struct promotion_upstream *up = &view->upstreams[i];
-
-		/* If it is the primary, a request took effect. */
-		if (!strcmp(up->id, open->id) && (int)i != view->primary &&
-		    !up->leaving && !up->diverged &&
-		    up->silent_us <= PROMOTION_CANDIDATE_MAX_SILENCE_US)
-			return (int)i;
-	}
-	return -1;
-}
-
 static bool has_handover(const struct control_node *node, const char *daemon)
 {
 	const struct control_promotion_state *state;
@@ -395,7 +228,8 @@
 	const char *to = view->upstreams[chosen].id;
 	const struct control_watcher *w =
 		control_handover_executor(node, from, to, now_us);
-	struct control_promotion_state *state = get_or_add_state(node, service);
+	struct control_promotion_state *state =
+		control_promotion_state(node, service);
 
 	if (!w)
 		return false;
@@ -439,34 +273,11 @@
 	}
 }
 
-static bool holds_lease(const struct control_node *node, int64_t now_us)
+bool control_holds_lease(const struct control_node *node, int64_t now_us)
 {
 	return node->lead_term && raft_lease_until_us(node->raft) >= now_us;
 }
 
-void control_promotion_agreed(struct control_node *node, const char *service,
-			      const char *id, uint64_t token)
-{
-	struct control_promotion_state *state =
-		g_hash_table_lookup(node->promotion_states, service);
-	int64_t now_us = clock_now_us();
-
-	if (!state || !state->pending || state->sent || state->token != token ||
-	    token >> 32 != node->lead_term)
-		return;
-	if (!holds_lease(node, now_us) ||
-	    now_us - state->at_us > ORDER_MAX_AGE_US) {
-		event_log_always("promotion_dropped", "{s:s, s:s, s:I}",
-				 "service", service, "upstream", id, "token",
-				 (json_int_t)token);
-		drop_request(state);
-		propose_outcome(node, service, id, token, false);
-		return;
-	}
-	state->sent = true;
-	node->ops->promote(service, id, token, node->data);
-}
-
 /* Whether @state's handover is of a primary that leads no more. */
 static bool is_superseded(struct control_node *node,
 			  const struct control_promotion_state *state,
@@ -491,7 +302,7 @@
 	state->handover = 0;
 	/* An order for it would undo what the open one leads to, if both are
 	 * carried out late. */
-	if (!complete && find_rival(node, state->service)) {
+	if (!complete && control_open_rival(node, state->service)) {
 		event_log_always("handover_failed", "{s:s, s:s}", "service",
 				 state->service, "upstream", id);
 		return;
@@ -503,9 +314,9 @@
 	}
 	/* After a failure the promotion of the old primary is requested: if it
 	 * was not stopped, nothing changes. */
-	request_promotion(node, state->service, id,
-			  complete ? PROMOTION_LEAVING : PROMOTION_NO_PRIMARY,
-			  &view);
+	control_order_promotion(
+		node, state->service, id,
+		complete ? PROMOTION_LEAVING : PROMOTION_NO_PRIMARY, &view);
 }
 
 /* Without a result from the daemon the primary may not have been stopped at
@@ -528,7 +339,7 @@
 
 	/* A daemon repeats the result, so a lease that is renewed soon still
 	 * ends the handover. */
-	if (!holds_lease(node, clock_now_us()))
+	if (!control_holds_lease(node, clock_now_us()))
 		return;
 	g_hash_table_iter_init(&it, node->promotion_states);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&state))
@@ -594,11 +405,12 @@
 	int chosen = promotion_candidate(view);
 	bool planned = reason == PROMOTION_LEAVING ||
 		       reason == PROMOTION_REPLICAS_BEHIND;
-	int repeated = repeated_request(node, state, view);
+	int repeated = control_repeated_order(node, state, view);
 
 	if (repeated >= 0 && !view->sync_replicas) {
-		request_promotion(node, state->service,
-				  view->upstreams[repeated].id, reason, view);
+		control_order_promotion(node, state->service,
+					view->upstreams[repeated].id, reason,
+					view);
 		return;
 	}
 	if (repeated >= 0)
@@ -614,8 +426,9 @@
 			     view->upstreams[chosen].received) >= 0)
 		chosen = repeated;
 	if (chosen >= 0)
-		request_promotion(node, state->service,
-				  view->upstreams[chosen].id, reason, view);
+		control_order_promotion(node, state->service,
+					view->upstreams[chosen].id, reason,
+					view);
 }
 
 static bool may_resume(const struct control_node *node,
@@ -654,7 +467,7 @@
 static void add_rival(const struct control_node *node, const char *service,
 		      struct promotion_view *view, int64_t now_us)
 {
-	const struct primary_order *open = find_rival(node, service);
+	const struct primary_order *open = control_open_rival(node, service);
 	unsigned i;
 
 	view->rival = -1;
@@ -691,7 +504,8 @@
 static void check_service(struct control_node *node, const char *service,
 			  int64_t now_us)
 {
-	struct control_promotion_state *state = get_or_add_state(node, service);
+	struct control_promotion_state *state =
+		control_promotion_state(node, service);
 	struct promotion_view view = { 0 };
 	enum promotion_reason reason;
 	GArray *upstreams;
@@ -733,9 +547,9 @@
 	else if (promotion_must_yield(&view))
 		yield_to_rival(node, state, &view, now_us);
 	else if (promotion_must_confirm(&view))
-		request_promotion(node, service,
-				  view.upstreams[view.primary].id,
-				  PROMOTION_CONFIRMS_PRIMARY, &view);
+		control_order_promotion(node, service,
+					view.upstreams[view.primary].id,
+					PROMOTION_CONFIRMS_PRIMARY, &view);
 	else if (may_resume(node, state, &view, now_us))
 		control_survey_order(node, state, &view, true, NULL, now_us);
 	g_array_free(upstreams, TRUE);
@@ -757,7 +571,7 @@
 static bool may_promote(const struct control_node *node, int64_t now_us)
 {
 	/* A new leader first collects reports of daemons and upstreams. */
-	return holds_lease(node, now_us) && node->lead_term_applied &&
+	return control_holds_lease(node, now_us) && node->lead_term_applied &&
 	       !node->stopping &&
 	       now_us - raft_became_leader_us(node->raft) >=
 		       CONTROL_ELECTION_TIMEOUT_US;
@@ -803,39 +617,3 @@
 	if (may_promote(node, now_us))
 		check_service(node, service, now_us);
 }
-
-void control_promotion_answered(struct control_node *node, const char *service,
-				const char *id, uint64_t token,
-				enum promotion_result result)
-{
-	struct control_promotion_state *state =
-		g_hash_table_lookup(node->promotion_states, service);
-	int64_t now_us = clock_now_us();
-
-	event_log_always("promotion_answered", "{s:s, s:s, s:I, s:i}",
-			 "service", service, "upstream", id, "token",
-			 (json_int_t)token, "result", (int)result);
-	if (result != PROMOTION_OUTCOME_UNKNOWN)
-		propose_outcome(node, service, id, token,
-				result == PROMOTION_DONE);
-	/* The result may belong to a request of an earlier term. */
-	if (!state || !state->pending || state->token != token)
-		return;
-	state->pending = false;
-	if (result == PROMOTION_DONE) {
-		state->at_us = now_us;
-		state->nr_unanswered = 0;
-		return;
-	}
-	state->at_us =
-		now_us - PROMOTION_REQUEST_INTERVAL_US + REFUSED_RETRY_US;
-	if (result == PROMOTION_OUTCOME_UNKNOWN) {
-		state->at_us = now_us - PROMOTION_REQUEST_INTERVAL_US;
-		state->nr_unanswered++;
-		control_count(node, CONTROL_COUNT_PROMOTIONS_UNCLEAR, 1);
-	} else {
-		/* It would be refused again. */
-		state->nr_unanswered = MAX_UNANSWERED_REQUESTS;
-		control_count(node, CONTROL_COUNT_PROMOTIONS_REFUSED, 1);
-	}
-}
--- a/coordination/promotion_policy.c
+++ b/coordination/promotion_policy.c
@@ -147,16 +147,21 @@
 
 static bool is_rival_alive(const struct promotion_view *view)
 {
-	return view->rival >= 0 && (view->upstreams[view->rival].answered ||
-				    view->upstreams[view->rival].silent_us <=
-					    PROMOTION_CANDIDATE_MAX_SILENCE_US);
+	const struct promotion_upstream *rival;
+
+	/* A control VM that has just started may not have heard it yet. */
+	if (view->rival < 0)
+		return view->uptime_us < PROMOTION_STARTUP_WAIT_US;
+	rival = &view->upstreams[view->rival];
+	return rival->answered ||
+	       rival->silent_us <= PROMOTION_CANDIDATE_MAX_SILENCE_US;
 }
 
 bool promotion_must_yield(const struct promotion_view *view)
 {
 	const struct promotion_upstream *rival;
 
-	if (!view->sync_replicas || !has_rival(view) || !is_rival_alive(view))
+	if (!view->sync_replicas || !has_rival(view) || view->rival < 0)
 		return false;
 	rival = &view->upstreams[view->rival];
 	return rival->answered && !rival->failing && !rival->leaving &&
--- a/tests/test_promotion_policy.c
+++ b/tests/test_promotion_policy.c
@@ -263,7 +263,12 @@
 	/* The upstream has ended. */
 	order_rival();
 	view.rival = -1;
+	view.uptime_us = PROMOTION_STARTUP_WAIT_US;
 	ck_assert(promotion_must_confirm(&view));
+	ck_assert(!promotion_must_yield(&view));
+	/* Or this VM has not heard it yet. */
+	view.uptime_us = PROMOTION_STARTUP_WAIT_US - 1;
+	ck_assert(!promotion_must_confirm(&view));
 	order_rival();
 	ups[1].answered = 0;
 	ups[1].silent_us = PROMOTION_CANDIDATE_MAX_SILENCE_US + 1;
