--- a/control/primaries.c
+++ b/control/primaries.c
@@ -183,13 +183,27 @@
 	       control_upstream_answers(node, upstream->id);
 }
 
-/* Whether an open order for @upstream has been carried out: it claims the lead
- * since this VM learned of the order. */
-static bool has_followed_order(const struct primary_order *order,
+/*
+ * Whether an open order for @upstream has been carried out after the one that
+ * made @holder lead: it claims the lead since this VM learned of the order, and
+ * later than @holder, which may have ended with its claim.
+ */
+static bool has_followed_order(const struct primary_record *record,
+			       const struct sighting *holder,
 			       const struct sighting *upstream)
 {
-	return order && upstream->primary &&
-	       upstream->claimed_us > order->applied_us;
+	const struct primary_order *order =
+		primary_record_order(record, upstream->id);
+	const struct primary_order *before =
+		primary_record_order(record, record->id);
+
+	if (!order || !upstream->primary ||
+	    upstream->claimed_us <= order->applied_us)
+		return false;
+	if (before && order->last_token < before->first_token)
+		return false;
+	return !holder || !holder->primary ||
+	       upstream->claimed_us > holder->claimed_us;
 }
 
 /* Return: the upstream that leads in place of the agreed primary, NULL if none
@@ -207,14 +221,11 @@
 
 	g_hash_table_iter_init(&it, node->sightings.by_id);
 	while (g_hash_table_iter_next(&it, NULL, (void **)&upstream)) {
-		const struct primary_order *order =
-			primary_record_order(record, upstream->id);
-
 		if (upstream->gone || upstream == holder ||
 		    strcmp(upstream->service, record->service) ||
 		    (best && best->claimed_us >= upstream->claimed_us))
 			continue;
-		if (has_followed_order(order, upstream) ||
+		if (has_followed_order(record, holder, upstream) ||
 		    (lost && is_plausible_claim(node, upstream, now_us)))
 			best = upstream;
 	}
