Forget a lost copy for good once a survey without it has been made up for

What callers would see: a service with sync_replicas 1 that loses its primary for good stays without one when its successor is lost weeks later, as the first primary still counts among the copies that must answer.

Cause: a copy that did not answer the survey was taken for heard by announcements from before the promotion, and one that was dropped was added again while its announcement was remembered.

Change: only a sign from after the last promotion counts for both.

--- a/control/copies.c
+++ b/control/copies.c
@@ -99,15 +99,16 @@
 	       count_caught_up(node, record, lost->mark) >= sync_replicas;
 }
 
-static bool is_heard(const struct control_node *node, const char *id,
-		     int64_t now_us)
+/* Whether there is a sign of @id from after the last promotion, so that it may
+ * hold later commits. */
+static bool is_heard(const struct control_node *node,
+		     const struct primary_record *record, const char *id)
 {
 	const struct sighting *upstream = sightings_find(&node->sightings, id);
 
 	return control_upstream_answers(node, id) ||
 	       (upstream && !upstream->gone &&
-		now_us - upstream->heard_us <=
-			PROMOTION_CANDIDATE_MAX_SILENCE_US);
+		(!record->by_order || upstream->heard_us > record->applied_us));
 }
 
 /* The log that was promoted had all commits of a copy that did not answer the
@@ -115,10 +116,10 @@
 static bool is_made_up_for_since_survey(const struct control_node *node,
 					const struct primary_record *record,
 					const struct primary_copy *copy,
-					unsigned sync_replicas, int64_t now_us)
+					unsigned sync_replicas)
 {
 	return copy->absent && record->base.term &&
-	       !is_heard(node, copy->id, now_us) &&
+	       !is_heard(node, record, copy->id) &&
 	       count_caught_up(node, record, record->base) >= sync_replicas;
 }
 
@@ -131,8 +132,7 @@
 	const struct sighting *upstream =
 		sightings_find(&node->sightings, copy->id);
 
-	if (is_made_up_for_since_survey(node, record, copy, sync_replicas,
-					now_us))
+	if (is_made_up_for_since_survey(node, record, copy, sync_replicas))
 		return false;
 	/* One that is silent may still receive commits. */
 	if (upstream && !upstream->gone) {
@@ -173,7 +173,7 @@
 	for (i = 0; i < record->copies->len; i++) {
 		const struct primary_copy *copy = record->copies->pdata[i];
 
-		bool absent = copy->absent && !is_heard(node, copy->id, now_us);
+		bool absent = copy->absent && !is_heard(node, record, copy->id);
 
 		changed = changed || absent != copy->absent;
 		if (sync_replicas && still_counts(node, state, record, copy,
@@ -186,7 +186,8 @@
 	while (g_hash_table_iter_next(&it, NULL, (void **)&upstream)) {
 		if (!sync_replicas || upstream->gone ||
 		    strcmp(upstream->service, record->service) ||
-		    primary_record_copy(record, upstream->id))
+		    primary_record_copy(record, upstream->id) ||
+		    !is_heard(node, record, upstream->id))
 			continue;
 		add_copy(change, upstream->id, upstream->address, false);
 		changed = true;
--- a/tests/test_control_survey.c
+++ b/tests/test_control_survey.c
@@ -9,7 +9,7 @@
 #define NR_UPSTREAMS 3
 
 static const char *const ids[NR_UPSTREAMS] = { "a", "b", "c" };
-static const uint64_t applied[NR_UPSTREAMS] = { 120, 100, 80 };
+static uint64_t applied[NR_UPSTREAMS];
 static const uint64_t received[NR_UPSTREAMS] = { 120, 100, 120 };
 
 static bool primary_fails;
@@ -142,6 +142,8 @@
 {
 	unsigned i, k;
 
+	for (k = 0; k < NR_UPSTREAMS; k++)
+		applied[k] = 120 - 20 * k;
 	primary_fails = false;
 	primary_leads = false;
 	silent_upstream = -1;
@@ -369,8 +371,69 @@
 }
 END_TEST
 
+static bool has_two_copies(void)
+{
+	const struct primary_record *record =
+		leader() ? primary_register_find(&leader()->primaries, "s") :
+			   NULL;
+
+	return record && record->copies->len == 2;
+}
+
+/* The replica and the new primary go on to announce themselves. */
+static void announce_survivors(uint64_t sequence)
+{
+	unsigned i, k;
+
+	for (i = 0; i < 3; i++)
+		for (k = 1; k < NR_UPSTREAMS; k++) {
+			struct sighting s = { .id = (char *)ids[k],
+					      .service = "s",
+					      .address = (char *)ids[k],
+					      .availability_zone = "z",
+					      .primary = k == 2,
+					      .sequence = sequence,
+					      .heard_us = clock_now_us(),
+					      .claimed_us = clock_now_us() };
+
+			control_add_announcement(vms[i].node, &s);
+		}
+}
+
+/*
+ * Guards against a lost primary that counts for good although a survey without
+ * it decided on its successor: the loss of that one could then not be borne.
+ */
+START_TEST(test_lost_primary_is_forgotten)
+{
+	uint64_t sequence = 2;
+
+	start();
+	ck_assert(report_until(has_three_copies, 3));
+	ck_assert(report_until(is_promoted, 3));
+	ck_assert(has_three_copies());
+	/* The replica has the log that was promoted. */
+	applied[1] = applied[2] = 130;
+	while (sequence < 20 && !has_two_copies()) {
+		announce_survivors(sequence++);
+		report_to_all();
+		run_until(has_two_copies, 0.5);
+	}
+	ck_assert(has_two_copies());
+	for (; sequence < 24; sequence++) {
+		announce_survivors(sequence);
+		report_to_all();
+		run_until(NULL, 0.5);
+	}
+	ck_assert(has_two_copies());
+	ck_assert_ptr_null(primary_record_copy(
+		primary_register_find(&leader()->primaries, "s"), "a"));
+}
+END_TEST
+
 TEST_MAIN_WITH_FIXTURE("control_survey", init_group, stop_group,
 		       test_most_received_is_promoted, test_unanswered_survey,
 		       test_without_synchronous_replicas,
 		       test_recovered_primary_yields, test_new_leader_yields,
-		       test_replaced_primary_is_left_alone, test_reused_address)
+		       test_replaced_primary_is_left_alone, test_reused_address,
+		       test_lost_primary_is_forgotten)
