Search for the primary once a check, and share one bound on pauses

Each check of a service searched its upstreams for the primary twice, as control_unheard_primary() called control_primary() again; it is asked only if there is none now. handover.c and survey.c had the same constant for a pause of the process; it is in internal.h.

Behaviour is as before. Measured: the survey and entry tests pass (6 and 40), and four tests of control_node about primaries; formatter and linter pass.

--- a/control/internal.h
+++ b/control/internal.h
@@ -607,11 +607,12 @@
  * control_unheard_primary() - the agreed primary if this VM has not heard it
  *
  * It has joined after the last announcement that arrived, or the primary has
- * been silent for so long that it is forgotten. Daemons may still reach it.
- * Return: its id, NULL if it was heard or another upstream leads
+ * been silent for so long that it is forgotten. Daemons may still reach it. It
+ * counts if control_primary() knows of none.
+ * Return: its id, NULL if it was heard
  */
 const char *control_unheard_primary(const struct control_node *node,
-				    const char *service, int64_t now_us);
+				    const char *service);
 /**
  * control_primary_check() - as the leader, propose to agree on the upstream that
  *                           leads @service if no answer of the platform has
--- a/control/primaries.c
+++ b/control/primaries.c
@@ -276,14 +276,13 @@
 }
 
 const char *control_unheard_primary(const struct control_node *node,
-				    const char *service, int64_t now_us)
+				    const char *service)
 {
 	const struct primary_record *record =
 		primary_register_find(&node->primaries, service);
 
 	if (!record || !record->id ||
-	    sightings_find(&node->sightings, record->id) ||
-	    control_primary(node, service, now_us))
+	    sightings_find(&node->sightings, record->id))
 		return NULL;
 	return record->id;
 }
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -106,7 +106,8 @@
 	const struct sighting *primary = control_primary(node, service, now_us);
 	GArray *out =
 		g_array_new(FALSE, TRUE, sizeof(struct promotion_upstream));
-	const char *unheard = control_unheard_primary(node, service, now_us);
+	const char *unheard = primary ? NULL :
+					control_unheard_primary(node, service);
 	struct sighting *upstream;
 	GHashTableIter it;
 
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -8,9 +8,6 @@
 /* Time-out of a handover, which ends once the successor has caught up with the
  * demoted primary. */
 #define HANDOVER_TIMEOUT_US (700 * 1000ll)
-/* Pause of this process after which an order may have been given up by control,
- * which waits 1 s for the result. */
-#define MAX_PAUSE_US (300 * 1000ll)
 /* Interval at which the successor's log position is polled. */
 #define POLL_INTERVAL_US (20 * 1000ll)
 /* Time for which the result is repeated in reports to control. */
@@ -168,7 +165,7 @@
 				.timer = TIMER_NONE };
 	event_log_always("handover_started", "{s:s, s:s, s:I}", "from", h->from,
 			 "to", h->to, "number", (json_int_t)h->number);
-	if (clock_now_us() - entry->last_tick_us > MAX_PAUSE_US) {
+	if (clock_now_us() - entry->last_tick_us > ENTRY_ORDER_MAX_PAUSE_US) {
 		finish_order(entry, false);
 		return;
 	}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -1,4 +1,7 @@
 #ifndef ENTRY_INTERNAL_H
+/** Pause of this process after which control may have given up an order, whose
+ * result it awaits for 1 s, microseconds. */
+#define ENTRY_ORDER_MAX_PAUSE_US (300 * 1000ll)
 #define ENTRY_INTERNAL_H
 
 #include "answer_time.h"
--- a/entry/survey.c
+++ b/entry/survey.c
@@ -9,9 +9,6 @@
 #define SURVEY_TIMEOUT_US (700 * 1000ll)
 /* Interval at which upstreams that did not answer yet are asked again. */
 #define POLL_INTERVAL_US (20 * 1000ll)
-/* Pause of this process after which an order may have been given up by control,
- * which waits 1 s for the result. */
-#define MAX_PAUSE_US (300 * 1000ll)
 /* Time for which the result is repeated in reports to control. */
 #define RESULT_REPEAT_US (2500 * 1000ll)
 
@@ -265,7 +262,8 @@
 						      POLL_INTERVAL_US, on_poll,
 						      entry);
 	/* Nothing was paused, so control need not have anyone resume. */
-	if (!survey->resume && now_us - entry->last_tick_us > MAX_PAUSE_US)
+	if (!survey->resume &&
+	    now_us - entry->last_tick_us > ENTRY_ORDER_MAX_PAUSE_US)
 		finish_survey(entry, survey);
 	proceed(entry, survey, now_us);
 }
